--- /dev/null
+++ b/Makefile
@@ -0,0 +1,38 @@
+# Commands of the repository. README.md explains each.
+
+CASES ?= test/cases
+SEED ?= 1
+GO_TEST_FLAGS ?= -count=1 -timeout 20m
+
+.PHONY: all build demo test lint format measure bench fuzz clean
+
+all: build
+
+build:
+	go build -o bin/anvilglade ./cmd/anvilglade
+	go build -o bin/agstand ./cmd/agstand
+
+demo: build
+	bin/agstand demo --anvilglade bin/anvilglade
+
+test: build
+	go test $(GO_TEST_FLAGS) ./...
+
+bin/golangci-lint: tools/go.mod tools/go.sum
+	cd tools && go build -o ../bin/golangci-lint github.com/golangci/golangci-lint/v2/cmd/golangci-lint
+
+lint: bin/golangci-lint
+	cd tools && go run ./aghouse ..
+	bin/golangci-lint run ./...
+
+format: bin/golangci-lint
+	bin/golangci-lint fmt ./...
+
+measure: build
+	bin/agstand measure --anvilglade bin/anvilglade --cases $(CASES) --case "$(CASE)" --seed $(SEED)
+
+bench:
+	go test -run '^$$' -bench . -benchmem ./...
+
+clean:
+	rm -rf bin
--- /dev/null
+++ b/internal/operate/agcommand/table.go
@@ -0,0 +1,79 @@
+// Package agcommand holds the subcommands of the anvilglade binary.
+//
+// Each subcommand is one file with its usage text, its settings and its work.
+// The lookup table below names them all; Run parses the command line with
+// flaggy and runs the one that was chosen.
+//
+// Exit codes: 0 done, 1 failed, 2 wrong usage or settings, 3 rejected by
+// validation or conflict, 4 outcome unknown.
+//
+// # Usage
+//
+//	os.Exit(agcommand.Run(os.Args[1:]))
+package agcommand
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/integrii/flaggy"
+)
+
+// Exit codes of the command.
+const (
+	ExitDone     = 0
+	ExitFailed   = 1
+	ExitUsage    = 2
+	ExitRejected = 3
+	ExitUnknown  = 4
+)
+
+// Verb is one subcommand.
+type Verb interface {
+	// Bind adds flags, positional values and nested subcommands.
+	Bind(subcommand *flaggy.Subcommand)
+	// Run does the work and returns the exit code.
+	Run(ctx context.Context) int
+}
+
+type entry struct {
+	name    string
+	summary string
+	example string
+	create  func() Verb
+}
+
+// table names the subcommands in the order of the help text.
+var table = []entry{
+	{name: "version", summary: "print the version", example: "anvilglade version", create: newVersionVerb},
+}
+
+// Run parses the arguments, runs the chosen subcommand and returns the exit
+// code of the process.
+func Run(args []string) int {
+	parser := flaggy.NewParser("anvilglade")
+	parser.Description = "layer-4 load balancer for services whose callers leave when a queue shows"
+	parser.ShowVersionWithVersionFlag = false
+	verbs := make(map[*flaggy.Subcommand]Verb, len(table))
+	for _, item := range table {
+		subcommand := flaggy.NewSubcommand(item.name)
+		subcommand.Description = item.summary
+		subcommand.AdditionalHelpAppend = "\nExample:\n  " + item.example
+		verb := item.create()
+		verb.Bind(subcommand)
+		parser.AttachSubcommand(subcommand, 1)
+		verbs[subcommand] = verb
+	}
+	if err := parser.ParseArgs(args); err != nil {
+		fmt.Fprintln(os.Stderr, "anvilglade:", err)
+		return ExitUsage
+	}
+	for subcommand, verb := range verbs {
+		if subcommand.Used {
+			return verb.Run(context.Background())
+		}
+	}
+	parser.ShowHelp()
+	return ExitUsage
+}
--- /dev/null
+++ b/internal/operate/agtask/group.go
@@ -0,0 +1,112 @@
+// Package agtask runs the long-running tasks of a process.
+//
+// Every goroutine of anvilglade starts through a Group. A group is built on an
+// ants pool, names each task, turns a panic into an error, and stops all its
+// tasks when one of them fails or when the group is stopped.
+//
+// # Usage
+//
+//	group, stop, err := agtask.NewGroup(ctx)
+//	if err != nil {
+//		return err
+//	}
+//	defer stop()
+//	if err := group.Start("heartbeat", sender.Run); err != nil {
+//		return err
+//	}
+//	return group.Wait()
+package agtask
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+
+	"github.com/panjf2000/ants/v2"
+)
+
+// unlimited makes the ants pool start a worker for each task. Tasks block for
+// the life of the process, so a bounded pool would never start the later ones.
+const unlimited = -1
+
+// Group is a set of tasks that stop together.
+type Group struct {
+	ctx     context.Context
+	cancel  context.CancelCauseFunc
+	pool    *ants.Pool
+	tasks   sync.WaitGroup
+	running atomic.Int64
+}
+
+// NewGroup returns a group whose tasks end when ctx ends. The returned function
+// stops all tasks, waits for them and releases the pool.
+func NewGroup(ctx context.Context) (*Group, func(), error) {
+	pool, err := ants.NewPool(unlimited)
+	if err != nil {
+		return nil, nil, fmt.Errorf("create task pool: %w", err)
+	}
+	groupCtx, cancel := context.WithCancelCause(ctx)
+	g := &Group{ctx: groupCtx, cancel: cancel, pool: pool}
+	return g, g.close, nil
+}
+
+// Start runs a task. The task must return when its context ends. A task that
+// returns an error, other than the end of the context, stops the whole group.
+// Start returns an error if the group has been released.
+func (g *Group) Start(name string, task func(context.Context) error) error {
+	g.tasks.Add(1)
+	g.running.Add(1)
+	if err := g.pool.Submit(func() { g.run(name, task) }); err != nil {
+		g.running.Add(-1)
+		g.tasks.Done()
+		return fmt.Errorf("start task %s: %w", name, err)
+	}
+	return nil
+}
+
+// Running returns the number of tasks that have not ended.
+func (g *Group) Running() int64 {
+	return g.running.Load()
+}
+
+// Stop asks all tasks to end and does not wait.
+func (g *Group) Stop() {
+	g.cancel(context.Canceled)
+}
+
+// Wait waits until all tasks have ended and returns the error that stopped the
+// group, if any.
+func (g *Group) Wait() error {
+	g.tasks.Wait()
+	cause := context.Cause(g.ctx)
+	if cause == nil || errors.Is(cause, context.Canceled) {
+		return nil
+	}
+	return cause
+}
+
+// Context returns the context that the tasks get.
+func (g *Group) Context() context.Context {
+	return g.ctx
+}
+
+func (g *Group) run(name string, task func(context.Context) error) {
+	defer g.tasks.Done()
+	defer g.running.Add(-1)
+	defer func() {
+		if cause := recover(); cause != nil {
+			g.cancel(fmt.Errorf("task %s: panic: %v", name, cause))
+		}
+	}()
+	if err := task(g.ctx); err != nil && !errors.Is(err, context.Canceled) {
+		g.cancel(fmt.Errorf("task %s: %w", name, err))
+	}
+}
+
+func (g *Group) close() {
+	g.Stop()
+	g.tasks.Wait()
+	g.pool.Release()
+}
--- /dev/null
+++ b/internal/operate/agtask/group_test.go
@@ -0,0 +1,47 @@
+package agtask_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/anvilglade/anvilglade/internal/operate/agtask"
+)
+
+func TestGroup(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "agtask")
+}
+
+var _ = Describe("Group", func() {
+	var group *agtask.Group
+
+	BeforeEach(func() {
+		var stop func()
+		var err error
+		group, stop, err = agtask.NewGroup(context.Background())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(stop)
+	})
+
+	// Guards against a process that goes on with one of its tasks missing.
+	It("stops every task when one fails", func() {
+		failure := errors.New("socket closed")
+		Expect(group.Start("waiter", func(ctx context.Context) error {
+			<-ctx.Done()
+			return ctx.Err()
+		})).To(Succeed())
+		Expect(group.Start("failing", func(context.Context) error { return failure })).To(Succeed())
+		Expect(group.Wait()).To(MatchError(failure))
+		Expect(group.Running()).To(BeZero())
+	})
+
+	// Guards against a panic in one task that ends the process without clean-up.
+	It("turns a panic into an error", func() {
+		Expect(group.Start("panicking", func(context.Context) error { panic("index out of range") })).To(Succeed())
+		Expect(group.Wait()).To(MatchError(ContainSubstring("index out of range")))
+	})
+})
