--- /dev/null
+++ b/cmd/agstand/main.go
@@ -0,0 +1,12 @@
+// Command agstand runs the stand-ins for tests and measures.
+package main
+
+import (
+	"os"
+
+	"github.com/anvilglade/anvilglade/internal/stand/agstand"
+)
+
+func main() {
+	os.Exit(agstand.Run(os.Args[1:]))
+}
--- /dev/null
+++ b/internal/stand/agapi/objects.go
@@ -0,0 +1,108 @@
+package agapi
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/anvilglade/anvilglade"
+)
+
+// keepOld is how long former versions are kept for stale answers.
+const keepOld = 2 * time.Minute
+
+// Objects is the state of the object API: the newest version of each object
+// and, for stale answers, those of the last two minutes. Versions come from one
+// counter. It is safe for concurrent use.
+type Objects struct {
+	clock anvilglade.Clock
+
+	mu      sync.Mutex
+	counter anvilglade.Version
+	objects map[string][]storedObject
+	changed chan struct{}
+}
+
+type storedObject struct {
+	object anvilglade.Object
+	since  time.Time
+}
+
+// NewObjects returns an empty state.
+func NewObjects(clock anvilglade.Clock) *Objects {
+	return &Objects{clock: clock, objects: map[string][]storedObject{}, changed: make(chan struct{})}
+}
+
+// Get returns the object as it was at the given age; age 0 is the newest.
+func (o *Objects) Get(kind, name string, age time.Duration) (anvilglade.Object, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return visible(o.objects[kind+"/"+name], o.clock.Now().Add(-age))
+}
+
+// visible returns the newest version that existed at the time.
+func visible(versions []storedObject, at time.Time) (anvilglade.Object, bool) {
+	for _, version := range slices.Backward(versions) {
+		if !version.since.After(at) {
+			return version.object, true
+		}
+	}
+	return anvilglade.Object{}, false
+}
+
+// List returns the objects of a kind, sorted by name.
+func (o *Objects) List(kind string, age time.Duration) []anvilglade.Object {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	found := []anvilglade.Object{}
+	for key, versions := range o.objects {
+		if !strings.HasPrefix(key, kind+"/") {
+			continue
+		}
+		if object, ok := visible(versions, o.clock.Now().Add(-age)); ok {
+			found = append(found, object)
+		}
+	}
+	slices.SortFunc(found, func(a, b anvilglade.Object) int { return strings.Compare(a.Name, b.Name) })
+	return found
+}
+
+// Put writes an object if its stored version is ifVersion; 0 means that it must
+// not exist. It returns the new version, or false and writes nothing.
+func (o *Objects) Put(object anvilglade.Object, ifVersion anvilglade.Version) (anvilglade.Version, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	key := object.Kind + "/" + object.Name
+	versions := o.objects[key]
+	var stored anvilglade.Version
+	if len(versions) > 0 {
+		stored = versions[len(versions)-1].object.Version
+	}
+	if stored != ifVersion {
+		return stored, false
+	}
+	o.counter++
+	object.Version = o.counter
+	object.Data = slices.Clone(object.Data)
+	now := o.clock.Now()
+	o.objects[key] = append(withoutOld(versions, now.Add(-keepOld)), storedObject{object: object, since: now})
+	close(o.changed)
+	o.changed = make(chan struct{})
+	return object.Version, true
+}
+
+// withoutOld removes versions that were replaced before the time.
+func withoutOld(versions []storedObject, before time.Time) []storedObject {
+	for len(versions) > 1 && versions[1].since.Before(before) {
+		versions = versions[1:]
+	}
+	return versions
+}
+
+// Changed returns a channel that is closed at the next write.
+func (o *Objects) Changed() <-chan struct{} {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.changed
+}
