Add membership and replication between balancers

Cause: balancers and agents need one view of hosts, balancers, configuration and keys that spreads without writes to the object API.

--- /dev/null
+++ b/internal/membership/agmember/messages.go
@@ -0,0 +1,71 @@
+package agmember
+
+import (
+	"fmt"
+	"hash"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/anvilglade/anvilglade"
+)
+
+// Heartbeat is what an agent sends. The whole record goes only with the first
+// heartbeats and after the balancer asked for it; RecordVersion stands for it
+// otherwise, which keeps a heartbeat under 40 bytes.
+type Heartbeat struct {
+	Time          anvilglade.Timestamp
+	Host          anvilglade.HostID
+	RecordVersion anvilglade.Version
+	Record        *anvilglade.HostRecord `cbor:",omitempty"`
+	// OrdersHash is the hash of the orders that the agent has; 0 for none.
+	OrdersHash uint64
+}
+
+// HeartbeatAck is the balancer's answer.
+type HeartbeatAck struct {
+	Time       anvilglade.Timestamp
+	Balancer   anvilglade.BalancerID
+	OrdersHash uint64
+	// Orders are set when the agent's hash differs.
+	Orders *anvilglade.HostOrders `cbor:",omitempty"`
+	// SendRecord asks for the whole record.
+	SendRecord bool `cbor:",omitempty"`
+	// Claimed is the sequence of the host that a balancer claims to be Suspect
+	// or Dead.
+	Claimed *anvilglade.Sequence `cbor:",omitempty"`
+	// MaxJoinStamp is the highest join stamp that the balancer knows. It is set
+	// while the host is Joining.
+	MaxJoinStamp anvilglade.JoinStamp `cbor:",omitempty"`
+}
+
+func parseHeartbeat(payload []byte) (*Heartbeat, error) {
+	heartbeat := new(Heartbeat)
+	if err := decoding.Unmarshal(payload, heartbeat); err != nil {
+		return nil, fmt.Errorf("decode heartbeat: %w", err)
+	}
+	if err := anvilglade.CheckName(string(heartbeat.Host)); err != nil {
+		return nil, fmt.Errorf("decode heartbeat: %w", err)
+	}
+	if heartbeat.Record != nil && heartbeat.Record.Host != heartbeat.Host {
+		return nil, fmt.Errorf("decode heartbeat: record of host %s came from host %s", heartbeat.Record.Host, heartbeat.Host)
+	}
+	return heartbeat, nil
+}
+
+func parseHeartbeatAck(payload []byte) (*HeartbeatAck, error) {
+	ack := new(HeartbeatAck)
+	if err := decoding.Unmarshal(payload, ack); err != nil {
+		return nil, fmt.Errorf("decode heartbeat acknowledgement: %w", err)
+	}
+	return ack, nil
+}
+
+// hashOrders returns a hash over all fields of the orders, never 0.
+func hashOrders(orders *anvilglade.HostOrders) (uint64, error) {
+	digest := xxhash.New()
+	if err := cbor.NewEncoder(hash.Hash(digest)).Encode(orders); err != nil {
+		return 0, fmt.Errorf("encode orders: %w", err)
+	}
+	return max(1, digest.Sum64()), nil
+}
--- /dev/null
+++ b/internal/membership/agmember/monitor.go
@@ -0,0 +1,417 @@
+// Package agmember keeps the membership of hosts and balancers.
+//
+// An agent announces its host to three balancers of its data centre, one
+// heartbeat in turn to each (Reporter). A balancer answers with the orders of
+// the host and publishes changes, not heartbeats, as replicated records
+// (Monitor). A host that is silent is claimed to be Suspect; any balancer that
+// still hears it refutes the claim; otherwise the host is Dead after two
+// seconds. The host itself overrules every claim with a higher sequence, so a
+// host that was paused or cut off returns with its flows.
+//
+// No record rests on a lease or on a write to the object API: the records
+// belong to their subjects and are rebuilt from heartbeats within seconds.
+//
+// # Usage
+//
+// At a balancer:
+//
+//	monitor := agmember.NewMonitor(agmember.MonitorOptions{...})
+//	if err := group.Start("monitor", monitor.Run); err != nil {
+//		return err
+//	}
+//	err := monitor.HandleHeartbeat(from, payload)
+//	members := monitor.Members()
+//
+// At an agent:
+//
+//	reporter := agmember.NewReporter(agmember.ReporterOptions{...})
+//	if err := group.Start("heartbeat", reporter.Run); err != nil {
+//		return err
+//	}
+//	orders, ok := reporter.Orders()
+package agmember
+
+import (
+	"context"
+	_ "embed"
+	"fmt"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/anvilglade/anvilglade"
+	"github.com/anvilglade/anvilglade/internal/observe/agevent"
+	"github.com/anvilglade/anvilglade/internal/observe/aglog"
+	"github.com/anvilglade/anvilglade/internal/packet/agheader"
+	"github.com/anvilglade/anvilglade/internal/state/agchart"
+)
+
+//go:embed host.yaml
+var hostChart []byte
+
+const (
+	refreshPause = 20 * time.Millisecond
+	tickInterval = 200 * time.Millisecond
+	// pauseGap is a gap between two ticks after which this process counts as
+	// having been paused, so its silence says nothing about the hosts.
+	pauseGap = time.Second
+	// suspectSlack is added to one round of heartbeats before a claim.
+	suspectSlack = time.Second
+	// recentlyHeard is the age of a heartbeat that refutes a claim.
+	recentlyHeard = 1500 * time.Millisecond
+	// deadAfter is the time for refutations of a claim.
+	deadAfter = 2 * time.Second
+	// maxDoublings bounds how often a refuted claim doubles the silence before
+	// the next claim. Without it a balancer that is cut off from one living
+	// host publishes a claim with every tick.
+	maxDoublings = 5
+)
+
+// MonitorOptions are the settings of a Monitor.
+type MonitorOptions struct {
+	// Self is this balancer; Incarnation, Sequence and Living are set by the
+	// monitor.
+	Self    anvilglade.BalancerRecord
+	Replica anvilglade.Replica
+	Send    SendFunc
+	Clock   anvilglade.Clock
+	Events  anvilglade.Recorder
+	// Configuration returns the configuration in force, nil before the first.
+	Configuration func() *anvilglade.Configuration
+	// Service returns the service of a host under that configuration.
+	Service func(anvilglade.HostID) (anvilglade.ServiceID, bool)
+	// Keys returns the keys in force and their version.
+	Keys func() (anvilglade.KeyBundle, anvilglade.Version)
+}
+
+// Monitor is the balancer's side of membership. It is safe for concurrent use.
+type Monitor struct {
+	options MonitorOptions
+	log     *aglog.Logger
+	chart   *agchart.Chart
+	view    atomic.Pointer[view]
+
+	mu        sync.Mutex
+	self      anvilglade.BalancerRecord
+	heard     map[anvilglade.HostID]time.Time
+	suspected map[anvilglade.HostID]suspicion
+	// refuted counts the claims of this balancer that others refuted since it
+	// heard the host itself.
+	refuted  map[anvilglade.HostID]int
+	lastTick time.Time
+	orders   ordersCache
+	signals  map[chan struct{}]struct{}
+}
+
+// suspicion is a claim on a host with the time at which this balancer saw it.
+type suspicion struct {
+	version anvilglade.Version
+	since   time.Time
+}
+
+// NewMonitor returns a monitor and publishes the record of this balancer.
+func NewMonitor(options MonitorOptions) (*Monitor, error) {
+	chart, err := agchart.Load(hostChart)
+	if err != nil {
+		return nil, err
+	}
+	m := &Monitor{
+		options:   options,
+		log:       aglog.New("member"),
+		chart:     chart,
+		self:      options.Self,
+		heard:     make(map[anvilglade.HostID]time.Time),
+		suspected: make(map[anvilglade.HostID]suspicion),
+		refuted:   make(map[anvilglade.HostID]int),
+		lastTick:  options.Clock.Now(),
+		signals:   make(map[chan struct{}]struct{}),
+	}
+	m.self.Incarnation = anvilglade.Incarnation(options.Clock.Now().UnixNano())
+	m.self.Living = true
+	m.view.Store(newView(nil, nil, options.Self.Balancer))
+	if err := m.publishSelf(); err != nil {
+		return nil, err
+	}
+	m.refresh()
+	return m, nil
+}
+
+// Members returns the current view.
+func (m *Monitor) Members() *anvilglade.Members {
+	return &m.view.Load().members
+}
+
+// Subscribe returns a channel that gets a signal after the view has changed,
+// and a function that ends the subscription.
+func (m *Monitor) Subscribe() (<-chan struct{}, func()) {
+	signal := make(chan struct{}, 1)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.signals[signal] = struct{}{}
+	return signal, func() {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		delete(m.signals, signal)
+	}
+}
+
+// Run keeps the view and claims silent hosts until ctx ends.
+func (m *Monitor) Run(ctx context.Context) error {
+	hosts, endHosts := m.options.Replica.Subscribe(anvilglade.RecordHost)
+	defer endHosts()
+	balancers, endBalancers := m.options.Replica.Subscribe(anvilglade.RecordBalancer)
+	defer endBalancers()
+	tick := time.NewTicker(tickInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-hosts:
+			m.refresh()
+		case <-balancers:
+			m.refresh()
+		case <-tick.C:
+			m.Tick()
+			continue
+		}
+		// Changes that come together, such as the loss of a data centre, share
+		// one rebuild.
+		time.Sleep(refreshPause)
+	}
+}
+
+// Leave publishes that this balancer stops.
+func (m *Monitor) Leave() error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.self.Living = false
+	return m.publishSelf()
+}
+
+// PeerLost claims that a balancer is dead after the connection to it was lost.
+// The balancer refutes the claim if it lives.
+func (m *Monitor) PeerLost(id anvilglade.BalancerID) {
+	record, ok := m.options.Replica.Get(anvilglade.RecordBalancer, string(id))
+	if !ok {
+		return
+	}
+	balancer, err := recordToBalancer(record)
+	if err != nil || !balancer.Living {
+		return
+	}
+	balancer.Living = false
+	claim, err := balancerToRecord(&balancer)
+	if err != nil {
+		m.log.WithError(err).Error("Claim was not encoded.")
+		return
+	}
+	if m.options.Replica.Put(claim) {
+		m.log.WithField("Balancer", id).Warn("Balancer is lost.")
+		m.options.Events.Record(anvilglade.Event{Type: agevent.BalancerLost, Detail: string(id)})
+	}
+}
+
+// HandleHeartbeat takes the payload of a heartbeat and answers it. It returns
+// an error for a malformed one.
+func (m *Monitor) HandleHeartbeat(from netip.AddrPort, payload []byte) error {
+	heartbeat, err := parseHeartbeat(payload)
+	if err != nil {
+		return err
+	}
+	m.options.Events.Observe(heartbeat.Time)
+	known, exists := m.view.Load().host(heartbeat.Host)
+	if exists && anvilglade.Version(known.Incarnation) > heartbeat.RecordVersion {
+		return fmt.Errorf("heartbeat of host %s comes from a process older than incarnation %d", heartbeat.Host, known.Incarnation)
+	}
+	m.mu.Lock()
+	m.heard[heartbeat.Host] = m.options.Clock.Now()
+	delete(m.refuted, heartbeat.Host)
+	m.mu.Unlock()
+	ack := HeartbeatAck{Time: m.options.Events.Now(), Balancer: m.options.Self.Balancer}
+	if err := m.takeRecord(heartbeat, known, exists, &ack); err != nil {
+		return err
+	}
+	if err := m.addOrders(heartbeat, &ack); err != nil {
+		return err
+	}
+	answer, err := cbor.Marshal(&ack)
+	if err != nil {
+		return fmt.Errorf("encode acknowledgement: %w", err)
+	}
+	return m.options.Send(from, agheader.KindHeartbeatAck, answer)
+}
+
+// takeRecord publishes what is new in a heartbeat and notes in the answer what
+// the agent has to do.
+func (m *Monitor) takeRecord(heartbeat *Heartbeat, known anvilglade.HostRecord, exists bool, ack *HeartbeatAck) error {
+	if heartbeat.Record != nil && heartbeat.Record.JoinStamp == 0 {
+		ack.MaxJoinStamp = m.view.Load().maxJoinStamp
+		return nil
+	}
+	if !exists || hostVersion(&known) < heartbeat.RecordVersion {
+		ack.SendRecord = heartbeat.Record == nil
+		return m.publishHost(heartbeat.Record)
+	}
+	switch known.State {
+	case anvilglade.HostSuspect:
+		m.claim(known, "Refute", known.OwnState)
+	case anvilglade.HostDead:
+		ack.Claimed = &known.Sequence
+	default:
+	}
+	return nil
+}
+
+func (m *Monitor) publishHost(host *anvilglade.HostRecord) error {
+	if host == nil {
+		return nil
+	}
+	host.Claim = 0
+	host.State = host.OwnState
+	record, err := hostToRecord(host)
+	if err != nil {
+		return err
+	}
+	if m.options.Replica.Put(record) {
+		m.options.Events.Record(anvilglade.Event{
+			Type: agevent.HostJoined, Host: host.Host, DataCentre: host.DataCentre, Detail: string(host.State),
+		})
+	}
+	return nil
+}
+
+// Tick claims hosts that have been silent for too long, and refutes or
+// completes the claims of others.
+func (m *Monitor) Tick() {
+	now := m.options.Clock.Now()
+	current := m.view.Load()
+	m.mu.Lock()
+	if now.Sub(m.lastTick) > pauseGap {
+		m.log.WithField("Gap", now.Sub(m.lastTick)).Warn("This process was paused; hosts get a new grace period.")
+		clear(m.heard)
+		clear(m.suspected)
+	}
+	m.lastTick = now
+	limit := heartbeatTargets*current.interval + suspectSlack
+	m.mu.Unlock()
+	for i := range current.members.Hosts {
+		host := &current.members.Hosts[i]
+		switch host.State {
+		case anvilglade.HostActive, anvilglade.HostDraining:
+			if current.monitors(host.Host) && m.silentTooLong(host.Host, now, limit) {
+				m.claim(*host, "Suspect", anvilglade.HostSuspect)
+			}
+		case anvilglade.HostSuspect:
+			m.followClaim(*host, now)
+		default:
+		}
+	}
+}
+
+// silentTooLong reports whether a host has been silent for longer than the
+// limit. The first call for a host starts its grace period. A claim that is
+// made now counts as refuted until a heartbeat comes.
+func (m *Monitor) silentTooLong(host anvilglade.HostID, now time.Time, limit time.Duration) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	last, ok := m.heard[host]
+	if !ok {
+		m.heard[host] = now
+		return false
+	}
+	if now.Sub(last) <= limit<<min(m.refuted[host], maxDoublings) {
+		return false
+	}
+	m.heard[host] = now.Add(-recentlyHeard)
+	m.refuted[host]++
+	return true
+}
+
+// followClaim refutes a claim on a host that this balancer hears, or makes the
+// host Dead after the time for refutations.
+func (m *Monitor) followClaim(host anvilglade.HostRecord, now time.Time) {
+	version := hostVersion(&host)
+	m.mu.Lock()
+	last, ok := m.heard[host.Host]
+	seen := m.suspected[host.Host]
+	if seen.version != version {
+		seen = suspicion{version: version, since: now}
+		m.suspected[host.Host] = seen
+	}
+	m.mu.Unlock()
+	if ok && now.Sub(last) < recentlyHeard {
+		m.claim(host, "Refute", host.OwnState)
+		return
+	}
+	if now.Sub(seen.since) >= deadAfter {
+		m.claim(host, "Die", anvilglade.HostDead)
+	}
+}
+
+// claim publishes a claim of this balancer about a host. Suspect begins a new
+// claim; Refute and Die settle the one that is there.
+func (m *Monitor) claim(host anvilglade.HostRecord, event string, state anvilglade.HostState) {
+	if !m.chart.Allows(string(host.State), event) {
+		return
+	}
+	if state == anvilglade.HostSuspect {
+		if host.Claim >= maxClaims {
+			return
+		}
+		host.Claim++
+	}
+	host.State = state
+	record, err := hostToRecord(&host)
+	if err != nil {
+		m.log.WithError(err).Error("Claim was not encoded.")
+		return
+	}
+	if !m.options.Replica.Put(record) {
+		return
+	}
+	m.log.WithField("Host", host.Host).WithField("State", state).Warn("Host changes its state.")
+	m.options.Events.Record(anvilglade.Event{
+		Type: agevent.HostStateChanged, Host: host.Host, DataCentre: host.DataCentre, Detail: string(state),
+	})
+}
+
+// refresh rebuilds the view from the replica and tells the subscribers.
+func (m *Monitor) refresh() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	next := newView(m.options.Replica, m.view.Load(), m.options.Self.Balancer)
+	m.view.Store(next)
+	m.orders.clear()
+	if err := m.refuteSelf(next); err != nil {
+		m.log.WithError(err).Error("Claim about this balancer was not refuted.")
+	}
+	for signal := range m.signals {
+		select {
+		case signal <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// refuteSelf raises the sequence of this balancer when another one claimed that
+// it is dead.
+func (m *Monitor) refuteSelf(current *view) error {
+	if !m.self.Living || current.selfLiving {
+		return nil
+	}
+	m.self.Sequence++
+	return m.publishSelf()
+}
+
+func (m *Monitor) publishSelf() error {
+	record, err := balancerToRecord(&m.self)
+	if err != nil {
+		return err
+	}
+	m.options.Replica.Put(record)
+	return nil
+}
--- /dev/null
+++ b/internal/membership/agmember/reporter.go
@@ -0,0 +1,267 @@
+package agmember
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/anvilglade/anvilglade"
+	"github.com/anvilglade/anvilglade/internal/observe/aglog"
+	"github.com/anvilglade/anvilglade/internal/packet/agheader"
+)
+
+const (
+	// heartbeatTargets is the number of balancers that monitor a host.
+	heartbeatTargets = 3
+	// startInterval is used until the first orders give an interval.
+	startInterval = 100 * time.Millisecond
+	// silenceRounds is the number of rounds over all targets without any
+	// acknowledgement after which the agent turns to its seeds.
+	silenceRounds = 2
+)
+
+// SendFunc sends a sealed datagram from the datagram socket of the process.
+type SendFunc func(to netip.AddrPort, kind agheader.Kind, payload []byte) error
+
+// ReporterOptions are the settings of a Reporter.
+type ReporterOptions struct {
+	// Record is the host as the agent announces it. State, Sequence and
+	// JoinStamp are set by the reporter.
+	Record anvilglade.HostRecord
+	// Seeds are datagram addresses of balancers to start with.
+	Seeds  []netip.AddrPort
+	Send   SendFunc
+	Clock  anvilglade.Clock
+	Events anvilglade.Recorder
+}
+
+// Reporter is the agent's side of membership: it sends heartbeats and keeps the
+// orders that come back. It implements anvilglade.OrdersSource.
+type Reporter struct {
+	options ReporterOptions
+	log     *aglog.Logger
+	wake    chan struct{}
+
+	mu          sync.Mutex
+	record      anvilglade.HostRecord
+	orders      *anvilglade.HostOrders
+	ordersHash  uint64
+	sendRecord  bool
+	turn        int
+	lastAck     time.Time
+	subscribers map[chan struct{}]struct{}
+}
+
+var _ anvilglade.OrdersSource = (*Reporter)(nil)
+
+// NewReporter returns a reporter in the state Joining.
+func NewReporter(options ReporterOptions) *Reporter {
+	record := options.Record
+	record.State = anvilglade.HostJoining
+	record.OwnState = anvilglade.HostJoining
+	return &Reporter{
+		options:     options,
+		log:         aglog.New("heartbeat"),
+		wake:        make(chan struct{}, 1),
+		record:      record,
+		sendRecord:  true,
+		lastAck:     options.Clock.Now(),
+		subscribers: make(map[chan struct{}]struct{}),
+	}
+}
+
+// Run sends heartbeats until ctx ends.
+func (r *Reporter) Run(ctx context.Context) error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-r.wake:
+		case <-timer.C:
+		}
+		interval := r.beat()
+		timer.Reset(interval)
+	}
+}
+
+// Orders returns the newest orders.
+func (r *Reporter) Orders() (*anvilglade.HostOrders, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.orders, r.orders != nil
+}
+
+// Record returns the host as it is announced now.
+func (r *Reporter) Record() anvilglade.HostRecord {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.record
+}
+
+// Subscribe returns a channel that gets a signal after the orders changed.
+func (r *Reporter) Subscribe() (<-chan struct{}, func()) {
+	signal := make(chan struct{}, 1)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.subscribers[signal] = struct{}{}
+	return signal, func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		delete(r.subscribers, signal)
+	}
+}
+
+// SetState announces a state of the host to all its monitors: Draining, Active
+// after a drain, or Left.
+func (r *Reporter) SetState(state anvilglade.HostState) {
+	r.mu.Lock()
+	r.setState(state)
+	r.mu.Unlock()
+	for range heartbeatTargets {
+		r.beat()
+	}
+}
+
+func (r *Reporter) setState(state anvilglade.HostState) {
+	r.record.State = state
+	r.record.OwnState = state
+	r.record.Sequence++
+	r.sendRecord = true
+}
+
+// beat sends one heartbeat to the next target and returns the time to the next
+// one.
+func (r *Reporter) beat() time.Duration {
+	r.mu.Lock()
+	targets := r.targets()
+	interval := startInterval
+	if r.orders != nil {
+		interval = time.Duration(r.orders.HeartbeatInterval)
+	}
+	if len(targets) == 0 {
+		r.mu.Unlock()
+		return interval
+	}
+	target := targets[r.turn%len(targets)]
+	r.turn++
+	heartbeat := Heartbeat{
+		Time:          r.options.Events.Now(),
+		Host:          r.record.Host,
+		RecordVersion: hostVersion(&r.record),
+		OrdersHash:    r.ordersHash,
+	}
+	if r.sendRecord {
+		record := r.record
+		heartbeat.Record = &record
+		r.sendRecord = r.turn%len(targets) != 0
+	}
+	r.mu.Unlock()
+	if err := r.send(target, &heartbeat); err != nil {
+		r.log.WithError(err).WithField("To", target).Debug("Heartbeat was not sent.")
+	}
+	return interval
+}
+
+func (r *Reporter) send(target netip.AddrPort, heartbeat *Heartbeat) error {
+	payload, err := cbor.Marshal(heartbeat)
+	if err != nil {
+		return fmt.Errorf("encode heartbeat: %w", err)
+	}
+	return r.options.Send(target, agheader.KindHeartbeat, payload)
+}
+
+// targets returns the balancers that monitor this host, or the seeds while no
+// balancer is known or none has answered for some rounds.
+func (r *Reporter) targets() []netip.AddrPort {
+	if r.orders == nil || len(r.orders.Balancers) == 0 {
+		return r.options.Seeds
+	}
+	var targets []netip.AddrPort
+	for _, balancer := range r.orders.Balancers[:min(heartbeatTargets, len(r.orders.Balancers))] {
+		targets = append(targets, balancer.DatagramAddress)
+	}
+	silence := r.options.Clock.Now().Sub(r.lastAck)
+	round := time.Duration(r.orders.HeartbeatInterval) * heartbeatTargets
+	if silence <= silenceRounds*round {
+		return targets
+	}
+	for _, balancer := range r.orders.Balancers[len(targets):] {
+		targets = append(targets, balancer.DatagramAddress)
+	}
+	return append(targets, r.options.Seeds...)
+}
+
+// HandleAck takes the payload of an acknowledgement. It returns an error for a
+// malformed one and leaves the state as it was.
+func (r *Reporter) HandleAck(payload []byte) error {
+	ack, err := parseHeartbeatAck(payload)
+	if err != nil {
+		return err
+	}
+	r.options.Events.Observe(ack.Time)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lastAck = r.options.Clock.Now()
+	if ack.SendRecord {
+		r.sendRecord = true
+	}
+	changed := r.handleClaim(ack)
+	if r.record.JoinStamp == 0 {
+		r.join(ack.MaxJoinStamp)
+		changed = true
+	}
+	if ack.Orders != nil && r.adopt(ack) {
+		changed = true
+	}
+	if changed {
+		r.signal(r.wake)
+	}
+	return nil
+}
+
+// handleClaim refutes a claim that this host is Suspect or Dead.
+func (r *Reporter) handleClaim(ack *HeartbeatAck) bool {
+	if ack.Claimed == nil || *ack.Claimed < r.record.Sequence || r.record.OwnState == anvilglade.HostLeft {
+		return false
+	}
+	r.record.Sequence = *ack.Claimed
+	r.setState(r.record.OwnState)
+	r.log.WithField("Sequence", r.record.Sequence).Warn("Host was claimed to be unreachable; the claim is refuted.")
+	return true
+}
+
+// join takes a join stamp above all that the balancer knows, so that this host
+// is younger than every host that may hold flows.
+func (r *Reporter) join(highest anvilglade.JoinStamp) {
+	r.record.JoinStamp = max(anvilglade.JoinStamp(r.options.Events.Now()), highest+1)
+	if r.record.OwnState == anvilglade.HostJoining {
+		r.setState(anvilglade.HostActive)
+	}
+	r.sendRecord = true
+}
+
+// adopt takes orders unless they rest on a lower revision or on older keys.
+func (r *Reporter) adopt(ack *HeartbeatAck) bool {
+	if r.orders != nil && (ack.Orders.Revision < r.orders.Revision || ack.Orders.KeysAt < r.orders.KeysAt) {
+		return false
+	}
+	r.orders = ack.Orders
+	r.ordersHash = ack.OrdersHash
+	for signal := range r.subscribers {
+		r.signal(signal)
+	}
+	return true
+}
+
+func (*Reporter) signal(channel chan struct{}) {
+	select {
+	case channel <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/internal/state/agreplica/messages.go
@@ -0,0 +1,109 @@
+package agreplica
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/anvilglade/anvilglade"
+)
+
+// maxMessageSize bounds one message between balancers in bytes. The largest
+// record is the configuration, at most 1 MB in the object API.
+const maxMessageSize = 4 << 20
+
+// message is what balancers send each other, with one field set besides Time.
+type message struct {
+	Time anvilglade.Timestamp
+	// Hello is the first message in each direction.
+	Hello *hello `cbor:",omitempty"`
+	// Records are changes, or the answer to Wanted.
+	Records []anvilglade.Record `cbor:",omitempty"`
+	// Root is the hash of all records, sent every second.
+	Root *uint64 `cbor:",omitempty"`
+	// Shards answers a Root that differs.
+	Shards *shardHashes `cbor:",omitempty"`
+	// Versions answers Shards, one message for each shard that differs.
+	Versions *shardVersions `cbor:",omitempty"`
+	// Wanted asks for records that the peer has in a higher version.
+	Wanted []recordKey `cbor:",omitempty"`
+}
+
+type hello struct {
+	Balancer anvilglade.BalancerID
+}
+
+type shardVersions struct {
+	Shard   int
+	Records []recordVersion
+}
+
+type recordVersion struct {
+	Kind    anvilglade.RecordKind
+	Name    string
+	Version anvilglade.Version
+}
+
+var decoding = newDecoding()
+
+func newDecoding() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+		IndefLength:      cbor.IndefLengthForbidden,
+		MaxNestedLevels:  8,
+		MaxArrayElements: 1 << 16,
+		MaxMapPairs:      64,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// writeMessage writes a message with a length of four bytes in front of it and
+// returns the number of bytes written.
+func writeMessage(w io.Writer, msg *message) (int, error) {
+	body, err := cbor.Marshal(msg)
+	if err != nil {
+		return 0, fmt.Errorf("encode message: %w", err)
+	}
+	frame := make([]byte, 4, 4+len(body))
+	binary.BigEndian.PutUint32(frame, uint32(len(body)))
+	n, err := w.Write(append(frame, body...))
+	if err != nil {
+		return n, fmt.Errorf("write message: %w", err)
+	}
+	return n, nil
+}
+
+// readMessage reads one message. It returns an error for one that is too long
+// or malformed.
+func readMessage(r io.Reader) (*message, error) {
+	var head [4]byte
+	if _, err := io.ReadFull(r, head[:]); err != nil {
+		return nil, fmt.Errorf("read message: %w", err)
+	}
+	size := binary.BigEndian.Uint32(head[:])
+	if size > maxMessageSize {
+		return nil, fmt.Errorf("message has %d bytes, allowed are %d", size, maxMessageSize)
+	}
+	body := make([]byte, size)
+	if _, err := io.ReadFull(r, body); err != nil {
+		return nil, fmt.Errorf("read message: %w", err)
+	}
+	return parseMessage(body)
+}
+
+func parseMessage(body []byte) (*message, error) {
+	msg := new(message)
+	if err := decoding.Unmarshal(body, msg); err != nil {
+		return nil, fmt.Errorf("decode message: %w", err)
+	}
+	if msg.Versions != nil && (msg.Versions.Shard < 0 || msg.Versions.Shard >= shardCount) {
+		return nil, errors.New("decode message: shard is out of range")
+	}
+	return msg, nil
+}
--- /dev/null
+++ b/internal/state/agreplica/watcher.go
@@ -0,0 +1,142 @@
+package agreplica
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/anvilglade/anvilglade"
+	"github.com/anvilglade/anvilglade/internal/observe/agevent"
+	"github.com/anvilglade/anvilglade/internal/observe/aglog"
+)
+
+const (
+	minBackoff = 200 * time.Millisecond
+	// maxBackoff keeps the time to notice the end of an outage within the 3 s
+	// that a balancer may lag after it.
+	maxBackoff = 1500 * time.Millisecond
+	// wakeRate is the number of watches a second that the fleet may renew
+	// after a change. It is a quarter of the two thousand reads a second that
+	// the platform allows.
+	wakeRate = 500
+	// watchTimeout covers the longest wait of the platform and its answer.
+	watchTimeout = 45 * time.Second
+)
+
+// Watched names an object of the platform that is copied into the replica
+// under the same kind and name.
+type Watched struct {
+	Kind anvilglade.RecordKind
+	Name string
+}
+
+// WatcherOptions are the settings of a Watcher.
+type WatcherOptions struct {
+	Objects []Watched
+	// Balancers returns the number of living balancers, from which the delay
+	// of renewed watches is derived.
+	Balancers func() int
+	Events    anvilglade.Recorder
+}
+
+// Watcher copies objects of the platform into the replica by long-poll watches.
+type Watcher struct {
+	replica   *Replica
+	store     anvilglade.Store
+	options   WatcherOptions
+	log       *aglog.Logger
+	reachable atomic.Bool
+	answered  atomic.Bool
+}
+
+// NewWatcher returns a watcher; Run does the work.
+func NewWatcher(replica *Replica, store anvilglade.Store, options WatcherOptions) *Watcher {
+	w := &Watcher{replica: replica, store: store, options: options, log: aglog.New("watch")}
+	w.reachable.Store(true)
+	return w
+}
+
+// Answered reports whether the platform has answered since the start.
+func (w *Watcher) Answered() bool {
+	return w.answered.Load()
+}
+
+// Task returns the task that watches one of the objects until its context ends.
+func (w *Watcher) Task(object Watched) func(context.Context) error {
+	return func(ctx context.Context) error {
+		backoff := minBackoff
+		for ctx.Err() == nil {
+			changed, err := w.poll(ctx, object)
+			if err != nil {
+				w.setReachable(false, err)
+				if sleep(ctx, jitter(backoff)) != nil {
+					break
+				}
+				backoff = min(2*backoff, maxBackoff)
+				continue
+			}
+			w.setReachable(true, nil)
+			backoff = minBackoff
+			if changed && sleep(ctx, jitter(w.renewDelay())) != nil {
+				break
+			}
+		}
+		return ctx.Err()
+	}
+}
+
+// poll waits for one change of the object.
+func (w *Watcher) poll(ctx context.Context, object Watched) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
+	defer cancel()
+	known, _ := w.replica.Get(object.Kind, object.Name)
+	found, err := w.store.Watch(ctx, string(object.Kind), object.Name, known.Version)
+	if errors.Is(err, anvilglade.ErrNoChange) || errors.Is(err, anvilglade.ErrNotFound) {
+		w.answered.Store(true)
+		return errors.Is(err, anvilglade.ErrNotFound), nil
+	}
+	if err != nil {
+		return false, err
+	}
+	w.answered.Store(true)
+	w.replica.Put(anvilglade.Record{
+		Kind: object.Kind, Name: object.Name, Version: found.Version, Payload: found.Data,
+	})
+	return true, nil
+}
+
+// renewDelay spreads the watches that a change has ended at the same moment.
+func (w *Watcher) renewDelay() time.Duration {
+	return max(50*time.Millisecond, time.Duration(w.options.Balancers())*time.Second/wakeRate)
+}
+
+func (w *Watcher) setReachable(reachable bool, err error) {
+	if w.reachable.Swap(reachable) == reachable {
+		return
+	}
+	if reachable {
+		w.log.Info("Platform answers again.")
+		w.options.Events.Record(anvilglade.Event{Type: agevent.PlatformReachable})
+		return
+	}
+	w.log.WithError(err).Warn("Platform does not answer; the last revision stays in force.")
+	w.options.Events.Record(anvilglade.Event{Type: agevent.PlatformUnreachable, Detail: err.Error()})
+}
+
+// jitter returns a random part of a duration between a half and the whole.
+func jitter(d time.Duration) time.Duration {
+	return d/2 + rand.N(d/2+1)
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
--- a/members.go
+++ b/members.go
@@ -17,12 +17,17 @@
 )
 
 // HostRecord is what the fleet knows of one host. The host's agent sets every
-// field but State, which balancers may set to Suspect or Dead.
+// field but State and Claim, by which balancers claim that a host is Suspect or
+// Dead, or refute such a claim.
 type HostRecord struct {
-	Host         HostID
-	Incarnation  Incarnation
-	Sequence     Sequence
+	Host        HostID
+	Incarnation Incarnation
+	Sequence    Sequence
+	// Claim counts the claims of balancers about this Sequence.
+	Claim uint16
+	// State is the state in effect, OwnState the one that the agent reported.
 	State        HostState
+	OwnState     HostState
 	DataCentre   DataCentreID
 	AgentAddress netip.AddrPort
 	// ControlAddress takes request forwarding and tickets between agents.
@@ -45,8 +50,6 @@
 	// PeerAddress takes replication over QUIC.
 	PeerAddress  netip.AddrPort
 	AdminAddress netip.AddrPort
-	// Revision is the configuration in force at this balancer.
-	Revision Revision
 }
 
 // Members is an immutable view of the hosts and balancers that are known.
@@ -79,11 +82,15 @@
 	Pool     Pool
 	Draining bool
 	// Members are the hosts of Service, the receiver included.
-	Members   []ServiceMember
+	Members []ServiceMember
+	// Balancers starts with those that the agent sends heartbeats to.
 	Balancers []BalancerRecord
-	Routes    []Route
-	Keys      KeyBundle
-	KeysAt    Version
+	// HeartbeatInterval is the time between two heartbeats, each to the next
+	// of the balancers in turn. It keeps control traffic within its budget.
+	HeartbeatInterval Duration
+	Routes            []Route
+	Keys              KeyBundle
+	KeysAt            Version
 }
 
 // OrdersSource gives an agent its newest orders. It is safe for concurrent use.
