Add agent process with flow ownership and admission

Cause: packets of a flow may reach any balancer, so the hosts themselves have to know which of them owns a flow and what each can bear.

Change: agflow decides on ownership without sockets (lookup along the candidate list, arbitration by the oldest host, attempt numbers against duplicates, answer path) and relays plain UDP and QUIC packets; agadmit limits work by completions with a ramp for cold servers; agagent runs the tasks, enforces orders and stops gracefully.

Measured: go test ./internal/operate/agagent passes: three agents over UDP on loopback keep one owner for a flow, a stopping agent keeps its flow until the drain limit, and an agent whose data centre is out drops everything.

--- /dev/null
+++ b/internal/flow/agflow/orders.go
@@ -0,0 +1,185 @@
+// The orders of an agent as the flow decisions use them.
+
+package agflow
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/anvilglade/anvilglade"
+)
+
+// view is the newest known membership of a service. A view of a former service
+// is kept, so that late packets of it still reach its arbiter. A nil view knows
+// nothing.
+type view struct {
+	// members are sorted by age.
+	members []anvilglade.ServiceMember
+	index   map[netip.AddrPort]int
+	former  bool
+	mean    float64
+	meanAt  int64
+}
+
+func newView(members []anvilglade.ServiceMember) *view {
+	v := &view{members: slices.Clone(members), index: make(map[netip.AddrPort]int, len(members))}
+	slices.SortFunc(v.members, func(a, b anvilglade.ServiceMember) int {
+		return cmp.Or(cmp.Compare(a.JoinStamp, b.JoinStamp), cmp.Compare(a.Host, b.Host))
+	})
+	for i := range v.members {
+		v.index[v.members[i].AgentAddress] = i
+	}
+	return v
+}
+
+func (v *view) member(address netip.AddrPort) *anvilglade.ServiceMember {
+	if v == nil {
+		return nil
+	}
+	i, ok := v.index[address]
+	if !ok {
+		return nil
+	}
+	return &v.members[i]
+}
+
+// gone reports whether a host is known to be dead or to have left. A host that
+// is not known at all may be newer than the orders.
+func (v *view) gone(address netip.AddrPort) bool {
+	member := v.member(address)
+	return member != nil && (member.State == anvilglade.HostDead || member.State == anvilglade.HostLeft)
+}
+
+// lives reports whether a placement on this incarnation still stands. The
+// incarnation is 0 if the host was not known when the flow was placed.
+func (v *view) lives(address netip.AddrPort, incarnation anvilglade.Incarnation) bool {
+	member := v.member(address)
+	if member == nil {
+		return true
+	}
+	return !v.gone(address) && (incarnation == 0 || member.Incarnation == incarnation)
+}
+
+func (v *view) incarnation(address netip.AddrPort) anvilglade.Incarnation {
+	if member := v.member(address); member != nil {
+		return member.Incarnation
+	}
+	return 0
+}
+
+func (v *view) dataCentre(address netip.AddrPort) anvilglade.DataCentreID {
+	if member := v.member(address); member != nil {
+		return member.DataCentre
+	}
+	return ""
+}
+
+// mayAccept trusts the balancer's list for hosts that the orders do not have.
+func (v *view) mayAccept(address netip.AddrPort) bool {
+	member := v.member(address)
+	return member == nil || member.Accepts
+}
+
+func mayArbitrate(state anvilglade.HostState) bool {
+	return state == anvilglade.HostActive || state == anvilglade.HostDraining || state == anvilglade.HostSuspect
+}
+
+// arbiter returns the oldest living host. An agent that has left is no arbiter
+// any more, whatever the orders say.
+func (v *view) arbiter(m *Machine) (anvilglade.ServiceMember, bool) {
+	if v == nil {
+		return anvilglade.ServiceMember{}, false
+	}
+	for i := range v.members {
+		member := &v.members[i]
+		self := member.AgentAddress == m.options.Self
+		if !mayArbitrate(member.State) || self && (m.left || v.former || member.Incarnation != m.options.Incarnation) {
+			continue
+		}
+		return *member, true
+	}
+	return anvilglade.ServiceMember{}, false
+}
+
+// mayDecide reports whether the orders list this incarnation as a living host of
+// the service. A restarted agent under a former record must not decide: the
+// entries of its former life are gone.
+func (v *view) mayDecide(m *Machine) bool {
+	member := v.member(m.options.Self)
+	return member != nil && !v.former && member.Incarnation == m.options.Incarnation && mayArbitrate(member.State)
+}
+
+// meanUtilisation is computed at most once for each report interval, as it
+// visits every host.
+func (v *view) meanUtilisation(m *Machine) float64 {
+	if v == nil {
+		return 0
+	}
+	if v.meanAt == m.utilAt && v.meanAt != 0 {
+		return v.mean
+	}
+	sum, count := 0.0, 0
+	for i := range v.members {
+		if v.members[i].Accepts {
+			sum += m.estimate(v.members[i].AgentAddress)
+			count++
+		}
+	}
+	v.mean, v.meanAt = 0, m.utilAt
+	if count > 0 {
+		v.mean = sum / float64(count)
+	}
+	return v.mean
+}
+
+// SetOrders adopts orders of a revision that is not lower. When the data centre
+// goes out, all flows end.
+func (m *Machine) SetOrders(now time.Time, orders *anvilglade.HostOrders, actions []Action) []Action {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	service := orders.Service.Number()
+	if m.ordered && service != m.service && m.views[m.service] != nil {
+		m.views[m.service].former = true
+	}
+	m.ordered = true
+	m.service, m.serviceID = service, orders.Service
+	m.draining = orders.Draining || orders.DataCentreState != anvilglade.DataCentreIn
+	m.flowCost = float64(anvilglade.FullUtilisation) / float64(max(1, orders.Pool.Connections))
+	m.views[service] = newView(orders.Members)
+	clear(m.balancers)
+	for i := range orders.Balancers {
+		m.balancers[orders.Balancers[i].DatagramAddress] = orders.Balancers[i].DataCentre
+	}
+	m.forgetLoads()
+	m.out = orders.DataCentreState == anvilglade.DataCentreOut
+	if m.out {
+		return m.endAll(now.UnixNano(), actions)
+	}
+	return actions
+}
+
+func (m *Machine) forgetLoads() {
+	known := m.views[m.service]
+	for address := range m.loads {
+		if known.member(address) == nil || known.gone(address) {
+			delete(m.loads, address)
+		}
+	}
+}
+
+// Drain refuses new flows from now on. Flows that are open go on.
+func (m *Machine) Drain() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.stopping = true
+}
+
+// Leave hands the decisions on new flows to the next oldest host. The agent
+// should stay for a few seconds after it, for packets on their way.
+func (m *Machine) Leave() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.stopping, m.left = true, true
+}
--- /dev/null
+++ b/internal/operate/agagent/counters.go
@@ -0,0 +1,89 @@
+// Counters of the agent: expvar and the status page.
+
+package agagent
+
+import (
+	"expvar"
+	"sync"
+	"sync/atomic"
+
+	"github.com/anvilglade/anvilglade"
+	"github.com/anvilglade/anvilglade/internal/admission/agadmit"
+	"github.com/anvilglade/anvilglade/internal/flow/agflow"
+)
+
+// variable is the name of the agent's variables in /debug/vars.
+const variable = "Agent"
+
+type counters struct {
+	received, sent, delivered, sendFailures, revision atomic.Uint64
+
+	mu    sync.Mutex
+	drops map[anvilglade.Drop]uint64
+}
+
+func (c *counters) drop(reason anvilglade.Drop) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.drops == nil {
+		c.drops = make(map[anvilglade.Drop]uint64)
+	}
+	c.drops[reason]++
+}
+
+func (c *counters) copyDrops() map[anvilglade.Drop]uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	drops := make(map[anvilglade.Drop]uint64, len(c.drops))
+	for reason, count := range c.drops {
+		drops[reason] = count
+	}
+	return drops
+}
+
+// Status is the status page of an agent.
+type Status struct {
+	Host            anvilglade.HostID
+	DataCentre      anvilglade.DataCentreID
+	Incarnation     anvilglade.Incarnation
+	Service         anvilglade.ServiceID
+	Revision        anvilglade.Revision
+	DataCentreState anvilglade.DataCentreState
+	Draining        bool
+	Stopping        bool
+	Received        uint64
+	Sent            uint64
+	Delivered       uint64
+	Answers         uint64
+	SendFailures    uint64
+	RelayFailures   uint64
+	Drops           map[anvilglade.Drop]uint64
+	Flow            agflow.Statistics
+	// Admission is nil under AdmissionBaseline.
+	Admission *agadmit.State
+}
+
+func (a *Agent) status() Status {
+	s := Status{
+		Host: a.settings.Host, DataCentre: a.settings.DataCentre, Incarnation: a.record.Incarnation,
+		Stopping: a.stopping.Load(), Received: a.counters.received.Load(), Sent: a.counters.sent.Load(),
+		Delivered: a.counters.delivered.Load(), Answers: a.relay.Answers(), SendFailures: a.counters.sendFailures.Load(),
+		RelayFailures: a.relay.Failures(), Drops: a.counters.copyDrops(), Flow: a.machine.Statistics(),
+	}
+	if orders, ok := a.reporter.Orders(); ok {
+		s.Service, s.Revision, s.DataCentreState, s.Draining = orders.Service, orders.Revision, orders.DataCentreState, orders.Draining
+	}
+	if a.limits != nil {
+		state := a.limits.State()
+		s.Admission = &state
+	}
+	return s
+}
+
+// publish shows the status in /debug/vars. The variables belong to the process;
+// tests that run several agents in one process see the first one only.
+func (a *Agent) publish() {
+	if expvar.Get(variable) == nil {
+		expvar.Publish(variable, expvar.Func(func() any { return a.status() }))
+	}
+}
--- /dev/null
+++ b/internal/operate/agagent/run.go
@@ -0,0 +1,206 @@
+// The life of the agent: its tasks, the enforcement of orders and the graceful
+// stop.
+
+package agagent
+
+import (
+	"context"
+	"errors"
+	"os"
+	"time"
+
+	"github.com/anvilglade/anvilglade"
+	"github.com/anvilglade/anvilglade/internal/flow/agflow"
+	"github.com/anvilglade/anvilglade/internal/observe/agevent"
+	"github.com/anvilglade/anvilglade/internal/observe/aglog"
+)
+
+const (
+	// DefaultDrainLimit is how long flows may stay on a stopping agent whose
+	// pool sets no limit.
+	DefaultDrainLimit = 12 * time.Hour
+	// DefaultLinger covers the heartbeats that announce the leave and the
+	// packets that were sent before balancers learned of it.
+	DefaultLinger = 3 * time.Second
+	// leastDrain is the shortest drain: balancers place no more work here
+	// within this time, so none is refused that could have gone elsewhere.
+	leastDrain = 2 * time.Second
+	// drainPoll is how often a stopping agent looks for open flows.
+	drainPoll = 50 * time.Millisecond
+)
+
+// ErrStoppedAtOnce means that a second signal ended the agent before its flows
+// had ended.
+var ErrStoppedAtOnce = errors.New("stopped at once by a second signal")
+
+// Run starts all tasks and returns when the agent has stopped. The first signal
+// begins a graceful stop, the second one ends it at once. The end of ctx stops
+// at once as well.
+func (a *Agent) Run(ctx context.Context, signals <-chan os.Signal) error {
+	a.events.Record(anvilglade.Event{Type: agevent.ProcessStarted, Host: a.settings.Host})
+	tasks := []struct {
+		name string
+		run  func(context.Context) error
+	}{
+		{"datagrams", a.receive},
+		{"orders", a.followOrders},
+		{"tick", a.tick},
+		{"reporter", a.reporter.Run},
+		{"admin", a.admin.Run},
+	}
+	for _, task := range tasks {
+		if err := a.group.Start(task.name, task.run); err != nil {
+			return err
+		}
+	}
+	a.log.WithField("Host", a.settings.Host).WithField("Address", a.settings.AgentAddress).Info("Agent has started.")
+	select {
+	case <-ctx.Done():
+	case <-a.group.Context().Done():
+	case <-signals:
+		err := a.drain(signals)
+		a.stopTasks()
+		return errors.Join(err, a.group.Wait())
+	}
+	a.stopTasks()
+	return a.group.Wait()
+}
+
+// stopTasks ends the flows first, as their readers wait for their sockets.
+func (a *Agent) stopTasks() {
+	a.carryOut(context.Background(), a.clock.Now(), a.machine.EndAll(a.clock.Now(), nil), aglog.NewLimiter(dropLogInterval))
+	a.group.Stop()
+}
+
+// drain is the graceful stop. Flows keep this agent until they end or the drain
+// limit of the pool has passed.
+func (a *Agent) drain(signals <-chan os.Signal) error {
+	started := time.Now()
+	limit := a.drainLimit()
+	a.log.WithField("Limit", limit).Info("Agent stops; open flows may stay until the limit.")
+	a.events.Record(anvilglade.Event{Type: agevent.ProcessStopping, Host: a.settings.Host})
+	a.stopping.Store(true)
+	a.machine.Drain()
+	a.setClosed(anvilglade.RefusalDraining)
+	a.reporter.SetState(anvilglade.HostDraining)
+	for _, server := range a.servers {
+		server.Drain()
+	}
+	ended := func() bool {
+		waited := time.Since(started)
+		return waited >= limit || waited >= leastDrain && a.idle()
+	}
+	if err := a.waitFor(signals, ended); err != nil {
+		return err
+	}
+	a.machine.Leave()
+	a.reporter.SetState(anvilglade.HostLeft)
+	left := time.Now()
+	return a.waitFor(signals, func() bool { return time.Since(left) >= a.linger() })
+}
+
+func (a *Agent) waitFor(signals <-chan os.Signal, done func() bool) error {
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	for !done() {
+		select {
+		case <-signals:
+			return ErrStoppedAtOnce
+		case <-a.group.Context().Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
+
+// idle reports whether nothing is in progress: no flow, no QUIC connection and
+// no request.
+func (a *Agent) idle() bool {
+	if a.limits == nil {
+		return a.machine.OpenFlows() == 0
+	}
+	state := a.limits.State()
+	return state.Flows == 0 && state.Requests == 0
+}
+
+func (a *Agent) drainLimit() time.Duration {
+	if orders, ok := a.reporter.Orders(); ok && orders.Pool.DrainLimit > 0 {
+		return time.Duration(orders.Pool.DrainLimit)
+	}
+	return DefaultDrainLimit
+}
+
+func (a *Agent) linger() time.Duration {
+	if a.settings.Linger > 0 {
+		return a.settings.Linger
+	}
+	return DefaultLinger
+}
+
+// tick ends idle flows and reports to the arbiter.
+func (a *Agent) tick(ctx context.Context) error {
+	ticker := time.NewTicker(agflow.TickInterval)
+	defer ticker.Stop()
+	limiter := aglog.NewLimiter(dropLogInterval)
+	var actions []agflow.Action
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			now := a.clock.Now()
+			actions = a.machine.Tick(now, actions[:0])
+			a.carryOut(ctx, now, actions, limiter)
+		}
+	}
+}
+
+// followOrders enforces each change of the orders.
+func (a *Agent) followOrders(ctx context.Context) error {
+	changed, end := a.reporter.Subscribe()
+	defer end()
+	for {
+		if orders, ok := a.reporter.Orders(); ok {
+			a.enforce(ctx, orders)
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changed:
+		}
+	}
+}
+
+// enforce closes the host for new work before it ends flows, so that nothing
+// starts in between.
+func (a *Agent) enforce(ctx context.Context, orders *anvilglade.HostOrders) {
+	a.parts.Keys.Adopt(orders.Keys, orders.KeysAt)
+	if a.limits != nil && orders.Service != "" {
+		a.limits.SetPool(orders.Service, orders.Pool)
+	}
+	a.setClosed(a.closedBy(orders))
+	now := a.clock.Now()
+	a.carryOut(ctx, now, a.machine.SetOrders(now, orders, nil), aglog.NewLimiter(dropLogInterval))
+	if previous := a.counters.revision.Swap(uint64(orders.Revision)); previous != uint64(orders.Revision) {
+		a.events.Record(anvilglade.Event{Type: agevent.RevisionAdopted, Host: a.settings.Host, Service: orders.Service, Revision: orders.Revision})
+		a.log.WithField("Revision", orders.Revision).WithField("Service", orders.Service).WithField("DataCentreState", orders.DataCentreState).Info("Orders are in force.")
+	}
+}
+
+func (a *Agent) closedBy(orders *anvilglade.HostOrders) anvilglade.Refusal {
+	switch {
+	case a.stopping.Load() || orders.Draining || orders.DataCentreState == anvilglade.DataCentreDraining:
+		return anvilglade.RefusalDraining
+	case orders.DataCentreState == anvilglade.DataCentreOut || orders.Service == "":
+		return anvilglade.RefusalOut
+	}
+	return anvilglade.RefusalNone
+}
+
+// setClosed sets the reason for which the host refuses all new work.
+func (a *Agent) setClosed(reason anvilglade.Refusal) {
+	if a.limits != nil {
+		a.limits.SetClosed(reason)
+	}
+}
--- a/internal/operate/agcommand/table.go
+++ b/internal/operate/agcommand/table.go
@@ -46,6 +46,10 @@
 
 // table names the subcommands in the order of the help text.
 var table = []entry{
+	{
+		name: "agent", summary: "run the agent beside a backend server", create: newAgentVerb,
+		example: "anvilglade agent --host dk1-h01 --data-centre dk1 --agent-address 127.0.0.1:7300 --control-address 127.0.0.1:7301 --admin-address 127.0.0.1:7302 --backends alerts=127.0.0.1:9001 --balancers 127.0.0.1:7200 --join-secret $SECRET",
+	},
 	{name: "version", summary: "print the version", example: "anvilglade version", create: newVersionVerb},
 }
 
