Pause between watches of a missing object

Cause: the platform ends the watch of an object that does not exist at once, so three watches of a balancer would have made up to 120 calls a second. Change: such watches, and those answered from the past, are renewed after 0.25 to 0.5 s. Measured: nothing yet; the rate is worked out from the pauses.

--- a/internal/state/agreplica/watcher.go
+++ b/internal/state/agreplica/watcher.go
@@ -21,6 +21,9 @@
 	// after a change. It is a quarter of the two thousand reads a second that
 	// the platform allows.
 	wakeRate = 500
+	// missingPause is the time between two reads of an object that does not
+	// exist, or comes from the past; the platform ends such a watch at once.
+	missingPause = 500 * time.Millisecond
 	// watchTimeout covers the longest wait of the platform and its answer.
 	watchTimeout = 45 * time.Second
 )
@@ -68,43 +71,70 @@
 	return func(ctx context.Context) error {
 		backoff := minBackoff
 		for ctx.Err() == nil {
-			changed, err := w.poll(ctx, object)
+			result, err := w.poll(ctx, object)
 			if err != nil {
 				w.setReachable(false, err)
-				if sleep(ctx, jitter(backoff)) != nil {
-					break
+				if err := sleep(ctx, jitter(backoff)); err != nil {
+					return err
 				}
 				backoff = min(2*backoff, maxBackoff)
 				continue
 			}
 			w.setReachable(true, nil)
 			backoff = minBackoff
-			if changed && sleep(ctx, jitter(w.renewDelay())) != nil {
-				break
+			if err := sleep(ctx, w.pause(result)); err != nil {
+				return err
 			}
 		}
 		return ctx.Err()
 	}
 }
 
+// pollResult is how a watch ended.
+type pollResult int
+
+const (
+	pollNoChange pollResult = iota
+	pollChanged
+	pollMissing
+	// pollStale is an answer from the past, or one that a peer has overtaken.
+	pollStale
+)
+
 // poll waits for one change of the object.
-func (w *Watcher) poll(ctx context.Context, object Watched) (bool, error) {
+func (w *Watcher) poll(ctx context.Context, object Watched) (pollResult, error) {
 	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
 	defer cancel()
 	known, _ := w.replica.Get(object.Kind, object.Name)
 	found, err := w.store.Watch(ctx, string(object.Kind), object.Name, known.Version)
-	if errors.Is(err, anvilglade.ErrNoChange) || errors.Is(err, anvilglade.ErrNotFound) {
-		w.answered.Store(true)
-		return errors.Is(err, anvilglade.ErrNotFound), nil
-	}
-	if err != nil {
-		return false, err
+	if err != nil && !errors.Is(err, anvilglade.ErrNoChange) && !errors.Is(err, anvilglade.ErrNotFound) {
+		return pollNoChange, err
 	}
 	w.answered.Store(true)
-	w.replica.Put(anvilglade.Record{
+	switch {
+	case errors.Is(err, anvilglade.ErrNotFound):
+		return pollMissing, nil
+	case err != nil:
+		return pollNoChange, nil
+	}
+	if !w.replica.Put(anvilglade.Record{
 		Kind: object.Kind, Name: object.Name, Version: found.Version, Payload: found.Data,
-	})
-	return true, nil
+	}) {
+		return pollStale, nil
+	}
+	return pollChanged, nil
+}
+
+// pause returns the time to the next watch.
+func (w *Watcher) pause(result pollResult) time.Duration {
+	switch result {
+	case pollChanged:
+		return jitter(w.renewDelay())
+	case pollMissing, pollStale:
+		return jitter(max(missingPause, w.renewDelay()))
+	default:
+		return 0
+	}
 }
 
 // renewDelay spreads the watches that a change has ended at the same moment.
