Add routing table, router, balancer process and its subcommand

HostRecord gains AcceptStamp and Services: a host that paused accepting must not exclude hosts on which flows were placed meanwhile, and a host that changed its pool must stay listed for the flows it holds. Conclusion: parts for the key ring, replica and monitor are still to be supplied by newBalancerParts.

--- /dev/null
+++ b/internal/operate/agbalancer/ingress.go
@@ -0,0 +1,231 @@
+package agbalancer
+
+// Service addresses. The set opens a socket and starts a task for each route
+// when a table comes into force, and closes those whose route is gone. A failed
+// bind is logged and tried again with the next table; it does not make the
+// balancer unready, since one bad route would then stop the whole fleet.
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+
+	"github.com/anvilglade/anvilglade"
+	"github.com/anvilglade/anvilglade/internal/operate/agtask"
+	"github.com/anvilglade/anvilglade/internal/packet/agheader"
+	"github.com/anvilglade/anvilglade/internal/packet/agsocket"
+	"github.com/anvilglade/anvilglade/internal/routing/agtable"
+)
+
+const (
+	// ingressBatch is smaller than the default, because buffers are held for
+	// each of several hundred service addresses.
+	ingressBatch = 16
+	// maxIngress is the largest datagram of a caller. Fragments of larger
+	// ones would be sprayed over several balancers and could not be put
+	// together; an Ethernet frame holds 1,472 bytes.
+	maxIngress = 2048
+)
+
+// ingress is an open service address.
+type ingress struct {
+	address netip.AddrPort
+	socket  *agsocket.Socket
+	close   func()
+	// replies and pending belong to the task that reads datagrams.
+	replies *agsocket.Writer
+	pending bool
+}
+
+type ingressSet struct {
+	balancer *Balancer
+	group    *agtask.Group
+	open     atomic.Pointer[map[netip.AddrPort]*ingress]
+	mu       sync.Mutex
+	closed   bool
+	failed   []netip.AddrPort
+}
+
+func newIngressSet(balancer *Balancer) *ingressSet {
+	s := &ingressSet{balancer: balancer}
+	s.open.Store(&map[netip.AddrPort]*ingress{})
+	return s
+}
+
+func (s *ingressSet) find(address netip.AddrPort) *ingress {
+	return (*s.open.Load())[address]
+}
+
+func (s *ingressSet) unbound() []netip.AddrPort {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.failed
+}
+
+// apply opens and closes sockets so that they match the table.
+func (s *ingressSet) apply(ctx context.Context, table *agtable.Table) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return nil
+	}
+	before := *s.open.Load()
+	next := make(map[netip.AddrPort]*ingress, len(before))
+	var opened []*ingress
+	s.failed = nil
+	for _, route := range table.Routes() {
+		if kept, ok := before[route.Address]; ok {
+			next[route.Address] = kept
+			continue
+		}
+		if in := s.listen(ctx, route.Address); in != nil {
+			next[route.Address] = in
+			opened = append(opened, in)
+		}
+	}
+	s.open.Store(&next)
+	for address, in := range before {
+		if _, ok := next[address]; !ok {
+			in.close()
+		}
+	}
+	for _, in := range opened {
+		if err := s.group.Start("ingress "+in.address.String(), func(context.Context) error { return s.balancer.readIngress(in) }); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *ingressSet) listen(ctx context.Context, address netip.AddrPort) *ingress {
+	bind := address
+	if host := s.balancer.options.IngressHost; host.IsValid() {
+		bind = netip.AddrPortFrom(host, address.Port())
+	}
+	socket, closeSocket, err := agsocket.Listen(ctx, bind)
+	if err != nil {
+		s.failed = append(s.failed, address)
+		s.balancer.counters.bindErrors.Add(1)
+		s.balancer.log.WithError(err).WithField("Address", address).Error("Cannot open a service address.")
+		return nil
+	}
+	return &ingress{address: address, socket: socket, close: closeSocket, replies: socket.NewWriter(ingressBatch)}
+}
+
+// close closes all service addresses for good.
+func (s *ingressSet) close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	for _, in := range *s.open.Load() {
+		in.close()
+	}
+	s.open.Store(&map[netip.AddrPort]*ingress{})
+}
+
+// forwarder holds the buffers of one ingress task.
+type forwarder struct {
+	balancer  *Balancer
+	writer    *agsocket.Writer
+	packet    anvilglade.IngressPacket
+	decision  anvilglade.RouteDecision
+	header    agheader.Header
+	plaintext []byte
+}
+
+func (b *Balancer) newForwarder() *forwarder {
+	return &forwarder{balancer: b, writer: b.datagrams.NewWriter(ingressBatch)}
+}
+
+// readIngress forwards the packets of one service address until it closes.
+func (b *Balancer) readIngress(in *ingress) error {
+	reader := in.socket.NewReader(ingressBatch, maxIngress)
+	f := b.newForwarder()
+	for {
+		packets, err := reader.Read()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			// The kernel reports errors of earlier sends on the same socket,
+			// such as an unreachable caller.
+			b.warn(err, "Cannot read from a service address.")
+			continue
+		}
+		f.forward(in.address, packets)
+	}
+}
+
+// forward sends a batch of packets to the agents.
+func (f *forwarder) forward(address netip.AddrPort, packets []agsocket.Packet) {
+	b := f.balancer
+	var forwarded, direct uint64
+	for i := range packets {
+		if packets[i].Truncated {
+			b.counters.drop(anvilglade.DropOversized)
+			continue
+		}
+		f.packet = anvilglade.IngressPacket{Caller: packets[i].From, ServiceAddress: address, Payload: packets[i].Data}
+		b.router.Route(&f.packet, &f.decision)
+		if f.decision.Drop != anvilglade.DropNone {
+			b.counters.drop(f.decision.Drop)
+			continue
+		}
+		if f.send() {
+			forwarded++
+			if f.decision.Direct {
+				direct++
+			}
+		}
+	}
+	failed := f.writer.Errors()
+	f.writer.Flush()
+	b.counters.forwarded.Add(forwarded)
+	b.counters.direct.Add(direct)
+	b.counters.sendErrors.Add(f.writer.Errors() - failed)
+}
+
+// send seals the packet for the first host of the decision.
+func (f *forwarder) send() bool {
+	b, decision := f.balancer, &f.decision
+	candidates := f.header.Candidates[:0]
+	for _, i := range decision.Order {
+		candidates = append(candidates, decision.Hosts[i])
+	}
+	f.header = agheader.Header{
+		Revision:       decision.Revision,
+		Service:        decision.Service,
+		Protocol:       decision.Protocol,
+		Flow:           decision.Flow,
+		Caller:         f.packet.Caller,
+		ServiceAddress: f.packet.ServiceAddress,
+		Balancer:       b.options.AdvertiseDatagram,
+		Direct:         decision.Direct,
+		Candidates:     candidates,
+	}
+	var err error
+	if f.plaintext, err = agheader.Append(f.plaintext[:0], &f.header); err != nil {
+		b.counters.drop(anvilglade.DropMalformed)
+		return false
+	}
+	f.plaintext = append(f.plaintext, f.packet.Payload...)
+	datagram, err := b.sealer.Seal(f.writer.Buffer(), agheader.KindLookup, f.plaintext)
+	if err != nil {
+		b.counters.drop(anvilglade.DropUnknownKey)
+		b.warn(err, "Cannot seal a packet.")
+		return false
+	}
+	f.writer.Add(datagram, candidates[0].Address)
+	return true
+}
+
+// warn logs at most one line an interval, so that a flood of bad datagrams
+// cannot flood the log.
+func (b *Balancer) warn(err error, text string) {
+	if ok, suppressed := b.limiter.Allow(b.parts.Clock.Now()); ok {
+		b.log.WithError(err).WithField("Suppressed", suppressed).Warn(text)
+	}
+}
--- /dev/null
+++ b/internal/operate/agbalancer/tables.go
@@ -0,0 +1,100 @@
+package agbalancer
+
+// Follows the replica. Changes that arrive while a table is built are merged
+// into the next one.
+
+import (
+	"context"
+	"time"
+
+	"github.com/anvilglade/anvilglade"
+	"github.com/anvilglade/anvilglade/internal/observe/agevent"
+	"github.com/anvilglade/anvilglade/internal/routing/agtable"
+)
+
+const (
+	// buildShare bounds the time spent on building to one part in so many,
+	// below the 4.8% of a core that control may use.
+	buildShare = 25
+	// maxBuildPause bounds the wait after a build; a change must be in effect
+	// within 2 s on a small fleet.
+	maxBuildPause = 500 * time.Millisecond
+	// rebuildInterval is how often the table is built without a signal: to
+	// open addresses that failed, and to let pauses of hosts run out.
+	rebuildInterval = 5 * time.Second
+)
+
+// rebuildTables builds a table after each change.
+func (b *Balancer) rebuildTables(ctx context.Context) error {
+	configurations, endConfigurations := b.parts.Replica.Subscribe(anvilglade.RecordConfiguration)
+	defer endConfigurations()
+	hosts, endHosts := b.parts.Replica.Subscribe(anvilglade.RecordHost)
+	defer endHosts()
+	ticker := time.NewTicker(rebuildInterval)
+	defer ticker.Stop()
+	var source configurationSource
+	for {
+		began := time.Now()
+		if err := b.rebuild(ctx, &source); err != nil {
+			return err
+		}
+		sleep(ctx, min(time.Since(began)*buildShare, maxBuildPause))
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-configurations:
+		case <-hosts:
+		case <-ticker.C:
+		}
+	}
+}
+
+// configurationSource is the newest decoded configuration.
+type configurationSource struct {
+	version       anvilglade.Version
+	configuration *anvilglade.Configuration
+	serviceOf     agtable.ServiceOf
+}
+
+func (b *Balancer) rebuild(ctx context.Context, source *configurationSource) error {
+	if record, ok := b.parts.Replica.Get(anvilglade.RecordConfiguration, ConfigurationName); ok && record.Version > source.version {
+		configuration, serviceOf, err := b.parts.Decode(record)
+		if err != nil {
+			b.log.WithError(err).WithField("Version", record.Version).Error("Cannot decode the configuration and keeps the former one.")
+		} else {
+			source.configuration, source.serviceOf = configuration, serviceOf
+		}
+		source.version = record.Version
+	}
+	if source.configuration == nil {
+		return nil
+	}
+	table, stats := b.builder.Build(source.configuration, source.serviceOf, b.heartbeats.Members())
+	b.counters.tables.Add(1)
+	b.counters.cut.Store(uint64(stats.Cut))
+	last := b.router.Table()
+	b.router.Adopt(table)
+	if last == nil || last.Revision != table.Revision {
+		b.parts.Events.Record(anvilglade.Event{Type: agevent.RevisionAdopted, Revision: table.Revision})
+		b.log.WithField("Revision", table.Revision).WithField("Routes", len(table.Routes())).Info("Adopted a configuration.")
+	}
+	return b.ingresses.apply(ctx, table)
+}
+
+// followKeys hands new keys to the key ring.
+func (b *Balancer) followKeys(ctx context.Context) error {
+	changed, end := b.parts.Replica.Subscribe(anvilglade.RecordKeys)
+	defer end()
+	for {
+		if record, ok := b.parts.Replica.Get(anvilglade.RecordKeys, ConfigurationName); ok {
+			if err := b.parts.AdoptKeys(record); err != nil {
+				b.log.WithError(err).WithField("Version", record.Version).Error("Cannot adopt keys.")
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+		}
+	}
+}
--- /dev/null
+++ b/internal/operate/agcommand/balancer.go
@@ -0,0 +1,201 @@
+package agcommand
+
+// The balancer subcommand parses the settings, creates the parts and runs
+// agbalancer until it is told to stop. The first SIGTERM or SIGINT stops it
+// gracefully, a second one at once.
+
+import (
+	"context"
+	"encoding/hex"
+	"errors"
+	"expvar"
+	"fmt"
+	"net/netip"
+	"net/url"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/anvilglade/anvilglade"
+	"github.com/anvilglade/anvilglade/internal/observe/agadmin"
+	"github.com/anvilglade/anvilglade/internal/observe/agevent"
+	"github.com/anvilglade/anvilglade/internal/observe/aglog"
+	"github.com/anvilglade/anvilglade/internal/operate/agbalancer"
+	"github.com/anvilglade/anvilglade/internal/operate/agsettings"
+	"github.com/anvilglade/anvilglade/internal/routing/agbalance"
+)
+
+const (
+	eventRingSize  = 4096
+	maxJoinSecrets = 2
+)
+
+// balancerSettings are the settings of the balancer subcommand.
+type balancerSettings struct {
+	options       agbalancer.Options
+	peer          netip.AddrPort
+	advertisePeer netip.AddrPort
+	admin         netip.AddrPort
+	platform      string
+	platformToken string
+	seeds         []netip.AddrPort
+	joinSecrets   []anvilglade.Secret
+	log           aglog.Options
+}
+
+type balancerVerb struct {
+	settings balancerSettings
+	set      *agsettings.Set
+}
+
+func newBalancerVerb() Verb {
+	return &balancerVerb{}
+}
+
+// Bind adds the settings.
+func (v *balancerVerb) Bind(subcommand *flaggy.Subcommand) {
+	s, set := &v.settings, agsettings.NewSet(subcommand)
+	v.set = set
+	set.Name(func(text string) { s.options.Balancer = anvilglade.BalancerID(text) }, "id", "name of the balancer", agsettings.Required)
+	set.Name(func(text string) { s.options.DataCentre = anvilglade.DataCentreID(text) }, "data-centre", "data centre of the balancer", agsettings.Required)
+	set.Add("ingress-host", "IP on which service ports are bound instead of the IP of the route", "", "IP", func(text string) error {
+		parsed, err := netip.ParseAddr(text)
+		s.options.IngressHost = parsed
+		return err
+	})
+	set.Addr(&s.options.DatagramAddress, "datagram-address", "address for datagrams of agents", agsettings.Required)
+	set.Addr(&s.options.AdvertiseDatagram, "advertise-datagram", "datagram address as agents see it", "")
+	set.Addr(&s.peer, "peer-address", "address for replication between balancers", agsettings.Required)
+	set.Addr(&s.advertisePeer, "advertise-peer", "peer address as other balancers see it", "")
+	set.Addr(&s.admin, "admin-address", "admin listener", "127.0.0.1:7900")
+	set.Add("platform", "URL of the object API", agsettings.Required, "http://HOST:PORT or https://HOST:PORT", func(text string) error {
+		parsed, err := url.Parse(text)
+		if err != nil {
+			return err
+		}
+		if parsed.Host == "" || parsed.Scheme != "http" && parsed.Scheme != "https" {
+			return errors.New("not an HTTP URL")
+		}
+		s.platform = text
+		return nil
+	})
+	set.Text(&s.platformToken, "platform-token", "bearer token for the object API", "")
+	set.AddrList(&s.seeds, "seeds", "peer addresses of other balancers", "")
+	set.Add("join-secret", "secret from which processes derive their mutual trust", agsettings.Required, "one or two values of 64 hexadecimal digits, separated by a comma", func(text string) error {
+		secrets, err := parseSecrets(text)
+		s.joinSecrets = secrets
+		return err
+	})
+	set.Add("routing", "routing decision; baseline is for measurements", string(agbalance.ModeLookup), "lookup or baseline", func(text string) error {
+		mode, err := agbalance.ParseMode(text)
+		s.options.Routing = mode
+		return err
+	})
+	set.Duration(&s.options.DrainTime, "drain-time", "time between the first signal and the closing of the service addresses", agbalancer.DrainTime.String(), 0, 10*agbalancer.DrainTime)
+	set.Text(&s.log.Level, "log-level", "lowest level that is logged", "info")
+	set.Add("log-json", "log JSON lines", "false", "true or false", func(text string) error {
+		if text != "true" && text != "false" {
+			return errors.New("not a truth value")
+		}
+		s.log.JSON = text == "true"
+		return nil
+	})
+}
+
+// parseSecrets never puts the secret into its error.
+func parseSecrets(text string) ([]anvilglade.Secret, error) {
+	var secrets []anvilglade.Secret
+	for part := range strings.SplitSeq(text, ",") {
+		raw, err := hex.DecodeString(part)
+		if err != nil || len(raw) != anvilglade.SecretSize {
+			return nil, fmt.Errorf("value %d is not %d bytes in hexadecimal", len(secrets)+1, anvilglade.SecretSize)
+		}
+		secrets = append(secrets, anvilglade.Secret(raw))
+	}
+	if len(secrets) > maxJoinSecrets {
+		return nil, fmt.Errorf("%d values are too many", len(secrets))
+	}
+	return secrets, nil
+}
+
+// Run checks the settings and runs the balancer.
+func (v *balancerVerb) Run(ctx context.Context) int {
+	if err := v.set.Check(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return ExitUsage
+	}
+	if err := aglog.Configure(v.settings.log); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return ExitUsage
+	}
+	if err := runBalancer(ctx, &v.settings); err != nil {
+		fmt.Fprintln(os.Stderr, "anvilglade balancer:", err)
+		return ExitFailed
+	}
+	return ExitDone
+}
+
+// runBalancer creates the process and runs it until a signal stops it.
+func runBalancer(ctx context.Context, settings *balancerSettings) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	clock := anvilglade.SystemClock{}
+	events := agevent.NewRing(anvilglade.ProcessID("balancer/"+settings.options.Balancer), eventRingSize, clock)
+	parts, closeParts, err := newBalancerParts(settings, events, clock)
+	if err != nil {
+		return err
+	}
+	defer closeParts()
+	if parts.Tasks == nil {
+		parts.Tasks = make(map[string]func(context.Context) error)
+	}
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	defer signal.Stop(signals)
+	var balancer *agbalancer.Balancer
+	admin := agadmin.NewServer(agadmin.Options{
+		Address: settings.admin,
+		Events:  events,
+		Ready:   func() error { return balancer.Ready() },
+		Status:  func() any { return balancer.Status() },
+	})
+	parts.Tasks["admin"] = admin.Run
+	parts.Tasks["signals"] = func(ctx context.Context) error {
+		return followSignals(ctx, signals, func() { balancer.Shutdown() }, cancel)
+	}
+	balancer, closeBalancer, err := agbalancer.NewBalancer(ctx, settings.options, parts)
+	if err != nil {
+		return err
+	}
+	defer closeBalancer()
+	expvar.Publish("Balancer", balancer.Vars())
+	events.Record(anvilglade.Event{Type: agevent.ProcessStarted})
+	return balancer.Run(ctx)
+}
+
+// followSignals calls first on the first signal and second on the next one.
+func followSignals(ctx context.Context, signals <-chan os.Signal, first, second func()) error {
+	for _, act := range []func(){first, second} {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-signals:
+			act()
+		}
+	}
+	return nil
+}
+
+// errPartsMissing is returned until replication and membership are part of the
+// tree.
+var errPartsMissing = errors.New("replication and membership are not part of this build")
+
+// newBalancerParts creates the key ring, the replica with its sources (object
+// API and peers) and the membership monitor. The returned function releases
+// them.
+func newBalancerParts(_ *balancerSettings, _ *agevent.Ring, _ anvilglade.Clock) (agbalancer.Parts, func(), error) {
+	return agbalancer.Parts{}, nil, errPartsMissing
+}
--- a/internal/operate/agcommand/table.go
+++ b/internal/operate/agcommand/table.go
@@ -46,6 +46,7 @@
 
 // table names the subcommands in the order of the help text.
 var table = []entry{
+	{name: "balancer", summary: "run a balancer", example: "anvilglade balancer --id b1 --data-centre dk1 --datagram-address 10.0.0.1:7800 --platform http://10.0.0.9:7000 --join-secret $SECRET", create: newBalancerVerb},
 	{name: "version", summary: "print the version", example: "anvilglade version", create: newVersionVerb},
 }
 
--- /dev/null
+++ b/internal/routing/agtable/service.go
@@ -0,0 +1,254 @@
+package agtable
+
+// Builds the lists of one service from its members, anew or from the lists
+// before. An update re-ranks only the buckets in which a host that left was
+// listed, and tests each added host against the lists of the others.
+
+import (
+	"slices"
+
+	"github.com/anvilglade/anvilglade"
+)
+
+// extendShare is the part of the hosts, as its inverse, that may change for an
+// update to be cheaper than building anew.
+const extendShare = 8
+
+// build returns the service for its members, which are sorted by host name.
+func (b *Builder) build(id anvilglade.ServiceID, group []member, stats *Stats) *Service {
+	last := b.table.services[id]
+	if last != nil && slices.Equal(b.inputs[id], group) {
+		return last
+	}
+	b.inputs[id] = group
+	if b.options.Baseline {
+		stats.Ranked++
+		return newBaselineService(id, group)
+	}
+	if last != nil && len(group) > SmallService && len(last.hosts) == len(last.members) {
+		if service := last.extend(group); service != nil {
+			stats.Extended++
+			return service
+		}
+	}
+	stats.Ranked++
+	if len(group) <= SmallService {
+		return newSmallService(id, group)
+	}
+	return newLargeService(id, group)
+}
+
+func newService(id anvilglade.ServiceID, members []member) *Service {
+	return &Service{
+		number:  id.Number(),
+		members: members,
+		hosts:   candidatesOf(members),
+		offsets: make([]uint32, 1, Buckets+1),
+	}
+}
+
+func candidatesOf(members []member) []anvilglade.Candidate {
+	hosts := make([]anvilglade.Candidate, len(members), 2*len(members))
+	for i := range members {
+		hosts[i] = members[i].candidate
+	}
+	return hosts
+}
+
+// oldest returns the slot of the arbiter.
+func oldest(members []member) int {
+	best := -1
+	for i := range members {
+		if members[i].host == "" {
+			continue
+		}
+		if best < 0 || older(&members[i], &members[best]) {
+			best = i
+		}
+	}
+	return best
+}
+
+func older(a, b *member) bool {
+	if a.age != b.age {
+		return a.age < b.age
+	}
+	if a.join != b.join {
+		return a.join < b.join
+	}
+	return a.host < b.host
+}
+
+// endRow closes the list of a bucket.
+func (s *Service) endRow() {
+	s.offsets = append(s.offsets, uint32(len(s.orders)))
+}
+
+func (s *Service) appendRanked(row []ranked, arbiter int) {
+	for _, host := range row {
+		s.orders = append(s.orders, host.slot)
+	}
+	s.orders = append(s.orders, uint16(arbiter))
+	s.endRow()
+}
+
+// newLargeService ranks all buckets.
+func newLargeService(id anvilglade.ServiceID, members []member) *Service {
+	s := newService(id, members)
+	arbiter := oldest(members)
+	s.arbiter = members[arbiter].host
+	r := newRanker(members, arbiter)
+	for bucket := range Buckets {
+		s.appendRanked(r.rank(bucket), arbiter)
+	}
+	s.cut = r.cut
+	s.orders = slices.Clip(s.orders)
+	return s
+}
+
+// newSmallService lists all hosts in each bucket. Hosts that would be excluded
+// in a large service appear as not accepting, through a second candidate of
+// the same address, so that no flow is placed there that would be out of the
+// lists once the service has more than SmallService hosts. If that leaves no
+// accepting host, all hosts keep their own state.
+func newSmallService(id anvilglade.ServiceID, members []member) *Service {
+	s := newService(id, members)
+	n := len(members)
+	for i := range members {
+		s.hosts = append(s.hosts, anvilglade.Candidate{Address: members[i].candidate.Address})
+	}
+	arbiter := oldest(members)
+	s.arbiter = members[arbiter].host
+	holders, all := newRanker(members, arbiter), newRanker(members, arbiter)
+	all.bySince = nil
+	s.orders = make([]uint16, 0, Buckets*n)
+	for bucket := range Buckets {
+		var listed [SmallService]bool
+		accepting := members[arbiter].candidate.Accepts
+		for _, host := range holders.rank(bucket) {
+			listed[host.slot] = true
+			accepting = accepting || members[host.slot].candidate.Accepts
+		}
+		for _, host := range all.rank(bucket) {
+			slot := host.slot
+			if accepting && !listed[slot] {
+				slot += uint16(n)
+			}
+			s.orders = append(s.orders, slot)
+		}
+		s.orders = append(s.orders, uint16(arbiter))
+		s.endRow()
+	}
+	return s
+}
+
+// newBaselineService lists the best accepting host of each bucket.
+func newBaselineService(id anvilglade.ServiceID, members []member) *Service {
+	s := newService(id, members)
+	for bucket := range Buckets {
+		best, bestScore := -1, uint64(0)
+		for i := range members {
+			if value := score(members[i].hash, bucket); members[i].candidate.Accepts && (best < 0 || value > bestScore) {
+				best, bestScore = i, value
+			}
+		}
+		if best >= 0 {
+			s.orders = append(s.orders, uint16(best))
+		}
+		s.endRow()
+	}
+	return s
+}
+
+// change is the difference between a service and its new members.
+type change struct {
+	members []member
+	// touched marks slots whose host left or is ranked differently.
+	touched []bool
+	added   []uint16
+	left    int
+}
+
+// diff puts the new members into slots. Hosts keep their slot.
+func (s *Service) diff(group []member) *change {
+	slots := make(map[anvilglade.HostID]int, len(s.members))
+	for i := range s.members {
+		if s.members[i].host != "" {
+			slots[s.members[i].host] = i
+		}
+	}
+	c := &change{members: make([]member, len(s.members)), touched: make([]bool, len(s.members))}
+	var joined []member
+	for i := range group {
+		slot, ok := slots[group[i].host]
+		if !ok {
+			joined = append(joined, group[i])
+			continue
+		}
+		c.members[slot] = group[i]
+		if !s.members[slot].sameRank(&group[i]) {
+			c.touched[slot] = true
+			c.added = append(c.added, uint16(slot))
+		}
+	}
+	for i := range c.members {
+		if c.members[i].host != "" {
+			continue
+		}
+		if s.members[i].host != "" {
+			c.touched[i] = true
+			c.left++
+		}
+		if len(joined) > 0 {
+			c.members[i], joined = joined[0], joined[1:]
+			c.added = append(c.added, uint16(i))
+		}
+	}
+	for _, host := range joined {
+		c.added = append(c.added, uint16(len(c.members)))
+		c.members = append(c.members, host)
+	}
+	return c
+}
+
+// extend returns the service with new members, or nil if building it anew is
+// cheaper or the arbiter changes.
+func (s *Service) extend(group []member) *Service {
+	c := s.diff(group)
+	arbiter := oldest(c.members)
+	if (len(c.added)+c.left)*extendShare > len(group) || len(c.members) > 2*len(group) ||
+		arbiter >= len(s.members) || c.touched[arbiter] || c.members[arbiter].host != s.arbiter {
+		return nil
+	}
+	next := &Service{number: s.number, members: c.members, hosts: candidatesOf(c.members), arbiter: s.arbiter, cut: s.cut}
+	if len(c.added)+c.left == 0 {
+		next.offsets, next.orders = s.offsets, s.orders
+		return next
+	}
+	next.offsets = make([]uint32, 1, Buckets+1)
+	next.orders = make([]uint16, 0, len(s.orders)+len(s.orders)/extendShare)
+	r := newRanker(c.members, arbiter)
+	next.cut = 0
+	for bucket := range Buckets {
+		var row []ranked
+		if before := s.Order(bucket); !c.hit(before) {
+			row = r.extend(bucket, before, c.added)
+		}
+		if row == nil {
+			row = r.rank(bucket)
+		}
+		next.appendRanked(row, arbiter)
+	}
+	next.cut = r.cut
+	return next
+}
+
+// hit reports whether a list holds a touched slot.
+func (c *change) hit(order []uint16) bool {
+	for _, slot := range order {
+		if c.touched[slot] {
+			return true
+		}
+	}
+	return false
+}
--- a/members.go
+++ b/members.go
@@ -30,8 +30,21 @@
 	// AdminAddress serves /debug/vars, /events, /ready and /status.
 	AdminAddress netip.AddrPort
 	JoinStamp    JoinStamp
+	// AcceptStamp is the hybrid-clock time at which the host last began to
+	// take new work for its service: when it joined, returned from Dead, from
+	// Draining or from a data centre that was Out, or changed its pool. Zero
+	// stands for JoinStamp. Routing relies on it, because flows may have been
+	// placed past a host that was not accepting.
+	AcceptStamp JoinStamp
+	// Services lists the service of which the host takes new flows and after
+	// it those whose established flows it still holds, as the agent last
+	// reported. Unused entries are empty; if all are, the pools alone decide.
+	Services [MaxHostServices]ServiceID
 }
 
+// MaxHostServices bounds the services whose flows one host holds at a time.
+const MaxHostServices = 4
+
 // BalancerRecord is what the fleet knows of one balancer.
 type BalancerRecord struct {
 	Balancer    BalancerID
