--- a/internal/membership/agmember/messages.go
+++ b/internal/membership/agmember/messages.go
@@ -34,8 +34,8 @@
 	// Claimed is the sequence of the host that a balancer claims to be Suspect
 	// or Dead.
 	Claimed *anvilglade.Sequence `cbor:",omitempty"`
-	// MaxJoinStamp is the highest join stamp that the balancer knows. It is set
-	// while the host is Joining.
+	// MaxJoinStamp is the highest join or accept stamp that the balancer knows.
+	// It is set when the agent may have to draw a new one.
 	MaxJoinStamp anvilglade.JoinStamp `cbor:",omitempty"`
 }
 
--- a/internal/membership/agmember/monitor.go
+++ b/internal/membership/agmember/monitor.go
@@ -238,6 +238,9 @@
 	if err := m.addOrders(heartbeat, &ack); err != nil {
 		return err
 	}
+	if ack.Orders != nil || ack.Claimed != nil {
+		ack.MaxJoinStamp = m.view.Load().maxJoinStamp
+	}
 	answer, err := cbor.Marshal(&ack)
 	if err != nil {
 		return fmt.Errorf("encode acknowledgement: %w", err)
--- a/internal/membership/agmember/orders.go
+++ b/internal/membership/agmember/orders.go
@@ -104,7 +104,8 @@
 	return orders
 }
 
-// serviceMembers returns the living hosts of a service, oldest first.
+// serviceMembers returns the living hosts of a service, oldest first. The stamp
+// is the one that routing goes by.
 func (m *Monitor) serviceMembers(current *view, tables *anvilglade.Tables, service anvilglade.ServiceID) []anvilglade.ServiceMember {
 	var members []anvilglade.ServiceMember
 	for i := range current.members.Hosts {
@@ -122,8 +123,8 @@
 			DataCentre:     host.DataCentre,
 			AgentAddress:   host.AgentAddress,
 			ControlAddress: host.ControlAddress,
-			JoinStamp:      host.JoinStamp,
-			Accepts:        host.State == anvilglade.HostActive && !draining(tables, host),
+			JoinStamp:      max(host.JoinStamp, host.AcceptStamp),
+			Accepts:        host.State == anvilglade.HostActive && !draining(tables, host) && confirmed(host, service),
 		})
 	}
 	slices.SortFunc(members, func(a, b anvilglade.ServiceMember) int {
@@ -132,6 +133,12 @@
 	return members[:min(len(members), ordersMembers)]
 }
 
+// confirmed reports whether the agent of a host knows that it serves the
+// service.
+func confirmed(host *anvilglade.HostRecord, service anvilglade.ServiceID) bool {
+	return host.Services[0] == "" || host.Services[0] == service
+}
+
 // stateOf returns the state of a data centre; one that is not in the table is
 // in service.
 func stateOf(tables *anvilglade.Tables, id anvilglade.DataCentreID) anvilglade.DataCentreState {
--- a/internal/membership/agmember/view.go
+++ b/internal/membership/agmember/view.go
@@ -67,7 +67,7 @@
 		}
 		v.versions[cached.host.Host] = cached
 		v.members.Hosts = append(v.members.Hosts, cached.host)
-		v.maxJoinStamp = max(v.maxJoinStamp, cached.host.JoinStamp)
+		v.maxJoinStamp = max(v.maxJoinStamp, cached.host.JoinStamp, cached.host.AcceptStamp)
 	}
 }
 
