Wire balancer and agent into one thin path

Cause: keys, membership, replication and routing were not connected, so neither process could start. Change: balancer_parts.go and agent_parts.go build the parts; the shared settings of both processes are in one file; errors about a secret setting no longer show its value.

--- a/internal/operate/agcommand/agent.go
+++ b/internal/operate/agcommand/agent.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/hex"
 	"errors"
 	"fmt"
 	"net/netip"
@@ -21,15 +20,11 @@
 	"github.com/anvilglade/anvilglade/internal/operate/agsettings"
 )
 
-// maxJoinSecrets allows an overlap of the former and the new secret.
-const maxJoinSecrets = 2
-
 // agentVerb runs the agent beside a backend server.
 type agentVerb struct {
 	set      *agsettings.Set
 	settings agagent.Settings
-	logLevel string
-	logJSON  bool
+	log      aglog.Options
 }
 
 func newAgentVerb() Verb {
@@ -49,12 +44,11 @@
 	v.set.Addr(&s.AdminAddress, "admin-address", "admin listener", agsettings.Required)
 	v.set.Add("backends", "backend address of each service", agsettings.Required, "SERVICE=IP:PORT,SERVICE=IP:PORT,...", v.parseBackends)
 	v.set.AddrList(&s.Balancers, "balancers", "datagram addresses of balancers to start with", agsettings.Required)
-	v.set.Add("join-secret", "secret of the fleet, two during a change", agsettings.Required, "64 hexadecimal digits, or two such values with a comma", v.parseSecrets)
+	addJoinSecret(v.set, &s.JoinSecrets)
 	v.set.Duration(&s.IdleTimeout, "flow-idle-timeout", "time without packets after which a plain UDP flow ends", agflow.DefaultIdleTimeout.String(), time.Second, 24*time.Hour)
 	v.set.Add("ownership", "how flows get their host; baseline is for measurements", string(agflow.OwnershipArbitrated), "arbitrated or baseline", v.parseOwnership)
 	v.set.Add("admission", "what limits new work; baseline is for measurements", string(agagent.AdmissionAdaptive), "adaptive or baseline", v.parseAdmission)
-	v.set.Text(&v.logLevel, "log-level", "least level of log lines", "info")
-	subcommand.Bool(&v.logJSON, "", "log-json", "write log lines as JSON ("+agsettings.EnvName("log-json")+"=true)")
+	addLogSettings(v.set, &v.log)
 }
 
 func (v *agentVerb) parseBackends(text string) error {
@@ -80,24 +74,6 @@
 	return nil
 }
 
-// parseSecrets keeps the value out of its errors, as they go to the log.
-func (v *agentVerb) parseSecrets(text string) error {
-	parts := strings.Split(text, ",")
-	if len(parts) > maxJoinSecrets {
-		return fmt.Errorf("%d values, allowed are 1 or 2", len(parts))
-	}
-	for _, part := range parts {
-		var secret anvilglade.Secret
-		decoded, err := hex.DecodeString(part)
-		if err != nil || len(decoded) != len(secret) {
-			return errors.New("not 64 hexadecimal digits")
-		}
-		copy(secret[:], decoded)
-		v.settings.JoinSecrets = append(v.settings.JoinSecrets, secret)
-	}
-	return nil
-}
-
 func (v *agentVerb) parseOwnership(text string) error {
 	v.settings.Ownership = agflow.Ownership(text)
 	if v.settings.Ownership != agflow.OwnershipArbitrated && v.settings.Ownership != agflow.OwnershipBaseline {
@@ -141,8 +117,10 @@
 }
 
 func (v *agentVerb) check() error {
-	json := v.logJSON || os.Getenv(agsettings.EnvName("log-json")) == "true"
-	if err := errors.Join(v.set.Check(), aglog.Configure(aglog.Options{Level: v.logLevel, JSON: json})); err != nil {
+	if err := v.set.Check(); err != nil {
+		return err
+	}
+	if err := aglog.Configure(v.log); err != nil {
 		return err
 	}
 	if !v.settings.AdvertiseAgent.IsValid() {
@@ -153,8 +131,3 @@
 	}
 	return nil
 }
-
-// agentParts builds the parts that the agent gets from other packages.
-func agentParts(*agagent.Settings) (agagent.Parts, error) {
-	return agagent.Parts{}, errors.New("the key ring and the membership are not part of this build")
-}
--- /dev/null
+++ b/internal/operate/agcommand/agent_parts.go
@@ -0,0 +1,50 @@
+package agcommand
+
+// Builds the parts that the agent takes from the packages of keys, membership,
+// connection ids and requests.
+
+import (
+	"github.com/anvilglade/anvilglade"
+	"github.com/anvilglade/anvilglade/internal/membership/agmember"
+	"github.com/anvilglade/anvilglade/internal/operate/agagent"
+	"github.com/anvilglade/anvilglade/internal/packet/agconnid"
+	"github.com/anvilglade/anvilglade/internal/state/agkeys"
+)
+
+// agentParts returns the parts of an agent.
+func agentParts(settings *agagent.Settings) (agagent.Parts, error) {
+	ring, err := agkeys.NewRing(settings.JoinSecrets)
+	if err != nil {
+		return agagent.Parts{}, err
+	}
+	codec := agconnid.NewCodec(ring)
+	return agagent.Parts{
+		Keys:        ring,
+		NewReporter: newReporter,
+		Direct: func(record *anvilglade.HostRecord, service anvilglade.ServiceNumber, packet []byte) bool {
+			return namesHost(codec, record, service, packet)
+		},
+	}, nil
+}
+
+func newReporter(options agagent.ReporterOptions) agagent.Reporter {
+	return agmember.NewReporter(agmember.ReporterOptions{
+		Record: options.Record,
+		Seeds:  options.Seeds,
+		Send:   options.Send,
+		Clock:  options.Clock,
+		Events: options.Events,
+	})
+}
+
+// namesHost reports whether the connection id of a packet was issued by this
+// incarnation of the host for the service.
+func namesHost(codec *agconnid.Codec, record *anvilglade.HostRecord, service anvilglade.ServiceNumber, packet []byte) bool {
+	id, _, ok := agconnid.ParseDestination(packet)
+	if !ok {
+		return false
+	}
+	target, ok := codec.Decode(id)
+	return ok && target.Agent == record.AgentAddress &&
+		target.Incarnation == record.Incarnation.Tag() && target.Service == service.Tag()
+}
--- a/internal/operate/agcommand/balancer.go
+++ b/internal/operate/agcommand/balancer.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"encoding/hex"
 	"errors"
 	"expvar"
 	"fmt"
@@ -14,7 +13,6 @@
 	"net/url"
 	"os"
 	"os/signal"
-	"strings"
 	"syscall"
 
 	"github.com/integrii/flaggy"
@@ -83,41 +81,14 @@
 	})
 	set.Text(&s.platformToken, "platform-token", "bearer token for the object API", "")
 	set.AddrList(&s.seeds, "seeds", "peer addresses of other balancers", "")
-	set.Add("join-secret", "secret from which processes derive their mutual trust", agsettings.Required, "one or two values of 64 hexadecimal digits, separated by a comma", func(text string) error {
-		secrets, err := parseSecrets(text)
-		s.joinSecrets = secrets
-		return err
-	})
+	addJoinSecret(set, &s.joinSecrets)
 	set.Add("routing", "routing decision; baseline is for measurements", string(agbalance.ModeLookup), "lookup or baseline", func(text string) error {
 		mode, err := agbalance.ParseMode(text)
 		s.options.Routing = mode
 		return err
 	})
 	set.Duration(&s.options.DrainTime, "drain-time", "time between the first signal and the closing of the service addresses", agbalancer.DrainTime.String(), 0, 10*agbalancer.DrainTime)
-	set.Text(&s.log.Level, "log-level", "lowest level that is logged", "info")
-	set.Add("log-json", "log JSON lines", "false", "true or false", func(text string) error {
-		if text != "true" && text != "false" {
-			return errors.New("not a truth value")
-		}
-		s.log.JSON = text == "true"
-		return nil
-	})
-}
-
-// parseSecrets never puts the secret into its error.
-func parseSecrets(text string) ([]anvilglade.Secret, error) {
-	var secrets []anvilglade.Secret
-	for part := range strings.SplitSeq(text, ",") {
-		raw, err := hex.DecodeString(part)
-		if err != nil || len(raw) != anvilglade.SecretSize {
-			return nil, fmt.Errorf("value %d is not %d bytes in hexadecimal", len(secrets)+1, anvilglade.SecretSize)
-		}
-		secrets = append(secrets, anvilglade.Secret(raw))
-	}
-	if len(secrets) > maxJoinSecrets {
-		return nil, fmt.Errorf("%d values are too many", len(secrets))
-	}
-	return secrets, nil
+	addLogSettings(set, &s.log)
 }
 
 // Run checks the settings and runs the balancer.
@@ -143,7 +114,8 @@
 	defer cancel()
 	clock := anvilglade.SystemClock{}
 	events := agevent.NewRing(anvilglade.ProcessID("balancer/"+settings.options.Balancer), eventRingSize, clock)
-	parts, closeParts, err := newBalancerParts(settings, events, clock)
+	settings.advertiseDefaults()
+	parts, closeParts, err := newBalancerParts(ctx, settings, events, clock)
 	if err != nil {
 		return err
 	}
@@ -175,6 +147,16 @@
 	return balancer.Run(ctx)
 }
 
+// advertiseDefaults fills in advertised addresses that are not set.
+func (s *balancerSettings) advertiseDefaults() {
+	if !s.options.AdvertiseDatagram.IsValid() {
+		s.options.AdvertiseDatagram = s.options.DatagramAddress
+	}
+	if !s.advertisePeer.IsValid() {
+		s.advertisePeer = s.peer
+	}
+}
+
 // followSignals calls first on the first signal and second on the next one.
 func followSignals(ctx context.Context, signals <-chan os.Signal, first, second func()) error {
 	for _, act := range []func(){first, second} {
@@ -187,14 +169,3 @@
 	}
 	return nil
 }
-
-// errPartsMissing is returned until replication and membership are part of the
-// tree.
-var errPartsMissing = errors.New("replication and membership are not part of this build")
-
-// newBalancerParts creates the key ring, the replica with its sources (object
-// API and peers) and the membership monitor. The returned function releases
-// them.
-func newBalancerParts(_ *balancerSettings, _ *agevent.Ring, _ anvilglade.Clock) (agbalancer.Parts, func(), error) {
-	return agbalancer.Parts{}, nil, errPartsMissing
-}
--- /dev/null
+++ b/internal/operate/agcommand/balancer_parts.go
@@ -0,0 +1,239 @@
+package agcommand
+
+// Builds the key ring, the replica with its sources and the membership monitor
+// of a balancer.
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"fmt"
+	"sync/atomic"
+
+	"github.com/anvilglade/anvilglade"
+	"github.com/anvilglade/anvilglade/internal/config/agconfig"
+	"github.com/anvilglade/anvilglade/internal/membership/agmember"
+	"github.com/anvilglade/anvilglade/internal/observe/agevent"
+	"github.com/anvilglade/anvilglade/internal/operate/agbalancer"
+	"github.com/anvilglade/anvilglade/internal/operate/agtask"
+	"github.com/anvilglade/anvilglade/internal/platform/agstore"
+	"github.com/anvilglade/anvilglade/internal/routing/agtable"
+	"github.com/anvilglade/anvilglade/internal/state/agkeys"
+	"github.com/anvilglade/anvilglade/internal/state/agreplica"
+)
+
+// balancerBuild holds the parts of a balancer while they are connected.
+type balancerBuild struct {
+	settings *balancerSettings
+	events   *agevent.Ring
+	clock    anvilglade.Clock
+	ring     *agkeys.Ring
+	keys     atomic.Pointer[anvilglade.KeyBundle]
+	current  atomic.Pointer[adopted]
+	replica  *agreplica.Replica
+	store    *agstore.Store
+	watcher  *agreplica.Watcher
+	mesh     *agreplica.Mesh
+	monitor  atomic.Pointer[agmember.Monitor]
+	cleanup  []func()
+}
+
+// adopted is the configuration in force with its matcher.
+type adopted struct {
+	configuration *anvilglade.Configuration
+	matcher       *agconfig.Matcher
+}
+
+// newBalancerParts creates the key ring, the replica with its sources (object
+// API and peers) and the membership monitor. The returned function releases
+// them.
+func newBalancerParts(ctx context.Context, settings *balancerSettings, events *agevent.Ring, clock anvilglade.Clock) (agbalancer.Parts, func(), error) {
+	b := &balancerBuild{settings: settings, events: events, clock: clock, replica: agreplica.NewReplica()}
+	steps := []func(context.Context) error{b.buildKeys, b.buildStore, b.buildMesh}
+	for _, step := range steps {
+		if err := step(ctx); err != nil {
+			b.close()
+			return agbalancer.Parts{}, nil, err
+		}
+	}
+	parts := agbalancer.Parts{
+		Keys:          b.ring,
+		Replica:       b.replica,
+		Events:        events,
+		Clock:         clock,
+		Decode:        b.decode,
+		AdoptKeys:     b.adoptKeys,
+		NewHeartbeats: b.newMonitor,
+		Ready:         b.ready,
+		Tasks:         map[string]func(context.Context) error{"mesh": b.mesh.Run},
+	}
+	for _, object := range watchedObjects {
+		parts.Tasks["watch-"+string(object.Kind)] = b.watcher.Task(object)
+	}
+	return parts, b.close, nil
+}
+
+// watchedObjects are copied from the object API into the replica.
+var watchedObjects = []agreplica.Watched{
+	{Kind: anvilglade.RecordConfiguration, Name: agbalancer.ConfigurationName},
+	{Kind: anvilglade.RecordKeys, Name: agbalancer.ConfigurationName},
+}
+
+func (b *balancerBuild) close() {
+	for i := len(b.cleanup) - 1; i >= 0; i-- {
+		b.cleanup[i]()
+	}
+	b.cleanup = nil
+}
+
+func (b *balancerBuild) buildKeys(context.Context) error {
+	ring, err := agkeys.NewRing(b.settings.joinSecrets)
+	if err != nil {
+		return err
+	}
+	b.ring = ring
+	b.keys.Store(&anvilglade.KeyBundle{})
+	return nil
+}
+
+func (b *balancerBuild) buildStore(context.Context) error {
+	store, stop, err := agstore.NewStore(agstore.Options{URL: b.settings.platform, Token: b.settings.platformToken})
+	if err != nil {
+		return err
+	}
+	b.store = store
+	b.cleanup = append(b.cleanup, stop)
+	b.watcher = agreplica.NewWatcher(b.replica, store, agreplica.WatcherOptions{
+		Balancers: func() int { return len(b.living()) + 1 },
+		Events:    b.events,
+	})
+	expvar.Publish("PlatformCalls", expvar.Func(func() any { return store.Calls() }))
+	return nil
+}
+
+func (b *balancerBuild) buildMesh(ctx context.Context) error {
+	server, client, err := agkeys.ProcessTLS(b.settings.joinSecrets, anvilglade.ProcessID("balancer/"+b.settings.options.Balancer))
+	if err != nil {
+		return err
+	}
+	group, stop, err := agtask.NewGroup(ctx)
+	if err != nil {
+		return err
+	}
+	b.cleanup = append(b.cleanup, stop)
+	mesh, closeMesh, err := agreplica.NewMesh(b.replica, agreplica.MeshOptions{
+		Self:      b.settings.options.Balancer,
+		Address:   b.settings.peer,
+		Seeds:     b.settings.seeds,
+		Peers:     b.living,
+		Lost:      b.peerLost,
+		ServerTLS: server,
+		ClientTLS: client,
+		Events:    b.events,
+		Group:     group,
+	})
+	if err != nil {
+		return err
+	}
+	b.mesh = mesh
+	b.cleanup = append(b.cleanup, closeMesh)
+	expvar.Publish("Mesh", expvar.Func(func() any { return mesh.Statistics() }))
+	return nil
+}
+
+// living returns the other living balancers.
+func (b *balancerBuild) living() []agreplica.Peer {
+	monitor := b.monitor.Load()
+	if monitor == nil {
+		return nil
+	}
+	var peers []agreplica.Peer
+	for _, balancer := range monitor.Members().Balancers {
+		if balancer.Living && balancer.Balancer != b.settings.options.Balancer {
+			peers = append(peers, agreplica.Peer{Balancer: balancer.Balancer, Address: balancer.PeerAddress})
+		}
+	}
+	return peers
+}
+
+func (b *balancerBuild) peerLost(id anvilglade.BalancerID) {
+	if monitor := b.monitor.Load(); monitor != nil {
+		monitor.PeerLost(id)
+	}
+}
+
+func (b *balancerBuild) newMonitor(send agbalancer.SendFunc) (agbalancer.Heartbeats, error) {
+	options := b.settings.options
+	monitor, err := agmember.NewMonitor(agmember.MonitorOptions{
+		Self: anvilglade.BalancerRecord{
+			Balancer:        options.Balancer,
+			DataCentre:      options.DataCentre,
+			DatagramAddress: options.AdvertiseDatagram,
+			PeerAddress:     b.settings.advertisePeer,
+			AdminAddress:    b.settings.admin,
+		},
+		Replica:       b.replica,
+		Send:          agmember.SendFunc(send),
+		Clock:         b.clock,
+		Events:        b.events,
+		Configuration: b.configuration,
+		Service:       b.service,
+		Keys: func() (anvilglade.KeyBundle, anvilglade.Version) {
+			return *b.keys.Load(), b.ring.Version()
+		},
+	})
+	if err != nil {
+		return nil, err
+	}
+	b.monitor.Store(monitor)
+	return monitor, nil
+}
+
+func (b *balancerBuild) configuration() *anvilglade.Configuration {
+	if current := b.current.Load(); current != nil {
+		return current.configuration
+	}
+	return nil
+}
+
+func (b *balancerBuild) service(host anvilglade.HostID) (anvilglade.ServiceID, bool) {
+	if current := b.current.Load(); current != nil {
+		return current.matcher.Service(host)
+	}
+	return "", false
+}
+
+// decode returns the configuration in a record and makes it the one that the
+// monitor gives to agents.
+func (b *balancerBuild) decode(record anvilglade.Record) (*anvilglade.Configuration, agtable.ServiceOf, error) {
+	document, err := agconfig.Decode(record.Payload)
+	if err != nil {
+		return nil, nil, fmt.Errorf("decode configuration %d: %w", record.Version, err)
+	}
+	next := &adopted{
+		configuration: &anvilglade.Configuration{Revision: anvilglade.Revision(record.Version), Tables: document.Tables},
+		matcher:       agconfig.NewMatcher(document.Tables),
+	}
+	b.current.Store(next)
+	return next.configuration, next.matcher.Service, nil
+}
+
+func (b *balancerBuild) adoptKeys(record anvilglade.Record) error {
+	bundle, err := agkeys.Decode(record.Payload)
+	if err != nil {
+		return fmt.Errorf("decode keys %d: %w", record.Version, err)
+	}
+	if b.ring.Adopt(bundle, record.Version) {
+		b.keys.Store(&bundle)
+	}
+	return nil
+}
+
+// ready waits for the object API or a peer, so that a balancer that starts with
+// an old table does not serve it while a newer one is at hand.
+func (b *balancerBuild) ready() error {
+	if b.watcher.Answered() || b.mesh.Synced() {
+		return nil
+	}
+	return errors.New("neither the object API nor a peer has answered")
+}
--- a/internal/operate/agsettings/set.go
+++ b/internal/operate/agsettings/set.go
@@ -46,6 +46,7 @@
 	raw      string
 	fallback string
 	allowed  string
+	hidden   bool
 	parse    func(string) error
 }
 
@@ -66,6 +67,25 @@
 	s.subcommand.String(&entry.raw, "", name, help)
 }
 
+// Secret declares a required setting whose value never appears in errors. The
+// errors of parse must not hold it either.
+func (s *Set) Secret(name, usage, allowed string, parse func(string) error) {
+	s.Add(name, usage, Required, allowed, parse)
+	s.settings[len(s.settings)-1].hidden = true
+}
+
+// Bool declares a setting that is true or false.
+func (s *Set) Bool(target *bool, name, usage string, fallback bool) {
+	s.Add(name, usage, strconv.FormatBool(fallback), "true or false", func(text string) error {
+		parsed, err := strconv.ParseBool(text)
+		if err != nil {
+			return errors.New("not a truth value")
+		}
+		*target = parsed
+		return nil
+	})
+}
+
 // Text declares a setting of any text.
 func (s *Set) Text(target *string, name, usage, fallback string) {
 	s.Add(name, usage, fallback, "any text", func(text string) error {
@@ -170,6 +190,9 @@
 		return nil
 	}
 	if err := e.parse(value); err != nil {
+		if e.hidden {
+			value = "(hidden)"
+		}
 		return fmt.Errorf("setting --%s (%s) has the value %q, allowed: %s: %w", e.name, EnvName(e.name), value, e.allowed, err)
 	}
 	return nil
