Add key ring, key rotation and process certificates

Cause: balancers and agents seal datagrams, encode connection ids and speak mutual TLS, and a replaced process joins while the object API is down. Certificate in the root package hides its private key from fmt.

--- /dev/null
+++ b/internal/state/agkeys/bundle.go
@@ -0,0 +1,241 @@
+package agkeys
+
+import (
+	"bytes"
+	"compress/flate"
+	"crypto/tls"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+
+	"github.com/anvilglade/anvilglade"
+)
+
+// Name of the object that holds the bundle.
+const (
+	ObjectKind = "Keys"
+	ObjectName = "current"
+)
+
+// maxBundle bounds a decompressed bundle in bytes: 510 certificates of 4 KiB
+// with their keys are below it.
+const maxBundle = 8 << 20
+
+// keptRetired is the number of retired keys that stay listed. Their ids are not
+// drawn again meanwhile, so that a late process cannot take a new key for one
+// that it remembers.
+const keptRetired = 16
+
+// Encode returns the bundle as JSON, compressed with flate.
+func Encode(bundle anvilglade.KeyBundle) ([]byte, error) {
+	var buffer bytes.Buffer
+	writer, err := flate.NewWriter(&buffer, flate.BestSpeed)
+	if err != nil {
+		return nil, fmt.Errorf("encode key bundle: %w", err)
+	}
+	if err := json.NewEncoder(writer).Encode(bundle); err != nil {
+		return nil, fmt.Errorf("encode key bundle: %w", err)
+	}
+	if err := writer.Close(); err != nil {
+		return nil, fmt.Errorf("encode key bundle: %w", err)
+	}
+	return buffer.Bytes(), nil
+}
+
+// Decode reads a bundle and validates it.
+func Decode(data []byte) (anvilglade.KeyBundle, error) {
+	var bundle anvilglade.KeyBundle
+	raw, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(data)), maxBundle+1))
+	if err != nil {
+		return bundle, fmt.Errorf("decode key bundle: %w", err)
+	}
+	if len(raw) > maxBundle {
+		return bundle, fmt.Errorf("decode key bundle: more than %d bytes", maxBundle)
+	}
+	if err := json.Unmarshal(raw, &bundle); err != nil {
+		return anvilglade.KeyBundle{}, fmt.Errorf("decode key bundle: %w", err)
+	}
+	if err := Validate(bundle); err != nil {
+		return anvilglade.KeyBundle{}, err
+	}
+	return bundle, nil
+}
+
+// Validate returns all faults of a bundle, one a line. It names keys by set and
+// id only.
+func Validate(bundle anvilglade.KeyBundle) error {
+	faults := checkSet("Datagram", bundle.Datagram)
+	faults = append(faults, checkSet("ConnectionID", bundle.ConnectionID)...)
+	seen := map[anvilglade.ServiceID]bool{}
+	for _, certificate := range bundle.Certificates {
+		if seen[certificate.Service] {
+			faults = append(faults, fmt.Errorf("table Certificates, row %q: appears twice", certificate.Service))
+		}
+		seen[certificate.Service] = true
+		if _, err := tls.X509KeyPair([]byte(certificate.Chain), []byte(certificate.PrivateKey)); err != nil {
+			faults = append(faults, fmt.Errorf("table Certificates, row %q: chain and private key do not load: %w", certificate.Service, err))
+		}
+	}
+	return errors.Join(faults...)
+}
+
+func checkSet(name string, keys []anvilglade.Key) []error {
+	var faults []error
+	current := 0
+	seen := map[anvilglade.KeyID]bool{}
+	for _, key := range keys {
+		if key.ID >= anvilglade.FirstJoinKey {
+			faults = append(faults, fmt.Errorf("%s key %d: ids from %d are reserved", name, key.ID, anvilglade.FirstJoinKey))
+		}
+		if seen[key.ID] {
+			faults = append(faults, fmt.Errorf("%s key %d: appears twice", name, key.ID))
+		}
+		seen[key.ID] = true
+		switch key.State {
+		case anvilglade.KeyCurrent:
+			current++
+		case anvilglade.KeyNext, anvilglade.KeyPrevious, anvilglade.KeyRetired:
+		default:
+			faults = append(faults, fmt.Errorf("%s key %d: State %q is unknown", name, key.ID, key.State))
+		}
+		if key.State != anvilglade.KeyRetired && key.Secret == (anvilglade.Secret{}) {
+			faults = append(faults, fmt.Errorf("%s key %d: Secret is empty", name, key.ID))
+		}
+	}
+	if current != 1 {
+		faults = append(faults, fmt.Errorf("%s has %d keys in state Current, allowed is 1", name, current))
+	}
+	return faults
+}
+
+// NewBundle draws the first keys. It has no certificates.
+func NewBundle() anvilglade.KeyBundle {
+	first := func() []anvilglade.Key {
+		return []anvilglade.Key{{ID: 1, Secret: drawSecret(), State: anvilglade.KeyCurrent}}
+	}
+	return anvilglade.KeyBundle{Datagram: first(), ConnectionID: first()}
+}
+
+// Errors of a rotation step that does not fit the states of the keys.
+var (
+	ErrNextExists = errors.New("a Next key waits for its promotion")
+	ErrNoNext     = errors.New("no Next key to promote")
+	ErrPrevious   = errors.New("the Previous key has not been retired")
+	ErrNoPrevious = errors.New("no Previous key to retire")
+)
+
+// AddNext is the first step of a rotation: it draws a Next key in each set. It
+// must be in force at every process before Promote.
+func AddNext(bundle anvilglade.KeyBundle) (anvilglade.KeyBundle, error) {
+	return eachSet(bundle, func(keys []anvilglade.Key) ([]anvilglade.Key, error) {
+		if has(keys, anvilglade.KeyNext) {
+			return nil, ErrNextExists
+		}
+		if has(keys, anvilglade.KeyPrevious) {
+			return nil, ErrPrevious
+		}
+		id, err := freeID(keys)
+		if err != nil {
+			return nil, err
+		}
+		return append(slices.Clone(keys), anvilglade.Key{ID: id, Secret: drawSecret(), State: anvilglade.KeyNext}), nil
+	})
+}
+
+// Promote is the second step: Next becomes Current and Current becomes
+// Previous, which stays accepted.
+func Promote(bundle anvilglade.KeyBundle) (anvilglade.KeyBundle, error) {
+	return eachSet(bundle, func(keys []anvilglade.Key) ([]anvilglade.Key, error) {
+		if !has(keys, anvilglade.KeyNext) {
+			return nil, ErrNoNext
+		}
+		return moved(keys, map[anvilglade.KeyState]anvilglade.KeyState{
+			anvilglade.KeyNext:    anvilglade.KeyCurrent,
+			anvilglade.KeyCurrent: anvilglade.KeyPrevious,
+		}), nil
+	})
+}
+
+// Retire is the last step: Previous keys are no longer accepted and their
+// secrets are erased.
+func Retire(bundle anvilglade.KeyBundle) (anvilglade.KeyBundle, error) {
+	return eachSet(bundle, func(keys []anvilglade.Key) ([]anvilglade.Key, error) {
+		if !has(keys, anvilglade.KeyPrevious) {
+			return nil, ErrNoPrevious
+		}
+		retired := moved(keys, map[anvilglade.KeyState]anvilglade.KeyState{anvilglade.KeyPrevious: anvilglade.KeyRetired})
+		return withoutOldRetired(retired), nil
+	})
+}
+
+func eachSet(bundle anvilglade.KeyBundle, change func([]anvilglade.Key) ([]anvilglade.Key, error)) (anvilglade.KeyBundle, error) {
+	datagram, err := change(bundle.Datagram)
+	if err != nil {
+		return bundle, fmt.Errorf("Datagram keys: %w", err)
+	}
+	connectionID, err := change(bundle.ConnectionID)
+	if err != nil {
+		return bundle, fmt.Errorf("ConnectionID keys: %w", err)
+	}
+	bundle.Datagram, bundle.ConnectionID = datagram, connectionID
+	return bundle, nil
+}
+
+func has(keys []anvilglade.Key, state anvilglade.KeyState) bool {
+	return slices.ContainsFunc(keys, func(key anvilglade.Key) bool { return key.State == state })
+}
+
+func moved(keys []anvilglade.Key, states map[anvilglade.KeyState]anvilglade.KeyState) []anvilglade.Key {
+	changed := slices.Clone(keys)
+	for i, key := range changed {
+		if state, ok := states[key.State]; ok {
+			changed[i].State = state
+		}
+		if changed[i].State == anvilglade.KeyRetired {
+			changed[i].Secret = anvilglade.Secret{}
+		}
+	}
+	return changed
+}
+
+// withoutOldRetired keeps the newest retired keys. Keys are listed in the order
+// in which they were drawn.
+func withoutOldRetired(keys []anvilglade.Key) []anvilglade.Key {
+	excess := -keptRetired
+	for _, key := range keys {
+		if key.State == anvilglade.KeyRetired {
+			excess++
+		}
+	}
+	return slices.DeleteFunc(keys, func(key anvilglade.Key) bool {
+		if key.State != anvilglade.KeyRetired || excess <= 0 {
+			return false
+		}
+		excess--
+		return true
+	})
+}
+
+// freeID returns the id after the newest key's that no listed key has.
+func freeID(keys []anvilglade.Key) (anvilglade.KeyID, error) {
+	used := map[anvilglade.KeyID]bool{}
+	for _, key := range keys {
+		used[key.ID] = true
+	}
+	id := anvilglade.KeyID(0)
+	if len(keys) > 0 {
+		id = keys[len(keys)-1].ID
+	}
+	for range int(anvilglade.FirstJoinKey) {
+		id++
+		if id >= anvilglade.FirstJoinKey {
+			id = 0
+		}
+		if !used[id] {
+			return id, nil
+		}
+	}
+	return 0, errors.New("no free key id")
+}
--- a/keys.go
+++ b/keys.go
@@ -43,6 +43,16 @@
 	PrivateKey string
 }
 
+// String hides the private key from logs.
+func (c Certificate) String() string {
+	return "(certificate of " + string(c.Service) + ")"
+}
+
+// GoString hides the private key from logs.
+func (c Certificate) GoString() string {
+	return c.String()
+}
+
 // KeyBundle is the object Keys/current.
 type KeyBundle struct {
 	// Datagram keys seal datagrams between balancers and agents. The ids
