--- a/members.go
+++ b/members.go
@@ -17,12 +17,17 @@
 )
 
 // HostRecord is what the fleet knows of one host. The host's agent sets every
-// field but State, which balancers may set to Suspect or Dead.
+// field but State and Claim, by which balancers claim that a host is Suspect or
+// Dead, or refute such a claim.
 type HostRecord struct {
-	Host         HostID
-	Incarnation  Incarnation
-	Sequence     Sequence
+	Host        HostID
+	Incarnation Incarnation
+	Sequence    Sequence
+	// Claim counts the claims of balancers about this Sequence.
+	Claim uint16
+	// State is the state in effect, OwnState the one that the agent reported.
 	State        HostState
+	OwnState     HostState
 	DataCentre   DataCentreID
 	AgentAddress netip.AddrPort
 	// ControlAddress takes request forwarding and tickets between agents.
@@ -30,8 +35,21 @@
 	// AdminAddress serves /debug/vars, /events, /ready and /status.
 	AdminAddress netip.AddrPort
 	JoinStamp    JoinStamp
+	// AcceptStamp is the hybrid-clock time at which the host last began to
+	// take new work for its service: when it joined, returned from Dead, from
+	// Draining or from a data centre that was Out, or changed its pool. Zero
+	// stands for JoinStamp. Routing relies on it, because flows may have been
+	// placed past a host that was not accepting.
+	AcceptStamp JoinStamp
+	// Services lists the service of which the host takes new flows and after
+	// it those whose established flows it still holds, as the agent last
+	// reported. Unused entries are empty; if all are, the pools alone decide.
+	Services [MaxHostServices]ServiceID
 }
 
+// MaxHostServices bounds the services whose flows one host holds at a time.
+const MaxHostServices = 4
+
 // BalancerRecord is what the fleet knows of one balancer.
 type BalancerRecord struct {
 	Balancer    BalancerID
@@ -45,8 +63,6 @@
 	// PeerAddress takes replication over QUIC.
 	PeerAddress  netip.AddrPort
 	AdminAddress netip.AddrPort
-	// Revision is the configuration in force at this balancer.
-	Revision Revision
 }
 
 // Members is an immutable view of the hosts and balancers that are known.
@@ -64,7 +80,8 @@
 	DataCentre     DataCentreID
 	AgentAddress   netip.AddrPort
 	ControlAddress netip.AddrPort
-	JoinStamp      JoinStamp
+	// JoinStamp is the later of the host's JoinStamp and AcceptStamp.
+	JoinStamp JoinStamp
 	// Accepts is false for hosts that take no new work.
 	Accepts bool
 }
@@ -79,11 +96,15 @@
 	Pool     Pool
 	Draining bool
 	// Members are the hosts of Service, the receiver included.
-	Members   []ServiceMember
+	Members []ServiceMember
+	// Balancers starts with those that the agent sends heartbeats to.
 	Balancers []BalancerRecord
-	Routes    []Route
-	Keys      KeyBundle
-	KeysAt    Version
+	// HeartbeatInterval is the time between two heartbeats, each to the next
+	// of the balancers in turn. It keeps control traffic within its budget.
+	HeartbeatInterval Duration
+	Routes            []Route
+	Keys              KeyBundle
+	KeysAt            Version
 }
 
 // OrdersSource gives an agent its newest orders. It is safe for concurrent use.
