--- a/internal/config/agconfig/document.go
+++ b/internal/config/agconfig/document.go
@@ -1,81 +1,100 @@
-// Package agconfig has the codec of the configuration object and the match of
-// hosts to pools.
+// Package agconfig holds the format and the rules of the configuration.
+//
+// The object Configuration/current is a Document: the tables and the newest
+// edits, as JSON in Pascal case, compressed with flate. Rows are compared and
+// edited by table and key. Validation returns all faults at once and names
+// table, row and field. A Matcher says which pool a host belongs to.
+//
+// Everything here is a pure function of its arguments; internal/config/agedit
+// reads and writes the object.
 //
 // # Usage
 //
-//	document, err := agconfig.Decode(object.Data)
+//	configuration, err := agconfig.Load(object.Version, object.Data)
 //	if err != nil {
 //		return err
 //	}
-//	service, ok := agconfig.NewMatcher(document.Tables).Service("dk1-h01")
+//	matcher := agconfig.NewMatcher(configuration.Tables)
+//	service, ok := matcher.Service("dk1-h03")
 package agconfig
 
 import (
-	"bytes"
-	"compress/flate"
 	"encoding/json"
-	"fmt"
-	"io"
-	"path"
+	"time"
 
 	"github.com/anvilglade/anvilglade"
 )
 
-// maxDocumentSize bounds the uncompressed object in bytes.
-const maxDocumentSize = 16 << 20
+// Name of the object that holds the configuration.
+const (
+	ObjectKind = "Configuration"
+	ObjectName = "current"
+)
+
+// HistoryLength is the number of edits that a document keeps at most.
+const HistoryLength = 64
+
+// Format is the version of the document's format.
+const Format = 1
 
 // Document is the content of the configuration object.
 type Document struct {
+	Format int
 	Tables anvilglade.Tables
+	// History holds the newest edits, oldest first. Each Base is the revision
+	// that the edit before it produced, so the entries have no gap.
+	History []Edit
 }
 
-// Encode returns the compressed form of a document.
-func Encode(document *Document) ([]byte, error) {
-	var buffer bytes.Buffer
-	writer, err := flate.NewWriter(&buffer, flate.DefaultCompression)
-	if err != nil {
-		return nil, fmt.Errorf("compress configuration: %w", err)
-	}
-	if err := json.NewEncoder(writer).Encode(document); err != nil {
-		return nil, fmt.Errorf("encode configuration: %w", err)
-	}
-	if err := writer.Close(); err != nil {
-		return nil, fmt.Errorf("compress configuration: %w", err)
-	}
-	return buffer.Bytes(), nil
+// Edit is one accepted edit.
+type Edit struct {
+	ID     anvilglade.EditID
+	Author string
+	Time   time.Time
+	// Base is the revision that the edit replaced, 0 for the first one.
+	Base    anvilglade.Revision
+	Comment string `json:",omitempty"`
+	Changes []Change
 }
 
-// Decode parses the compressed form. It returns an error for malformed data.
-func Decode(data []byte) (*Document, error) {
-	raw, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(data)), maxDocumentSize))
-	if err != nil {
-		return nil, fmt.Errorf("decompress configuration: %w", err)
-	}
-	document := new(Document)
-	if err := json.Unmarshal(raw, document); err != nil {
-		return nil, fmt.Errorf("decode configuration: %w", err)
-	}
-	return document, nil
+// Change is one row before and after an edit. Before is empty for a new row,
+// After for a removed one.
+type Change struct {
+	Table  string
+	Row    string
+	Before json.RawMessage `json:",omitempty"`
+	After  json.RawMessage `json:",omitempty"`
 }
 
-// Matcher finds the pool of a host.
-type Matcher struct {
-	pools []anvilglade.Pool
+// Find returns the edit with the id and the revision that it produced. The
+// revision of the newest entry is that of the document.
+func (d *Document) Find(id anvilglade.EditID, revision anvilglade.Revision) (Edit, anvilglade.Revision, bool) {
+	for i, edit := range d.History {
+		if edit.ID != id {
+			continue
+		}
+		if i+1 < len(d.History) {
+			return edit, d.History[i+1].Base, true
+		}
+		return edit, revision, true
+	}
+	return Edit{}, 0, false
 }
 
-// NewMatcher returns a matcher for the pools of the tables.
-func NewMatcher(tables anvilglade.Tables) *Matcher {
-	return &Matcher{pools: tables.Pools}
+// Covers reports whether the history holds every edit after the revision, so
+// that an id that is missing proves that the edit did not take effect.
+func (d *Document) Covers(revision anvilglade.Revision) bool {
+	return len(d.History) > 0 && d.History[0].Base <= revision
 }
 
-// Service returns the service whose pool matches the host.
-func (m *Matcher) Service(host anvilglade.HostID) (anvilglade.ServiceID, bool) {
-	for _, pool := range m.pools {
-		for _, pattern := range pool.Hosts {
-			if ok, err := path.Match(pattern, string(host)); ok && err == nil {
-				return pool.Service, true
+// LastChange returns the newest edit of a row.
+func (d *Document) LastChange(table, row string) (Edit, bool) {
+	for i := len(d.History) - 1; i >= 0; i-- {
+		for _, change := range d.History[i].Changes {
+			if change.Table == table && change.Row == row {
+				return d.History[i], true
 			}
 		}
 	}
-	return "", false
+	return Edit{}, false
 }
--- a/internal/state/agkeys/agkeys_test.go
+++ b/internal/state/agkeys/agkeys_test.go
@@ -35,6 +35,11 @@
 	return secret
 }
 
+func material(secret anvilglade.Secret, accepted bool) anvilglade.Secret {
+	Expect(accepted).To(BeTrue())
+	return secret
+}
+
 var _ = Describe("Ring", func() {
 	var ring *agkeys.Ring
 
@@ -55,16 +60,17 @@
 		added, err := agkeys.AddNext(bundle)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(ring.Adopt(added, 2)).To(BeTrue())
-		Expect(ring.CurrentDatagram()).To(Equal(first))
+		current, _ := ring.CurrentDatagram()
+		Expect(current).To(Equal(first))
 		next := added.Datagram[1]
-		Expect(ring.Datagram(next.ID)).To(Equal(next.Secret))
+		Expect(material(ring.Datagram(next.ID))).To(Equal(next.Secret))
 
 		promoted, err := agkeys.Promote(added)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(ring.Adopt(promoted, 3)).To(BeTrue())
-		current, _ := ring.CurrentDatagram()
+		current, _ = ring.CurrentDatagram()
 		Expect(current.ID).To(Equal(next.ID))
-		Expect(ring.Datagram(first.ID)).To(Equal(first.Secret))
+		Expect(material(ring.Datagram(first.ID))).To(Equal(first.Secret))
 
 		retired, err := agkeys.Retire(promoted)
 		Expect(err).NotTo(HaveOccurred())
@@ -132,7 +138,7 @@
 		for _, sender := range []*agkeys.Ring{ring, both, swapped} {
 			key := sender.Join()
 			for _, receiver := range []*agkeys.Ring{both, swapped} {
-				Expect(receiver.Datagram(key.ID)).To(Equal(key.Secret))
+				Expect(material(receiver.Datagram(key.ID))).To(Equal(key.Secret))
 			}
 		}
 		Expect(both.Join().Secret).NotTo(Equal(former), "the key on the wire is derived")
@@ -170,30 +176,41 @@
 	})
 })
 
-// handshake returns the errors of both sides of a connection.
-func handshake(server, client *tls.Config) (serverErr, clientErr error, peer anvilglade.ProcessID) {
+// handshake returns the errors of both sides of a connection. A client of TLS
+// 1.3 ends its handshake before the server has checked its certificate, so the
+// client also reads the server's verdict.
+func handshake(server, client *tls.Config) (peer anvilglade.ProcessID, serverErr, clientErr error) {
 	group, stop, err := agtask.NewGroup(context.Background())
 	Expect(err).NotTo(HaveOccurred())
 	defer stop()
-	left, right := net.Pipe()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	defer listener.Close()
 	done := make(chan error, 1)
-	serving := tls.Server(left, server)
 	Expect(group.Start("server", func(context.Context) error {
-		err := serving.Handshake()
+		accepted, err := listener.Accept()
 		if err != nil {
-			_ = left.Close()
+			return err
+		}
+		defer accepted.Close()
+		_ = accepted.SetDeadline(time.Now().Add(10 * time.Second))
+		serving := tls.Server(accepted, server)
+		err = serving.Handshake()
+		if err == nil {
+			peer, _ = agkeys.PeerProcess(serving.ConnectionState())
+			_, err = serving.Write([]byte{1})
 		}
 		done <- err
 		return nil
 	})).To(Succeed())
-	dialled := tls.Client(right, client)
-	clientErr = dialled.Handshake()
-	if clientErr != nil {
-		_ = right.Close()
-	}
+	raw, err := net.DialTimeout("tcp", listener.Addr().String(), 10*time.Second)
+	Expect(err).NotTo(HaveOccurred())
+	defer raw.Close()
+	_ = raw.SetDeadline(time.Now().Add(10 * time.Second))
+	_, clientErr = tls.Client(raw, client).Read(make([]byte, 1))
+	_ = raw.Close()
 	serverErr = <-done
-	peer, _ = agkeys.PeerProcess(serving.ConnectionState())
-	return serverErr, clientErr, peer
+	return peer, serverErr, clientErr
 }
 
 var _ = Describe("ProcessTLS", func() {
@@ -208,14 +225,14 @@
 		for _, secrets := range [][]anvilglade.Secret{{later, former}, {former, later}} {
 			_, client, err := agkeys.ProcessTLS(secrets, "agent/dk1-h01")
 			Expect(err).NotTo(HaveOccurred())
-			serverErr, clientErr, peer := handshake(server, client)
+			peer, serverErr, clientErr := handshake(server, client)
 			Expect(serverErr).NotTo(HaveOccurred())
 			Expect(clientErr).NotTo(HaveOccurred())
 			Expect(peer).To(Equal(anvilglade.ProcessID("agent/dk1-h01")))
 		}
 		_, client, err := agkeys.ProcessTLS([]anvilglade.Secret{stranger}, "agent/dk1-h01")
 		Expect(err).NotTo(HaveOccurred())
-		serverErr, clientErr, _ := handshake(server, client)
+		_, serverErr, clientErr := handshake(server, client)
 		Expect(clientErr).To(HaveOccurred())
 		Expect(serverErr).To(HaveOccurred())
 	})
@@ -225,7 +242,7 @@
 		server, client, err := agkeys.ProcessTLS([]anvilglade.Secret{secretOf(1)}, "balancer/b1")
 		Expect(err).NotTo(HaveOccurred())
 		client.GetClientCertificate = nil
-		serverErr, _, _ := handshake(server, client)
+		_, serverErr, _ := handshake(server, client)
 		Expect(serverErr).To(HaveOccurred())
 	})
 })
--- a/internal/state/agkeys/bundle.go
+++ b/internal/state/agkeys/bundle.go
@@ -71,11 +71,11 @@
 	seen := map[anvilglade.ServiceID]bool{}
 	for _, certificate := range bundle.Certificates {
 		if seen[certificate.Service] {
-			faults = append(faults, fmt.Errorf("Certificates row %q: appears twice", certificate.Service))
+			faults = append(faults, fmt.Errorf("table Certificates, row %q: appears twice", certificate.Service))
 		}
 		seen[certificate.Service] = true
 		if _, err := tls.X509KeyPair([]byte(certificate.Chain), []byte(certificate.PrivateKey)); err != nil {
-			faults = append(faults, fmt.Errorf("Certificates row %q: chain and private key do not load: %w", certificate.Service, err))
+			faults = append(faults, fmt.Errorf("table Certificates, row %q: chain and private key do not load: %w", certificate.Service, err))
 		}
 	}
 	return errors.Join(faults...)
