--- a/internal/routing/agbalance/router.go
+++ b/internal/routing/agbalance/router.go
@@ -136,15 +136,16 @@
 		decision.Drop = anvilglade.DropMalformed
 		return
 	}
-	decision.Flow = anvilglade.NewFlowKeyQUIC(route.Number, id)
 	target, known := r.codec.Decode(id)
 	if known && target.Service == route.Number.Tag() {
+		decision.Flow = anvilglade.NewFlowKey(route.Number, packet.Caller)
 		direct(table, target.Agent, decision)
 		return
 	}
 	// An id that the caller chose may by chance begin with the id of a key.
 	// It then decodes to a random target and is routed by the list.
 	if agconnid.ChosenByCaller(packet.Payload) {
+		decision.Flow = anvilglade.NewFlowKeyQUIC(route.Number, id)
 		list(route.Service, decision)
 		return
 	}
@@ -159,7 +160,8 @@
 
 // direct sends the packet to the agent that its connection id names, also if
 // the host is considered dead: that claim may be false, and then the host
-// still has its flows.
+// still has its flows. The flow key of such a decision is that of the caller's
+// address, since the id changes within a connection.
 func direct(table *agtable.Table, agent netip.AddrPort, decision *anvilglade.RouteDecision) {
 	hosts, out := table.Agent(agent)
 	if out {
--- a/internal/routing/agtable/builder.go
+++ b/internal/routing/agtable/builder.go
@@ -5,7 +5,6 @@
 // build. Services whose hosts are as before are shared with the last table.
 
 import (
-	"net/netip"
 	"slices"
 	"time"
 
@@ -120,15 +119,16 @@
 }
 
 // routesOf returns the routes by address. UDP and QUIC share the port space, so
-// of two routes with one address the first is in force.
-func routesOf(rows []anvilglade.Route, services map[anvilglade.ServiceID]*Service) (map[netip.AddrPort]*Route, []anvilglade.Route) {
-	routes := make(map[netip.AddrPort]*Route, len(rows))
+// of two routes with one address the first is in force. Only IPv4 is served.
+func routesOf(rows []anvilglade.Route, services map[anvilglade.ServiceID]*Service) (map[addressKey]*Route, []anvilglade.Route) {
+	routes := make(map[addressKey]*Route, len(rows))
 	var list []anvilglade.Route
 	for _, row := range rows {
-		if _, ok := routes[row.Address]; ok {
+		key := keyOf(row.Address)
+		if _, ok := routes[key]; ok || key == 0 {
 			continue
 		}
-		routes[row.Address] = &Route{Protocol: row.Protocol, Number: row.Service.Number(), Service: services[row.Service]}
+		routes[key] = &Route{Protocol: row.Protocol, Number: row.Service.Number(), Service: services[row.Service]}
 		list = append(list, row)
 	}
 	return routes, list
@@ -253,13 +253,13 @@
 	if last := b.table.agents; last != nil && slices.Equal(last.candidates, fresh.candidates) && slices.Equal(last.out, fresh.out) {
 		return last
 	}
-	fresh.byAddress = make(map[netip.AddrPort]int, len(fresh.candidates))
+	fresh.byAddress = make(map[addressKey]int32, len(fresh.candidates))
 	for i := range fresh.candidates {
-		address := fresh.candidates[i].Address
-		if j, ok := fresh.byAddress[address]; ok && members.Hosts[j].Incarnation > members.Hosts[i].Incarnation {
+		key := keyOf(fresh.candidates[i].Address)
+		if j, ok := fresh.byAddress[key]; ok && members.Hosts[j].Incarnation > members.Hosts[i].Incarnation {
 			continue
 		}
-		fresh.byAddress[address] = i
+		fresh.byAddress[key] = int32(i)
 	}
 	return fresh
 }
--- a/internal/routing/agtable/table.go
+++ b/internal/routing/agtable/table.go
@@ -22,6 +22,7 @@
 package agtable
 
 import (
+	"encoding/binary"
 	"net/netip"
 	"time"
 
@@ -55,7 +56,7 @@
 // Table is an immutable routing table.
 type Table struct {
 	Revision anvilglade.Revision
-	routes   map[netip.AddrPort]*Route
+	routes   map[addressKey]*Route
 	list     []anvilglade.Route
 	services map[anvilglade.ServiceID]*Service
 	agents   *agentIndex
@@ -69,9 +70,23 @@
 	Service *Service
 }
 
+// addressKey is an IPv4 address and port. As a map key it is found in about
+// half the time of a netip.AddrPort.
+type addressKey uint64
+
+// keyOf returns the key of an IPv4 address, or 0, which no socket can have.
+func keyOf(address netip.AddrPort) addressKey {
+	ip := address.Addr()
+	if !ip.Is4() {
+		return 0
+	}
+	raw := ip.As4()
+	return addressKey(binary.BigEndian.Uint32(raw[:]))<<16 | addressKey(address.Port())
+}
+
 // Route returns the route of a service address, or nil.
 func (t *Table) Route(address netip.AddrPort) *Route {
-	return t.routes[address]
+	return t.routes[keyOf(address)]
 }
 
 // Routes returns the routes in force, one for each address.
@@ -87,7 +102,7 @@
 // Agent returns a list of one candidate for a known agent, and whether its data
 // centre is out of service. The list is nil if no host has the address.
 func (t *Table) Agent(address netip.AddrPort) (list []anvilglade.Candidate, out bool) {
-	i, ok := t.agents.byAddress[address]
+	i, ok := t.agents.byAddress[keyOf(address)]
 	if !ok {
 		return nil, false
 	}
@@ -96,7 +111,7 @@
 
 // agentIndex finds hosts by the address of their agent.
 type agentIndex struct {
-	byAddress  map[netip.AddrPort]int
+	byAddress  map[addressKey]int32
 	candidates []anvilglade.Candidate
 	out        []bool
 }
