--- a/members.go
+++ b/members.go
@@ -45,6 +45,12 @@
 // MaxHostServices bounds the services whose flows one host holds at a time.
 const MaxHostServices = 4
 
+// Age returns the stamp that orders hosts for the choice of the arbiter: the
+// host with the lowest Age arbitrates. Balancers and agents must both use it.
+func (r *HostRecord) Age() JoinStamp {
+	return max(r.JoinStamp, r.AcceptStamp)
+}
+
 // BalancerRecord is what the fleet knows of one balancer.
 type BalancerRecord struct {
 	Balancer    BalancerID
