Check the lists while data centres go out and return

Cause: the pauses of hosts whose data centre was Out had no test. Change: TestHolderRuleOperators takes data centres out and back.

--- a/internal/routing/agtable/model_test.go
+++ b/internal/routing/agtable/model_test.go
@@ -37,7 +37,7 @@
 
 func testRecord(i int, join anvilglade.JoinStamp) anvilglade.HostRecord {
 	return anvilglade.HostRecord{
-		Host: anvilglade.HostID(fmt.Sprintf("dk1-h%04d", i)), Incarnation: 1, State: anvilglade.HostActive, DataCentre: "dk1",
+		Host: anvilglade.HostID(fmt.Sprintf("dk1-h%04d", i)), Incarnation: 1, State: anvilglade.HostActive, DataCentre: anvilglade.DataCentreID(fmt.Sprintf("dk%d", 1+i%3)),
 		AgentAddress: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 7000),
 		JoinStamp:    join, AcceptStamp: join,
 	}
@@ -76,6 +76,7 @@
 	clock    testClock
 	hosts    []*modelHost
 	draining map[anvilglade.HostID]bool
+	out      map[anvilglade.DataCentreID]bool
 	revision anvilglade.Revision
 	lasting  *Builder
 	flows    []modelFlow
@@ -97,17 +98,41 @@
 	m.hosts[i].set(m.clock.now, record)
 }
 
-// override sets or ends an operator's drain. The agent draws its new stamp
-// when it learns of the end, up to 3 s later.
+// override sets or ends an operator's drain.
 func (m *model) override(t *rapid.T, i int) {
-	record := m.hosts[i].last()
+	name := m.hosts[i].last().Host
 	m.revision++
-	m.draining[record.Host] = !m.draining[record.Host]
-	if !m.draining[record.Host] {
-		at := m.clock.now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "learn ms")) * time.Millisecond)
-		record.AcceptStamp = anvilglade.JoinStamp(at.UnixMilli()) << 16
-		m.hosts[i].set(at, record)
+	m.draining[name] = !m.draining[name]
+	if !m.draining[name] {
+		m.resume(t, m.hosts[i])
+	}
+}
+
+// resume draws the new stamp of an agent when it learns that it may accept
+// again, up to 3 s later.
+func (m *model) resume(t *rapid.T, host *modelHost) {
+	at := m.clock.now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "learn ms")) * time.Millisecond)
+	if last := host.times[len(host.times)-1]; at.Before(last) {
+		at = last
 	}
+	record := host.last()
+	record.AcceptStamp = anvilglade.JoinStamp(at.UnixMilli()) << 16
+	host.set(at, record)
+}
+
+// toggleCentre takes a data centre out of service, which ends its flows, or
+// back in.
+func (m *model) toggleCentre(t *rapid.T, centre anvilglade.DataCentreID) {
+	m.revision++
+	m.out[centre] = !m.out[centre]
+	for _, host := range m.hosts {
+		if host.last().DataCentre == centre && !m.out[centre] {
+			m.resume(t, host)
+		}
+	}
+	m.flows = slices.DeleteFunc(m.flows, func(flow modelFlow) bool {
+		return m.hosts[flow.host].last().DataCentre == centre
+	})
 }
 
 // table builds the table of a balancer that sees each record up to HolderWindow
@@ -121,6 +146,11 @@
 	for host, draining := range m.draining {
 		configuration.Tables.Hosts = append(configuration.Tables.Hosts, anvilglade.HostOverride{Name: host, Draining: draining})
 	}
+	for centre, out := range m.out {
+		if out {
+			configuration.Tables.DataCentres = append(configuration.Tables.DataCentres, anvilglade.DataCentre{Name: centre, State: anvilglade.DataCentreOut})
+		}
+	}
 	members := &anvilglade.Members{}
 	for _, host := range m.hosts {
 		delay := time.Duration(rapid.Int64Range(0, int64(HolderWindow/time.Millisecond)).Draw(t, "delay ms")) * time.Millisecond
@@ -193,6 +223,8 @@
 		m.join()
 	case action < 6 && operators:
 		m.override(t, i)
+	case action == 6 && operators:
+		m.toggleCentre(t, m.hosts[i].last().DataCentre)
 	case state == anvilglade.HostActive && action < 6:
 		m.change(i, anvilglade.HostDraining)
 	case state == anvilglade.HostActive && action == 6:
@@ -205,7 +237,7 @@
 }
 
 func checkModel(t *rapid.T, operators bool) {
-	m := &model{clock: testClock{now: time.Unix(1_800_000_000, 0)}, draining: map[anvilglade.HostID]bool{}, revision: 1}
+	m := &model{clock: testClock{now: time.Unix(1_800_000_000, 0)}, draining: map[anvilglade.HostID]bool{}, out: map[anvilglade.DataCentreID]bool{}, revision: 1}
 	m.lasting = NewBuilder(Options{Clock: &m.clock})
 	for range rapid.IntRange(3, 30).Draw(t, "hosts at start") {
 		m.join()
@@ -229,7 +261,8 @@
 }
 
 // TestHolderRuleOperators guards against the same while operators drain hosts
-// and end drains, and agents learn of it later than balancers.
+// and take data centres out, end both, and agents learn of it later than
+// balancers.
 func TestHolderRuleOperators(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) { checkModel(t, true) })
 }
