Place more flows in the list model and test draining lists

Cause: with data centres added, the model no longer found a builder that ignores pauses within the 100 cases of a run; nothing checked that draining hosts leave room in the lists.

--- a/internal/routing/agbalance/router_test.go
+++ b/internal/routing/agbalance/router_test.go
@@ -183,6 +183,26 @@
 		Expect(decision.Drop).To(Equal(anvilglade.DropNoHost))
 	})
 
+	// Guards against flows that are refused because the oldest hosts exclude
+	// all others from a list while they drain themselves.
+	It("lists accepting hosts while the oldest drain", func() {
+		f = newFleet(300, 1)
+		for i := range 100 {
+			f.members.Hosts[i].State = anvilglade.HostDraining
+		}
+		table, _ := f.build(newBuilder(false))
+		service := table.Service("service-000")
+		for bucket := range agtable.Buckets {
+			accepting := 0
+			for _, slot := range service.Order(bucket) {
+				if service.Hosts()[slot].Accepts {
+					accepting++
+				}
+			}
+			Expect(accepting).To(BeNumerically(">=", agtable.Placements), "bucket %d", bucket)
+		}
+	})
+
 	// Guards against flows that are lost, and against an arbiter that changes,
 	// when operators move a host to another pool.
 	It("lists a host that changed its pool until it has let go", func() {
--- a/internal/routing/agtable/model_test.go
+++ b/internal/routing/agtable/model_test.go
@@ -23,6 +23,10 @@
 	os.Exit(m.Run())
 }
 
+// flowsPerStep is large enough for the model to find a builder that ignores
+// pauses or accept times within the 100 cases of a run.
+const flowsPerStep = 16
+
 const testService = anvilglade.ServiceID("alerts")
 
 func inService(anvilglade.HostID) (anvilglade.ServiceID, bool) { return testService, true }
@@ -170,13 +174,20 @@
 	return table
 }
 
-// place puts a flow on one of the Placements best accepting hosts of a list.
+// place puts flows of several buckets each on one of the Placements best
+// accepting hosts of their list.
 func (m *model) place(t *rapid.T, table *Table) {
 	service := table.Service(testService)
 	if service == nil {
 		return
 	}
-	bucket := rapid.IntRange(0, Buckets-1).Draw(t, "bucket")
+	first := rapid.IntRange(0, Buckets-1).Draw(t, "bucket")
+	for i := range flowsPerStep {
+		m.placeOne(t, service, (first+i)%Buckets)
+	}
+}
+
+func (m *model) placeOne(t *rapid.T, service *Service, bucket int) {
 	var accepting []anvilglade.HostID
 	for _, slot := range service.Order(bucket) {
 		if service.Hosts()[slot].Accepts && len(accepting) < Placements {
