--- a/internal/operate/agbalancer/balancer.go
+++ b/internal/operate/agbalancer/balancer.go
@@ -30,6 +30,7 @@
 	"time"
 
 	"github.com/anvilglade/anvilglade"
+	"github.com/anvilglade/anvilglade/internal/observe/agevent"
 	"github.com/anvilglade/anvilglade/internal/observe/aglog"
 	"github.com/anvilglade/anvilglade/internal/operate/agtask"
 	"github.com/anvilglade/anvilglade/internal/packet/agconnid"
@@ -255,6 +256,7 @@
 		b.ingresses.close()
 		return ctx.Err()
 	}
+	b.parts.Events.Record(anvilglade.Event{Type: agevent.ProcessStopping})
 	b.log.Info("Stops after its drain time.")
 	sleep(ctx, b.options.DrainTime)
 	b.ingresses.close()
