Check flow ownership with a seeded model and close the faults it found

Cause: the model of agents, stale balancer views and datagrams in flight found seven interleavings in which two hosts owned a flow or a packet went round in a loop.

Change: agents that decline to decide are listed in the packet; the arbiter asks hosts that a stale list lacks; an arbiter that has left repeats its decisions as Lookup only; hosts say in their record which service they work for and which former services still have flows, and take a new join stamp when the service changes.

Conclusion: ownership holds under the modelled faults for services of up to 16 hosts; lists of larger services rest on the rule in the design.

--- a/internal/flow/agflow/arbiter.go
+++ b/internal/flow/agflow/arbiter.go
@@ -31,37 +31,145 @@
 
 // arbitrate decides on a packet that passed every candidate.
 func (m *Machine) arbitrate(now int64, header *agheader.Header, payload []byte, actions []Action) []Action {
+	known := m.views[header.Service]
 	if entry := m.placements[header.Flow]; entry != nil {
-		return m.follow(now, entry, header, payload, actions)
+		if m.decides(known) {
+			return m.follow(now, entry, settled(header), payload, actions)
+		}
+		if next := m.handOver(entry, header); next >= 0 {
+			header.Step = uint8(next)
+			return send(actions, entry.host, agheader.KindLookup, header, payload)
+		}
 	}
-	arbiter, known := m.views[header.Service].arbiter(m)
-	if !known {
+	arbiter := known.arbiter(m, declined(header))
+	if arbiter == nil {
 		return drop(actions, anvilglade.DropNoConfiguration)
 	}
-	// A packet that the other host has just redirected here is decided here:
-	// that host knows that it leaves, and this one does not know it yet.
-	if arbiter.AgentAddress != m.options.Self && arbiter.AgentAddress != header.Sender {
-		return m.redirect(&arbiter, header, payload, actions)
+	if arbiter.AgentAddress != m.options.Self {
+		return m.redirect(known, arbiter, header, payload, actions)
 	}
-	if m.left || !m.views[header.Service].mayDecide(m) {
-		return drop(actions, anvilglade.DropNoHost)
+	if next := m.extend(now, known, header); next >= 0 {
+		header.Step = uint8(next)
+		return send(actions, header.Candidates[next].Address, agheader.KindLookup, header, payload)
 	}
 	entry := &placement{service: header.Service, used: now}
 	m.placements[header.Flow] = entry
 	m.statistics.Decided++
-	return m.place(now, entry, header, payload, actions)
+	return m.place(now, entry, settled(header), payload, actions)
+}
+
+// decides reports whether this agent may still decide on flows of a service.
+func (m *Machine) decides(known *view) bool {
+	return known != nil && !known.former && !m.left
+}
+
+// handOver inserts the host of a former decision, which may own the flow by now,
+// before the next arbiter. It is asked with a Lookup: a Place could create the
+// flow there after the next arbiter has decided otherwise. It returns the index,
+// or -1 if there is no such host or it has just been asked.
+func (m *Machine) handOver(entry *placement, header *agheader.Header) int {
+	next := firstDeclined(header)
+	asked := next > 0 && header.Candidates[next-1].Address == entry.host
+	if asked || entry.service != header.Service || !entry.host.IsValid() || entry.host == m.options.Self || len(header.Candidates) > anvilglade.MaxCandidates {
+		return -1
+	}
+	header.Candidates = slices.Insert(header.Candidates, next, anvilglade.Candidate{Address: entry.host})
+	return next
+}
+
+// settled removes the hosts that declined from the list, so that they are no
+// candidates for a placement.
+func settled(header *agheader.Header) *agheader.Header {
+	if len(header.Candidates) > 0 {
+		header.Candidates = slices.Delete(header.Candidates, firstDeclined(header), len(header.Candidates)-1)
+	}
+	header.Sender = netip.AddrPort{}
+	return header
+}
+
+// firstDeclined returns the index of the first candidate that declined to
+// decide. Candidates from there to the arbiter at the end have all declined.
+// Header.Sender of a Lookup names the first of them; without one the index is
+// that of the arbiter.
+func firstDeclined(header *agheader.Header) int {
+	last := len(header.Candidates) - 1
+	if !header.Sender.IsValid() {
+		return last
+	}
+	for i := last - 1; i >= 0; i-- {
+		if header.Candidates[i].Address == header.Sender {
+			return i
+		}
+	}
+	return last
+}
+
+func declined(header *agheader.Header) []anvilglade.Candidate {
+	return header.Candidates[firstDeclined(header) : len(header.Candidates)-1]
 }
 
 // redirect passes the packet to the host that is the arbiter by the orders.
-func (m *Machine) redirect(arbiter *anvilglade.ServiceMember, header *agheader.Header, payload []byte, actions []Action) []Action {
+//
+// Agents learn of leaves and restarts at different times. An agent that has left
+// sends the packet to the next oldest host, and that one could send it back. So
+// each agent that declines is listed before the arbiter, with Accepts set if it
+// has left. Two agents that each take the other one for the arbiter, because one
+// has restarted and the other does not know it yet, decide nothing: the packet
+// is dropped, and a repeated one is decided after the next orders.
+func (m *Machine) redirect(known *view, arbiter *anvilglade.ServiceMember, header *agheader.Header, payload []byte, actions []Action) []Action {
 	m.statistics.Redirected++
+	left := m.left || known.former
+	again := contains(declined(header), m.options.Self)
+	if (!left || again) && contains(declined(header), arbiter.AgentAddress) {
+		return drop(actions, anvilglade.DropNoHost)
+	}
 	last := len(header.Candidates) - 1
+	if last >= anvilglade.MaxCandidates {
+		m.statistics.Cut++
+		return drop(actions, anvilglade.DropHops)
+	}
+	if firstDeclined(header) == last {
+		header.Sender = m.options.Self
+	}
+	if !again {
+		header.Candidates[last] = anvilglade.Candidate{Address: m.options.Self, Accepts: left}
+		header.Candidates = append(header.Candidates, anvilglade.Candidate{})
+		last++
+	}
 	header.Candidates[last] = anvilglade.Candidate{Address: arbiter.AgentAddress, Accepts: arbiter.Accepts}
 	header.Step = uint8(last)
-	header.Sender = m.options.Self
 	return send(actions, arbiter.AgentAddress, agheader.KindLookup, header, payload)
 }
 
+func contains(candidates []anvilglade.Candidate, address netip.AddrPort) bool {
+	return slices.ContainsFunc(candidates, func(c anvilglade.Candidate) bool { return c.Address == address })
+}
+
+// extend inserts the hosts that the balancer's list lacked and that may own the
+// flow by a decision of a former arbiter. It returns the index of the first one,
+// or -1 if the list lacked none. They are asked, and get no new flow: other
+// balancers may lack them too.
+func (m *Machine) extend(now int64, known *view, header *agheader.Header) int {
+	at := firstDeclined(header)
+	inserted := at
+	for i := range known.members {
+		member := &known.members[i]
+		if !living(member.State) || member.AgentAddress == m.options.Self || !known.mayBeMissing(member, now) || contains(header.Candidates, member.AgentAddress) {
+			continue
+		}
+		if len(header.Candidates) > anvilglade.MaxCandidates {
+			m.statistics.Cut++
+			break
+		}
+		header.Candidates = slices.Insert(header.Candidates, inserted, anvilglade.Candidate{Address: member.AgentAddress})
+		inserted++
+	}
+	if inserted == at {
+		return -1
+	}
+	return at
+}
+
 // follow sends a packet the way of an earlier decision.
 func (m *Machine) follow(now int64, entry *placement, header *agheader.Header, payload []byte, actions []Action) []Action {
 	if entry.service != header.Service {
@@ -127,27 +235,31 @@
 
 func (m *Machine) handleRefused(now int64, header *agheader.Header, payload []byte, actions []Action) []Action {
 	m.learn(now, header)
+	refuser := header.Sender
+	header.Sender = netip.AddrPort{}
 	entry := m.placements[header.Flow]
-	if entry == nil {
+	switch {
+	case m.flows[header.Flow] != nil:
+		return m.deliver(now, m.flows[header.Flow], header, payload, actions)
+	case len(header.Candidates) == 0:
+		return drop(actions, anvilglade.DropMalformed)
+	case entry == nil:
 		return drop(actions, anvilglade.DropRefused)
-	}
-	// A flow may have come here in the meantime only by this arbiter's own
-	// decision, which follow finds.
-	if flow := m.flows[header.Flow]; flow != nil {
-		return m.deliver(now, flow, header, payload, actions)
-	}
-	if entry.attempt != header.Step || entry.host != header.Sender || entry.refusedUntil != 0 {
+	case !m.decides(m.views[header.Service]):
+		delete(m.placements, header.Flow)
+		return m.arbitrate(now, header, payload, actions)
+	case entry.attempt != header.Step || entry.host != refuser || entry.refusedUntil != 0:
 		return m.follow(now, entry, header, payload, actions)
 	}
-	if !slices.Contains(entry.tried, header.Sender) {
-		entry.tried = append(entry.tried, header.Sender)
+	if !slices.Contains(entry.tried, refuser) {
+		entry.tried = append(entry.tried, refuser)
 	}
 	return m.place(now, entry, header, payload, actions)
 }
 
 func (m *Machine) handlePlaced(now int64, header *agheader.Header, _ []byte, actions []Action) []Action {
 	m.learn(now, header)
-	if entry := m.placements[header.Flow]; entry != nil && entry.host == header.Sender {
+	if entry := m.placements[header.Flow]; entry != nil && entry.host == header.Sender && entry.attempt == header.Step {
 		entry.used = now
 	}
 	return actions
--- a/internal/flow/agflow/expire.go
+++ b/internal/flow/agflow/expire.go
@@ -51,8 +51,8 @@
 }
 
 func (m *Machine) report(actions []Action) []Action {
-	arbiter, known := m.views[m.service].arbiter(m)
-	if !known || m.out || arbiter.AgentAddress == m.options.Self {
+	arbiter := m.views[m.service].arbiter(m, nil)
+	if arbiter == nil || m.out || arbiter.AgentAddress == m.options.Self {
 		return actions
 	}
 	header := agheader.Header{Service: m.service, Protocol: anvilglade.ProtocolUDP, Sender: m.options.Self, Utilisation: m.options.Admitter.Utilisation()}
--- a/internal/flow/agflow/machine.go
+++ b/internal/flow/agflow/machine.go
@@ -174,6 +174,8 @@
 	Flows, Placements, Tombstones               int
 	Created, Ended, Redirected, PassedOn        uint64
 	Decided, Refused, RefusedHere, RefusedByAll uint64
+	// Cut counts lists that were too long to take all hosts that were missing.
+	Cut uint64
 }
 
 type handler func(m *Machine, now int64, header *agheader.Header, payload []byte, actions []Action) []Action
@@ -238,12 +240,12 @@
 	return s
 }
 
-// Owns reports whether this host owns a flow.
-func (m *Machine) Owns(key anvilglade.FlowKey) bool {
+// Flow returns a flow that this host owns.
+func (m *Machine) Flow(key anvilglade.FlowKey) (*Flow, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	_, ok := m.flows[key]
-	return ok
+	flow, ok := m.flows[key]
+	return flow, ok
 }
 
 // Services returns the services that have flows here, in no order.
--- /dev/null
+++ b/internal/flow/agflow/model_test.go
@@ -0,0 +1,536 @@
+package agflow_test
+
+import (
+	"cmp"
+	"flag"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"pgregory.net/rapid"
+
+	"github.com/anvilglade/anvilglade"
+	"github.com/anvilglade/anvilglade/internal/flow/agflow"
+	"github.com/anvilglade/anvilglade/internal/packet/agheader"
+)
+
+const (
+	modelFlows     = 6
+	modelBalancers = 3
+	modelHosts     = 9
+	// modelLag bounds how old the view of a balancer or the orders of an agent
+	// may be; the measures demand 10 s.
+	modelLag = 10 * time.Second
+)
+
+// TestMain fixes the seed and the size of the model test, so that every run
+// checks the same cases. Flags of the command line override them.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "4000", "rapid.steps": "100"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+var modelServices = []anvilglade.ServiceID{"alerts", "archive"}
+
+// modelHost is an agent under the model.
+type modelHost struct {
+	machine *agflow.Machine
+	full    bool
+	flows   int
+	seen    int
+}
+
+func (h *modelHost) OpenFlow(anvilglade.ServiceID) (anvilglade.Refusal, func()) {
+	if h.full {
+		return anvilglade.RefusalConnections, nil
+	}
+	h.flows++
+	return anvilglade.RefusalNone, func() { h.flows-- }
+}
+
+func (*modelHost) StartRequest(anvilglade.ServiceID) (anvilglade.Refusal, func(anvilglade.Outcome)) {
+	return anvilglade.RefusalNone, func(anvilglade.Outcome) {}
+}
+
+func (h *modelHost) Utilisation() anvilglade.Utilisation { return anvilglade.Utilisation(h.flows) }
+
+// record is what the fleet knows of a host: the service of its pool, the one
+// that the host itself says it works for, and those whose flows it may still
+// have.
+type record struct {
+	anvilglade.ServiceMember
+	pool, service anvilglade.ServiceID
+	former        []anvilglade.ServiceID
+	draining      bool
+}
+
+// failer is a test of testing or of rapid.
+type failer interface {
+	Fatalf(format string, arguments ...any)
+	Logf(format string, arguments ...any)
+}
+
+type snapshot struct {
+	at    time.Time
+	hosts []record
+}
+
+type datagram struct {
+	to      netip.AddrPort
+	kind    agheader.Kind
+	header  agheader.Header
+	service anvilglade.ServiceNumber
+}
+
+// model holds agents, balancers with views of different age, and the datagrams
+// on their way.
+type model struct {
+	now     time.Time
+	history []snapshot
+	hosts   map[netip.AddrPort]*modelHost
+	views   [modelBalancers]int
+	flight  []datagram
+	owners  map[anvilglade.FlowKey]netip.AddrPort
+	joined  int
+}
+
+func newModel() *model {
+	m := &model{
+		now: time.UnixMilli(1_800_000_000_000), hosts: make(map[netip.AddrPort]*modelHost),
+		owners: make(map[anvilglade.FlowKey]netip.AddrPort), history: make([]snapshot, 1),
+	}
+	for range 4 {
+		m.join()
+	}
+	for i := range m.views {
+		m.views[i] = len(m.history) - 1
+	}
+	return m
+}
+
+func modelAddress(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7300)
+}
+
+func (m *model) latest() *snapshot { return &m.history[len(m.history)-1] }
+
+// change adds a snapshot with one changed record.
+func (m *model) change(address netip.AddrPort, edit func(*record)) bool {
+	next := snapshot{at: m.now, hosts: slices.Clone(m.latest().hosts)}
+	for i := range next.hosts {
+		if next.hosts[i].AgentAddress == address {
+			edit(&next.hosts[i])
+		}
+	}
+	m.history = append(m.history, next)
+	return true
+}
+
+func (m *model) join() bool {
+	if m.joined == modelHosts {
+		return false
+	}
+	m.joined++
+	return m.start(modelAddress(m.joined))
+}
+
+// start adds a host, or restarts one under a new incarnation.
+func (m *model) start(address netip.AddrPort) bool {
+	m.now = m.now.Add(time.Millisecond)
+	host := &modelHost{}
+	incarnation := anvilglade.Incarnation(m.now.UnixNano())
+	host.machine = agflow.NewMachine(agflow.Options{
+		Self: address, Host: anvilglade.HostID(address.String()), Incarnation: incarnation, Admitter: host,
+		Random: rand.New(rand.NewPCG(1, uint64(m.now.UnixNano()))),
+	})
+	next := snapshot{at: m.now, hosts: slices.DeleteFunc(slices.Clone(m.latest().hosts), func(r record) bool { return r.AgentAddress == address })}
+	service := modelServices[address.Addr().As4()[3]%8/6]
+	next.hosts = append(next.hosts, record{pool: service, service: service, ServiceMember: anvilglade.ServiceMember{
+		Host: anvilglade.HostID(address.String()), Incarnation: incarnation, State: anvilglade.HostActive,
+		AgentAddress: address, JoinStamp: anvilglade.JoinStamp(m.now.UnixMilli() << 16),
+	}})
+	m.history = append(m.history, next)
+	m.hosts[address] = host
+	m.refreshHost(address)
+	return true
+}
+
+// refreshHost gives an agent the newest orders. A host that learns of a new pool
+// then says so in its record, and joins the new service as the youngest host.
+func (m *model) refreshHost(address netip.AddrPort) {
+	host := m.hosts[address]
+	orders := anvilglade.HostOrders{Revision: anvilglade.Revision(len(m.history)), DataCentreState: anvilglade.DataCentreIn}
+	var own record
+	for _, r := range m.latest().hosts {
+		if r.AgentAddress == address {
+			own = r
+		}
+	}
+	orders.Service, orders.Draining = own.pool, own.draining
+	for _, r := range m.latest().hosts {
+		if r.service == orders.Service || slices.Contains(r.former, orders.Service) {
+			r.Accepts, r.Former = r.accepts() && r.service == orders.Service, r.service != orders.Service
+			orders.Members = append(orders.Members, r.ServiceMember)
+		}
+	}
+	host.machine.SetOrders(m.now, &orders, nil)
+	if own.pool != own.service {
+		m.now = m.now.Add(time.Millisecond)
+		m.change(address, func(r *record) {
+			r.former = append(slices.Clone(r.former), r.service)
+			r.service, r.JoinStamp = r.pool, anvilglade.JoinStamp(m.now.UnixMilli()<<16)
+		})
+		m.refreshHost(address)
+	}
+	host.seen = len(m.history) - 1
+}
+
+// placing reports whether a Place of a host is on its way. An arbiter's news
+// that it has left takes longer than a Place.
+func (m *model) placing(address netip.AddrPort) bool {
+	return slices.ContainsFunc(m.flight, func(d datagram) bool { return d.kind == agheader.KindPlace && d.header.Sender == address })
+}
+
+func (r *record) accepts() bool {
+	return r.State == anvilglade.HostActive && !r.draining && r.pool == r.service
+}
+
+func (r *record) living() bool {
+	return r.State == anvilglade.HostActive || r.State == anvilglade.HostDraining
+}
+
+// candidates is the list of a balancer as section 7.2 of the design has it for
+// services of up to 16 hosts.
+func (m *model) candidates(view int, service anvilglade.ServiceID, key anvilglade.FlowKey) []anvilglade.Candidate {
+	var hosts []record
+	for _, r := range m.history[view].hosts {
+		if r.living() && (r.service == service || slices.Contains(r.former, service)) {
+			hosts = append(hosts, r)
+		}
+	}
+	score := func(r record) uint64 { return xxhash.Sum64String(fmt.Sprint(r.Host, key)) }
+	slices.SortFunc(hosts, func(a, b record) int { return cmp.Compare(score(a), score(b)) })
+	arbiter := -1
+	for i, r := range hosts {
+		if r.service == service && (arbiter < 0 || r.JoinStamp < hosts[arbiter].JoinStamp) {
+			arbiter = i
+		}
+	}
+	if arbiter < 0 {
+		return nil
+	}
+	hosts = append(slices.Delete(slices.Clone(hosts), arbiter, arbiter+1), hosts[arbiter])
+	list := make([]anvilglade.Candidate, 0, len(hosts))
+	for _, r := range hosts {
+		list = append(list, anvilglade.Candidate{Address: r.AgentAddress, Accepts: r.accepts() && r.service == service})
+	}
+	return list
+}
+
+// flowOf returns a flow's service and key. Flows 0 and 1 share their key, as two
+// services' flows may by chance.
+func flowOf(flow int) (anvilglade.ServiceID, anvilglade.FlowKey) {
+	return modelServices[flow%2], anvilglade.FlowKey(max(1, flow))
+}
+
+func (m *model) send(flow, balancer int) bool {
+	service, key := flowOf(flow)
+	list := m.candidates(m.views[balancer], service, key)
+	if len(list) == 0 {
+		return false
+	}
+	m.flight = append(m.flight, datagram{to: list[0].Address, kind: agheader.KindLookup, service: service.Number(), header: agheader.Header{
+		Service: service.Number(), Protocol: anvilglade.ProtocolUDP, Flow: key, Candidates: list,
+		Balancer: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, byte(balancer)}), 7200),
+	}})
+	return true
+}
+
+// arrive hands a datagram to its agent and checks what is delivered.
+func (m *model) arrive(t failer, item datagram) {
+	host := m.hosts[item.to]
+	if host == nil {
+		return
+	}
+	item.header.Candidates = slices.Clone(item.header.Candidates)
+	t.Logf("%v gets %v of flow %d from %v, step %d, hops %d, %v", item.to, item.kind, item.header.Flow, item.header.Sender, item.header.Step, item.header.Hops, item.header.Candidates)
+	for _, action := range host.machine.Handle(m.now, item.kind, &item.header, nil, nil) {
+		switch action.Kind {
+		case agflow.ActionSend:
+			action.Header.Candidates = slices.Clone(action.Header.Candidates)
+			m.flight = append(m.flight, datagram{to: action.To, kind: action.Message, header: action.Header, service: item.service})
+		case agflow.ActionDeliver:
+			m.delivered(t, item, action.Flow)
+		case agflow.ActionDrop:
+			if action.Drop == anvilglade.DropHops {
+				t.Fatalf("packet of flow %d went round in a loop", item.header.Flow)
+			}
+		}
+	}
+}
+
+func (m *model) delivered(t failer, item datagram, flow *agflow.Flow) {
+	if flow.Service != item.service {
+		t.Fatalf("packet of service %x reached a flow of service %x", item.service, flow.Service)
+	}
+	owner, known := m.owners[flow.Key^anvilglade.FlowKey(flow.Service)]
+	if known && owner != item.to {
+		t.Fatalf("flow %d moved from %v to %v", flow.Key, owner, item.to)
+	}
+	m.owners[flow.Key^anvilglade.FlowKey(flow.Service)] = item.to
+}
+
+// check asserts that no flow has two owners.
+func (m *model) check(t failer) {
+	for key := range anvilglade.FlowKey(modelFlows) {
+		for _, service := range modelServices {
+			var owners []netip.AddrPort
+			for address, host := range m.hosts {
+				if found, ok := host.machine.Flow(key); ok && found.Service == service.Number() {
+					owners = append(owners, address)
+				}
+			}
+			if len(owners) > 1 {
+				t.Fatalf("flow %d of %s is owned by %v", key, service, owners)
+			}
+		}
+	}
+}
+
+func (m *model) forget(address netip.AddrPort) bool {
+	maps.DeleteFunc(m.owners, func(_ anvilglade.FlowKey, owner netip.AddrPort) bool { return owner == address })
+	delete(m.hosts, address)
+	return true
+}
+
+// alive returns the addresses of the running agents in a fixed order.
+func (m *model) alive() []netip.AddrPort {
+	return slices.SortedFunc(maps.Keys(m.hosts), func(a, b netip.AddrPort) int { return a.Compare(b) })
+}
+
+func (m *model) pass(d time.Duration) bool {
+	m.now = m.now.Add(d)
+	for _, address := range m.alive() {
+		m.hosts[address].machine.Tick(m.now, nil)
+		if seen := m.hosts[address].seen; seen+1 < len(m.history) && m.now.Sub(m.history[seen+1].at) > modelLag && !m.placing(address) {
+			m.refreshHost(address)
+		}
+	}
+	for i, seen := range m.views {
+		if seen+1 < len(m.history) && m.now.Sub(m.history[seen+1].at) > modelLag {
+			m.views[i] = len(m.history) - 1
+		}
+	}
+	return true
+}
+
+// leave ends the decisions of a host without flows. It exits later.
+func (m *model) leave(address netip.AddrPort) bool {
+	if m.hosts[address].flows > 0 || m.placing(address) {
+		return false
+	}
+	m.hosts[address].machine.Leave()
+	return m.change(address, func(r *record) { r.State, r.draining = anvilglade.HostLeft, true })
+}
+
+// step is one thing that may happen. It returns false if it is not possible now.
+type step func(m *model, t failer, host netip.AddrPort, a, b int) bool
+
+var steps = map[string]step{
+	"Send": func(m *model, _ failer, _ netip.AddrPort, a, b int) bool { return m.send(a, b) },
+	"Deliver": func(m *model, t failer, _ netip.AddrPort, a, _ int) bool {
+		return m.take(a, func(d datagram) { m.arrive(t, d) })
+	},
+	"Lose": func(m *model, _ failer, _ netip.AddrPort, a, _ int) bool { return m.take(a, func(datagram) {}) },
+	"Duplicate": func(m *model, _ failer, _ netip.AddrPort, a, _ int) bool {
+		return m.take(a, func(d datagram) { m.flight = slices.Insert(m.flight, a, d, d) })
+	},
+	"DeliverAll": func(m *model, t failer, _ netip.AddrPort, _, _ int) bool {
+		for m.take(0, func(d datagram) { m.arrive(t, d) }) {
+			continue
+		}
+		return true
+	},
+	"RefreshBalancer": func(m *model, _ failer, _ netip.AddrPort, a, _ int) bool {
+		m.views[a] = len(m.history) - 1
+		return true
+	},
+	"RefreshHost": func(m *model, _ failer, host netip.AddrPort, _, _ int) bool {
+		if m.placing(host) {
+			return false
+		}
+		m.refreshHost(host)
+		return true
+	},
+	"Join": func(m *model, _ failer, _ netip.AddrPort, _, _ int) bool { return m.join() },
+	"Drain": func(m *model, _ failer, host netip.AddrPort, _, _ int) bool {
+		return m.change(host, func(r *record) { r.draining = !r.draining })
+	},
+	"Fill": func(m *model, _ failer, host netip.AddrPort, _, _ int) bool {
+		m.hosts[host].full = !m.hosts[host].full
+		return true
+	},
+	"Leave": func(m *model, _ failer, host netip.AddrPort, _, _ int) bool { return m.leave(host) },
+	"Exit":  func(m *model, _ failer, host netip.AddrPort, _, _ int) bool { return m.exit(host) },
+	"Die": func(m *model, _ failer, host netip.AddrPort, _, _ int) bool {
+		return len(m.flight) == 0 && len(m.hosts) > 2 && m.forget(host) &&
+			m.change(host, func(r *record) { r.State = anvilglade.HostDead })
+	},
+	"Restart": func(m *model, _ failer, host netip.AddrPort, _, _ int) bool {
+		return len(m.flight) == 0 && m.forget(host) && m.start(host)
+	},
+	"Move": func(m *model, _ failer, host netip.AddrPort, a, _ int) bool {
+		return m.change(host, func(r *record) { r.pool = modelServices[a] })
+	},
+	"Pass": func(m *model, _ failer, _ netip.AddrPort, a, _ int) bool {
+		return m.pass(time.Duration(a) * time.Millisecond)
+	},
+}
+
+// take removes a datagram from those on their way.
+func (m *model) take(i int, use func(datagram)) bool {
+	if i >= len(m.flight) {
+		return false
+	}
+	item := m.flight[i]
+	m.flight = slices.Delete(m.flight, i, i+1)
+	use(item)
+	return true
+}
+
+func (m *model) step(t failer, name string, host netip.AddrPort, a, b int) bool {
+	if host.IsValid() && m.hosts[host] == nil {
+		return false
+	}
+	return steps[name](m, t, host, a, b)
+}
+
+// exit ends a host that has left, once nothing is on its way to it.
+func (m *model) exit(address netip.AddrPort) bool {
+	toward := func(d datagram) bool { return d.to == address }
+	left := func(r record) bool { return r.AgentAddress == address && r.State == anvilglade.HostLeft }
+	if !slices.ContainsFunc(m.latest().hosts, left) || slices.ContainsFunc(m.flight, toward) {
+		return false
+	}
+	return m.forget(address)
+}
+
+// actions draws the arguments of the steps.
+func (m *model) actions() map[string]func(*rapid.T) {
+	number := func(low, high int) func(*rapid.T) int {
+		return func(t *rapid.T) int { return rapid.IntRange(low, max(low, high)).Draw(t, "number") }
+	}
+	none := func(*rapid.T) int { return 0 }
+	datagrams := func(t *rapid.T) int { return number(0, len(m.flight)-1)(t) }
+	act := func(name string, withHost bool, a, b func(*rapid.T) int) func(*rapid.T) {
+		return func(t *rapid.T) {
+			var host netip.AddrPort
+			if withHost && len(m.hosts) > 0 {
+				host = rapid.SampledFrom(m.alive()).Draw(t, "host")
+			}
+			first, second := a(t), b(t)
+			t.Logf("%s %d %d %d", name, host.Addr().AsSlice(), first, second)
+			if withHost && !host.IsValid() || !m.step(t, name, host, first, second) {
+				t.Skip("not possible now")
+			}
+		}
+	}
+	send := act("Send", false, number(0, modelFlows-1), number(0, modelBalancers-1))
+	deliver := act("Deliver", false, datagrams, none)
+	return map[string]func(*rapid.T){
+		"Send": send, "SendMore": send, "Deliver": deliver, "DeliverMore": deliver, "DeliverMost": deliver,
+		"DeliverAll":      act("DeliverAll", false, none, none),
+		"Duplicate":       act("Duplicate", false, datagrams, none),
+		"Lose":            act("Lose", false, datagrams, none),
+		"RefreshBalancer": act("RefreshBalancer", false, number(0, modelBalancers-1), none),
+		"RefreshHost":     act("RefreshHost", true, none, none),
+		"Join":            act("Join", false, none, none),
+		"Drain":           act("Drain", true, none, none),
+		"Fill":            act("Fill", true, none, none),
+		"Leave":           act("Leave", true, none, none),
+		"Exit":            act("Exit", true, none, none),
+		"Die":             act("Die", true, none, none),
+		"Restart":         act("Restart", true, none, none),
+		"Move":            act("Move", true, number(0, 1), none),
+		"Pass":            act("Pass", false, number(1, 3000), none),
+		"":                func(t *rapid.T) { m.check(t) },
+	}
+}
+
+// TestOwnership guards against two owners of a flow, flows that move and packets
+// that reach another service, under duplicates, reordering, loss, late views,
+// joins, drains, leaves, deaths, restarts and hosts that change their pool.
+func TestOwnership(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel()
+		t.Repeat(m.actions())
+	})
+}
+
+// TestScripts runs the interleavings in testdata/ownership, each of which showed
+// a fault before. A line is a step with its host and numbers; the line Owner
+// names the flow and the host that must own it, 0 for nobody.
+func TestScripts(t *testing.T) {
+	files, err := filepath.Glob("testdata/ownership/*.txt")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no scripts: %v", err)
+	}
+	for _, file := range files {
+		t.Run(filepath.Base(file), func(t *testing.T) {
+			text, err := os.ReadFile(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			m := newModel()
+			for line := range strings.Lines(string(text)) {
+				if fields := strings.Fields(line); len(fields) > 0 && fields[0] != "#" {
+					m.script(t, fields)
+					m.check(t)
+				}
+			}
+		})
+	}
+}
+
+func (m *model) script(t *testing.T, fields []string) {
+	var host netip.AddrPort
+	var numbers [2]int
+	count := 0
+	for _, field := range fields[1:] {
+		value, err := strconv.Atoi(strings.TrimPrefix(field, "h"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if strings.HasPrefix(field, "h") {
+			if value > 0 {
+				host = modelAddress(value)
+			}
+			continue
+		}
+		numbers[count] = value
+		count++
+	}
+	if fields[0] == "Owner" {
+		service, key := flowOf(numbers[0])
+		if owner := m.owners[key^anvilglade.FlowKey(service.Number())]; owner != host {
+			t.Fatalf("flow %d is at %v, want %v", numbers[0], owner, host)
+		}
+		return
+	}
+	if !m.step(t, fields[0], host, numbers[0], numbers[1]) {
+		t.Fatalf("step %v is not possible", fields)
+	}
+}
--- a/internal/flow/agflow/orders.go
+++ b/internal/flow/agflow/orders.go
@@ -9,8 +9,13 @@
 	"time"
 
 	"github.com/anvilglade/anvilglade"
+	"github.com/anvilglade/anvilglade/internal/observe/agevent"
 )
 
+// listAll is the number of hosts up to which a candidate list has all hosts of
+// the service.
+const listAll = 16
+
 // view is the newest known membership of a service. A view of a former service
 // is kept, so that late packets of it still reach its arbiter. A nil view knows
 // nothing.
@@ -82,33 +87,38 @@
 	return member == nil || member.Accepts
 }
 
-func mayArbitrate(state anvilglade.HostState) bool {
+func living(state anvilglade.HostState) bool {
 	return state == anvilglade.HostActive || state == anvilglade.HostDraining || state == anvilglade.HostSuspect
 }
 
-// arbiter returns the oldest living host. An agent that has left is no arbiter
-// any more, whatever the orders say.
-func (v *view) arbiter(m *Machine) (anvilglade.ServiceMember, bool) {
+// arbiter returns the oldest living host, or nil. Hosts that told the packet
+// that they have left are none. An agent that has left, or that restarted under
+// a former record, is none itself, whatever the orders say: the entries of its
+// former life are gone.
+func (v *view) arbiter(m *Machine, declined []anvilglade.Candidate) *anvilglade.ServiceMember {
 	if v == nil {
-		return anvilglade.ServiceMember{}, false
+		return nil
 	}
 	for i := range v.members {
 		member := &v.members[i]
 		self := member.AgentAddress == m.options.Self
-		if !mayArbitrate(member.State) || self && (m.left || v.former || member.Incarnation != m.options.Incarnation) {
+		if !living(member.State) || member.Former || self && (m.left || v.former || member.Incarnation != m.options.Incarnation) {
 			continue
 		}
-		return *member, true
+		left := func(c anvilglade.Candidate) bool { return c.Accepts && c.Address == member.AgentAddress }
+		if !slices.ContainsFunc(declined, left) {
+			return member
+		}
 	}
-	return anvilglade.ServiceMember{}, false
+	return nil
 }
 
-// mayDecide reports whether the orders list this incarnation as a living host of
-// the service. A restarted agent under a former record must not decide: the
-// entries of its former life are gone.
-func (v *view) mayDecide(m *Machine) bool {
-	member := v.member(m.options.Self)
-	return member != nil && !v.former && member.Incarnation == m.options.Incarnation && mayArbitrate(member.State)
+// mayBeMissing reports whether a balancer's list of possible holders may lack
+// the host only because the balancer does not know it yet. Small services list
+// every host, so any missing one counts.
+func (v *view) mayBeMissing(member *anvilglade.ServiceMember, now int64) bool {
+	joined := agevent.UnixMilli(anvilglade.Timestamp(member.JoinStamp)) * int64(time.Millisecond)
+	return len(v.members) <= listAll || now-joined < int64(EntryLife)
 }
 
 // meanUtilisation is computed at most once for each report interval, as it
@@ -140,8 +150,8 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	service := orders.Service.Number()
-	if m.ordered && service != m.service && m.views[m.service] != nil {
-		m.views[m.service].former = true
+	if m.ordered && service != m.service {
+		m.changeService(service)
 	}
 	m.ordered = true
 	m.service, m.serviceID = service, orders.Service
@@ -160,6 +170,19 @@
 	return actions
 }
 
+// changeService ends the decisions on the former service. Placements of the new
+// one are from an earlier time at it: its arbiter has decided since.
+func (m *Machine) changeService(service anvilglade.ServiceNumber) {
+	if former := m.views[m.service]; former != nil {
+		former.former = true
+	}
+	for key, entry := range m.placements {
+		if entry.service == service {
+			delete(m.placements, key)
+		}
+	}
+}
+
 func (m *Machine) forgetLoads() {
 	known := m.views[m.service]
 	for address := range m.loads {
--- a/internal/operate/agagent/agent.go
+++ b/internal/operate/agagent/agent.go
@@ -88,6 +88,9 @@
 	Run(ctx context.Context) error
 	HandleAck(payload []byte) error
 	SetState(state anvilglade.HostState)
+	// SetServices tells for which service the host works now, empty for none, and
+	// which other services still have flows here.
+	SetServices(service anvilglade.ServiceID, former []anvilglade.ServiceID)
 }
 
 // ReporterOptions are what a Reporter is built from.
--- a/internal/operate/agagent/agent_test.go
+++ b/internal/operate/agagent/agent_test.go
@@ -75,9 +75,11 @@
 	r.states = append(r.states, state)
 }
 
-func (r *fakeReporter) Subscribe() (<-chan struct{}, func()) { return r.changed, func() {} }
-func (*fakeReporter) HandleAck([]byte) error                 { return nil }
-func (*fakeReporter) Run(ctx context.Context) error          { <-ctx.Done(); return nil }
+func (r *fakeReporter) Subscribe() (<-chan struct{}, func())                   { return r.changed, func() {} }
+func (*fakeReporter) SetServices(anvilglade.ServiceID, []anvilglade.ServiceID) {}
+
+func (*fakeReporter) HandleAck([]byte) error        { return nil }
+func (*fakeReporter) Run(ctx context.Context) error { <-ctx.Done(); return nil }
 
 // host is an agent under test with its parts around it.
 type host struct {
--- a/internal/operate/agagent/run.go
+++ b/internal/operate/agagent/run.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/anvilglade/anvilglade"
@@ -152,10 +153,30 @@
 			now := a.clock.Now()
 			actions = a.machine.Tick(now, actions[:0])
 			a.carryOut(ctx, now, actions, limiter)
+			a.reportServices()
 		}
 	}
 }
 
+// reportServices keeps the host in the candidate lists of former services while
+// they have flows here.
+func (a *Agent) reportServices() {
+	orders, ok := a.reporter.Orders()
+	if !ok {
+		return
+	}
+	var former []anvilglade.ServiceID
+	for _, number := range a.machine.Services() {
+		for service := range a.settings.Backends {
+			if service.Number() == number && service != orders.Service {
+				former = append(former, service)
+			}
+		}
+	}
+	slices.Sort(former)
+	a.reporter.SetServices(orders.Service, former)
+}
+
 // followOrders enforces each change of the orders.
 func (a *Agent) followOrders(ctx context.Context) error {
 	changed, end := a.reporter.Subscribe()
@@ -182,6 +203,7 @@
 	a.setClosed(a.closedBy(orders))
 	now := a.clock.Now()
 	a.carryOut(ctx, now, a.machine.SetOrders(now, orders, nil), aglog.NewLimiter(dropLogInterval))
+	a.reportServices()
 	if previous := a.counters.revision.Swap(uint64(orders.Revision)); previous != uint64(orders.Revision) {
 		a.events.Record(anvilglade.Event{Type: agevent.RevisionAdopted, Host: a.settings.Host, Service: orders.Service, Revision: orders.Revision})
 		a.log.WithField("Revision", orders.Revision).WithField("Service", orders.Service).WithField("DataCentreState", orders.DataCentreState).Info("Orders are in force.")
--- a/members.go
+++ b/members.go
@@ -29,7 +29,20 @@
 	ControlAddress netip.AddrPort
 	// AdminAddress serves /debug/vars, /events, /ready and /status.
 	AdminAddress netip.AddrPort
-	JoinStamp    JoinStamp
+	// JoinStamp is renewed when Service changes, so that the host joins its new
+	// service as the youngest one.
+	JoinStamp JoinStamp
+	// AcceptsSince is the hybrid time since which the host has taken new flows of
+	// Service without a break, and 0 while it takes none. The agent renews it when
+	// its orders allow new work again and when it learns that it was suspected.
+	AcceptsSince JoinStamp
+	// Service is the service that the agent itself works for: that of the orders
+	// it has in force. It lags behind the pools. A host is the arbiter of no other
+	// service than this.
+	Service ServiceID
+	// Former are other services that still have flows at the host. Balancers keep
+	// the host in the candidate lists of these services.
+	Former []ServiceID
 }
 
 // BalancerRecord is what the fleet knows of one balancer.
@@ -67,6 +80,9 @@
 	JoinStamp      JoinStamp
 	// Accepts is false for hosts that take no new work.
 	Accepts bool
+	// Former is set for hosts that work for another service now and still have
+	// flows of this one. They accept nothing and are no arbiters.
+	Former bool
 }
 
 // HostOrders is what a balancer tells an agent in the acknowledgement of a
