Connect the agent to membership and keys, and rank hosts by their own stamp

Change: agentParts builds ring, codec and reporter; an agent ranks itself by the stamp that it announces; a placement on a known host that is missing in newer orders is void; placements expire 60 s after they were made or confirmed instead of after the last packet, which kept a flow on a dead host for as long as its caller tried. A leaving agent stays for 10 s so that balancers with late news lose no packets.

Conclusion: the agent subcommand is complete but for QUIC services.

--- a/internal/flow/agflow/arbiter.go
+++ b/internal/flow/agflow/arbiter.go
@@ -186,7 +186,6 @@
 	if !m.views[entry.service].lives(entry.host, entry.incarnation) {
 		return m.place(now, entry, header, payload, actions)
 	}
-	entry.used = now
 	if entry.host == m.options.Self {
 		return m.placeHere(now, entry, header, payload, actions)
 	}
--- a/internal/flow/agflow/machine.go
+++ b/internal/flow/agflow/machine.go
@@ -52,8 +52,8 @@
 	// arbiter, that a flow may be placed on. The candidate lists of balancers
 	// are built for this number.
 	PlaceChoices = 3
-	// EntryLife is how long an arbiter remembers a placement after its last
-	// use. It exceeds the time for which a balancer may lack a new host in its
+	// EntryLife is how long an arbiter remembers a placement after it was made or
+	// confirmed. It exceeds the time for which a balancer may lack a new host in its
 	// candidate lists.
 	EntryLife = 60 * time.Second
 	// tombstoneLife is how long a host remembers that it refused a placement.
@@ -87,6 +87,10 @@
 	// IdleTimeout ends a plain UDP flow; DefaultIdleTimeout if zero.
 	IdleTimeout time.Duration
 	Admitter    anvilglade.Admitter
+	// Stamp returns the stamp by which this host is ranked by age, as the agent
+	// itself announces it. It is ahead of the orders when the agent has just drawn
+	// a later one. Nil takes the one in the orders.
+	Stamp func() anvilglade.JoinStamp
 	// Serves reports whether this host has a backend address for a service.
 	// Nil means every service.
 	Serves func(anvilglade.ServiceNumber) bool
--- a/internal/flow/agflow/model_test.go
+++ b/internal/flow/agflow/model_test.go
@@ -48,6 +48,8 @@
 // modelHost is an agent under the model.
 type modelHost struct {
 	machine *agflow.Machine
+	stamp   anvilglade.JoinStamp
+	drained bool
 	full    bool
 	flows   int
 	seen    int
@@ -152,15 +154,17 @@
 	m.now = m.now.Add(time.Millisecond)
 	host := &modelHost{}
 	incarnation := anvilglade.Incarnation(m.now.UnixNano())
+	host.stamp = anvilglade.JoinStamp(m.now.UnixMilli() << 16)
 	host.machine = agflow.NewMachine(agflow.Options{
-		Self: address, Host: anvilglade.HostID(address.String()), Incarnation: incarnation, Admitter: host,
+		Stamp: func() anvilglade.JoinStamp { return host.stamp },
+		Self:  address, Host: anvilglade.HostID(address.String()), Incarnation: incarnation, Admitter: host,
 		Random: rand.New(rand.NewPCG(1, uint64(m.now.UnixNano()))),
 	})
 	next := snapshot{at: m.now, hosts: slices.DeleteFunc(slices.Clone(m.latest().hosts), func(r record) bool { return r.AgentAddress == address })}
 	service := modelServices[address.Addr().As4()[3]%8/6]
 	next.hosts = append(next.hosts, record{pool: service, service: service, ServiceMember: anvilglade.ServiceMember{
 		Host: anvilglade.HostID(address.String()), Incarnation: incarnation, State: anvilglade.HostActive,
-		AgentAddress: address, JoinStamp: anvilglade.JoinStamp(m.now.UnixMilli() << 16),
+		AgentAddress: address, JoinStamp: host.stamp,
 	}})
 	m.history = append(m.history, next)
 	m.hosts[address] = host
@@ -169,7 +173,8 @@
 }
 
 // refreshHost gives an agent the newest orders. A host that learns of a new pool
-// then says so in its record, and joins the new service as the youngest host.
+// then says so in its record, and joins the new service as the youngest host. So
+// does one that takes new flows again.
 func (m *model) refreshHost(address netip.AddrPort) {
 	host := m.hosts[address]
 	orders := anvilglade.HostOrders{Revision: anvilglade.Revision(len(m.history)), DataCentreState: anvilglade.DataCentreIn}
@@ -181,23 +186,35 @@
 	}
 	orders.Service, orders.Draining = own.pool, own.draining
 	for _, r := range m.latest().hosts {
-		if r.service == orders.Service || slices.Contains(r.former, orders.Service) {
+		if r.living() && (r.service == orders.Service || slices.Contains(r.former, orders.Service)) {
 			r.Accepts, r.Former = r.accepts() && r.service == orders.Service, r.service != orders.Service
 			orders.Members = append(orders.Members, r.ServiceMember)
 		}
 	}
 	host.machine.SetOrders(m.now, &orders, nil)
-	if own.pool != own.service {
-		m.now = m.now.Add(time.Millisecond)
+	accepts := host.drained && !own.draining
+	host.drained = own.draining
+	if own.pool != own.service || accepts {
+		m.renewStamp(address)
 		m.change(address, func(r *record) {
-			r.former = append(slices.Clone(r.former), r.service)
-			r.service, r.JoinStamp = r.pool, anvilglade.JoinStamp(m.now.UnixMilli()<<16)
+			if r.pool != r.service {
+				r.former = append(slices.Clone(r.former), r.service)
+				r.service = r.pool
+			}
 		})
 		m.refreshHost(address)
 	}
 	host.seen = len(m.history) - 1
 }
 
+// renewStamp makes a host the youngest one, as agents do when they accept again
+// or refute a claim that they are dead.
+func (m *model) renewStamp(address netip.AddrPort) bool {
+	m.now = m.now.Add(time.Millisecond)
+	m.hosts[address].stamp = anvilglade.JoinStamp(m.now.UnixMilli() << 16)
+	return m.change(address, func(r *record) { r.JoinStamp = m.hosts[address].stamp })
+}
+
 // placing reports whether a Place of a host is on its way. An arbiter's news
 // that it has left takes longer than a Place.
 func (m *model) placing(address netip.AddrPort) bool {
@@ -379,6 +396,9 @@
 	"Drain": func(m *model, _ failer, host netip.AddrPort, _, _ int) bool {
 		return m.change(host, func(r *record) { r.draining = !r.draining })
 	},
+	"Refute": func(m *model, _ failer, host netip.AddrPort, _, _ int) bool {
+		return !m.placing(host) && m.renewStamp(host)
+	},
 	"Fill": func(m *model, _ failer, host netip.AddrPort, _, _ int) bool {
 		m.hosts[host].full = !m.hosts[host].full
 		return true
@@ -459,6 +479,7 @@
 		"RefreshHost":     act("RefreshHost", true, none, none),
 		"Join":            act("Join", false, none, none),
 		"Drain":           act("Drain", true, none, none),
+		"Refute":          act("Refute", true, none, none),
 		"Fill":            act("Fill", true, none, none),
 		"Leave":           act("Leave", true, none, none),
 		"Exit":            act("Exit", true, none, none),
--- a/internal/flow/agflow/orders.go
+++ b/internal/flow/agflow/orders.go
@@ -57,14 +57,15 @@
 	return member != nil && (member.State == anvilglade.HostDead || member.State == anvilglade.HostLeft)
 }
 
-// lives reports whether a placement on this incarnation still stands. The
-// incarnation is 0 if the host was not known when the flow was placed.
+// lives reports whether a placement on this incarnation still stands. Orders
+// leave out hosts that are dead or have left. The incarnation is 0 if the host
+// was not known when the flow was placed.
 func (v *view) lives(address netip.AddrPort, incarnation anvilglade.Incarnation) bool {
-	member := v.member(address)
-	if member == nil {
-		return true
+	if incarnation == 0 {
+		return !v.gone(address)
 	}
-	return !v.gone(address) && (incarnation == 0 || member.Incarnation == incarnation)
+	member := v.member(address)
+	return member != nil && !v.gone(address) && member.Incarnation == incarnation
 }
 
 func (v *view) incarnation(address netip.AddrPort) anvilglade.Incarnation {
@@ -99,18 +100,35 @@
 	if v == nil {
 		return nil
 	}
+	var self *anvilglade.ServiceMember
 	for i := range v.members {
 		member := &v.members[i]
-		self := member.AgentAddress == m.options.Self
-		if !living(member.State) || member.Former || self && (m.left || v.former || member.Incarnation != m.options.Incarnation) {
+		if !living(member.State) || member.Former {
+			continue
+		}
+		if member.AgentAddress == m.options.Self {
+			if !m.left && !v.former && member.Incarnation == m.options.Incarnation {
+				self = member
+			}
 			continue
 		}
+		if self != nil && m.stamp(self) <= member.JoinStamp {
+			return self
+		}
 		left := func(c anvilglade.Candidate) bool { return c.Accepts && c.Address == member.AgentAddress }
 		if !slices.ContainsFunc(declined, left) {
 			return member
 		}
 	}
-	return nil
+	return self
+}
+
+// stamp returns the age of this host as it announces it itself.
+func (m *Machine) stamp(self *anvilglade.ServiceMember) anvilglade.JoinStamp {
+	if m.options.Stamp == nil {
+		return self.JoinStamp
+	}
+	return max(self.JoinStamp, m.options.Stamp())
 }
 
 // mayBeMissing reports whether a balancer's list of possible holders may lack
--- a/internal/operate/agagent/agent.go
+++ b/internal/operate/agagent/agent.go
@@ -34,11 +34,11 @@
 	"github.com/anvilglade/anvilglade"
 	"github.com/anvilglade/anvilglade/internal/admission/agadmit"
 	"github.com/anvilglade/anvilglade/internal/flow/agflow"
+	"github.com/anvilglade/anvilglade/internal/membership/agmember"
 	"github.com/anvilglade/anvilglade/internal/observe/agadmin"
 	"github.com/anvilglade/anvilglade/internal/observe/agevent"
 	"github.com/anvilglade/anvilglade/internal/observe/aglog"
 	"github.com/anvilglade/anvilglade/internal/operate/agtask"
-	"github.com/anvilglade/anvilglade/internal/packet/agheader"
 	"github.com/anvilglade/anvilglade/internal/packet/agseal"
 )
 
@@ -88,18 +88,8 @@
 	Run(ctx context.Context) error
 	HandleAck(payload []byte) error
 	SetState(state anvilglade.HostState)
-	// SetServices tells for which service the host works now, empty for none, and
-	// which other services still have flows here.
-	SetServices(service anvilglade.ServiceID, former []anvilglade.ServiceID)
-}
-
-// ReporterOptions are what a Reporter is built from.
-type ReporterOptions struct {
-	Record anvilglade.HostRecord
-	Seeds  []netip.AddrPort
-	Send   func(to netip.AddrPort, kind agheader.Kind, payload []byte) error
-	Clock  anvilglade.Clock
-	Events anvilglade.Recorder
+	// Record returns the host as it is announced now.
+	Record() anvilglade.HostRecord
 }
 
 // ServerOptions are what the QUIC server of a service is built from.
@@ -127,7 +117,7 @@
 // Parts are the parts that other packages bring.
 type Parts struct {
 	Keys        KeyRing
-	NewReporter func(ReporterOptions) Reporter
+	NewReporter func(agmember.ReporterOptions) Reporter
 	// Direct reports whether a connection id names this incarnation and the
 	// service; nil accepts none.
 	Direct func(record *anvilglade.HostRecord, service anvilglade.ServiceNumber, packet []byte) bool
@@ -249,6 +239,10 @@
 	options := agflow.Options{
 		Self: a.record.AgentAddress, Host: a.record.Host, Incarnation: a.record.Incarnation, DataCentre: a.record.DataCentre,
 		Ownership: a.settings.Ownership, IdleTimeout: a.settings.IdleTimeout, Admitter: a.admitter, Events: a.events,
+		Stamp: func() anvilglade.JoinStamp {
+			record := a.reporter.Record()
+			return max(record.JoinStamp, record.AcceptStamp)
+		},
 		Serves: func(service anvilglade.ServiceNumber) bool {
 			_, ok := backends[service]
 			return ok
@@ -274,8 +268,8 @@
 }
 
 func (a *Agent) buildReporter(context.Context) error {
-	a.reporter = a.parts.NewReporter(ReporterOptions{
-		Record: a.record, Seeds: a.settings.Balancers, Send: a.sendPlain, Clock: a.clock, Events: a.events,
+	a.reporter = a.parts.NewReporter(agmember.ReporterOptions{
+		Record: a.record, Seeds: a.settings.Balancers, Holding: a.holding, Send: a.sendPlain, Clock: a.clock, Events: a.events,
 	})
 	return nil
 }
--- a/internal/operate/agagent/agent_test.go
+++ b/internal/operate/agagent/agent_test.go
@@ -14,6 +14,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/anvilglade/anvilglade"
+	"github.com/anvilglade/anvilglade/internal/membership/agmember"
 	"github.com/anvilglade/anvilglade/internal/operate/agagent"
 	"github.com/anvilglade/anvilglade/internal/operate/agtask"
 	"github.com/anvilglade/anvilglade/internal/packet/agheader"
@@ -75,8 +76,8 @@
 	r.states = append(r.states, state)
 }
 
-func (r *fakeReporter) Subscribe() (<-chan struct{}, func())                   { return r.changed, func() {} }
-func (*fakeReporter) SetServices(anvilglade.ServiceID, []anvilglade.ServiceID) {}
+func (r *fakeReporter) Subscribe() (<-chan struct{}, func()) { return r.changed, func() {} }
+func (*fakeReporter) Record() anvilglade.HostRecord          { return anvilglade.HostRecord{} }
 
 func (*fakeReporter) HandleAck([]byte) error        { return nil }
 func (*fakeReporter) Run(ctx context.Context) error { <-ctx.Done(); return nil }
@@ -131,7 +132,7 @@
 		Host: anvilglade.HostID(name), DataCentre: "dk1", AgentAddress: h.address, AdvertiseAgent: h.address,
 		AdminAddress: netip.MustParseAddrPort("127.0.0.1:0"), Linger: 10 * time.Millisecond,
 		Backends: map[anvilglade.ServiceID]netip.AddrPort{"alerts": startBackend(name)},
-	}, agagent.Parts{Keys: fakeRing{}, NewReporter: func(options agagent.ReporterOptions) agagent.Reporter {
+	}, agagent.Parts{Keys: fakeRing{}, NewReporter: func(options agmember.ReporterOptions) agagent.Reporter {
 		h.reporter.orders = &anvilglade.HostOrders{Members: []anvilglade.ServiceMember{{Incarnation: options.Record.Incarnation}}}
 		return h.reporter
 	}})
--- a/internal/operate/agagent/run.go
+++ b/internal/operate/agagent/run.go
@@ -20,9 +20,10 @@
 	// DefaultDrainLimit is how long flows may stay on a stopping agent whose
 	// pool sets no limit.
 	DefaultDrainLimit = 12 * time.Hour
-	// DefaultLinger covers the heartbeats that announce the leave and the
-	// packets that were sent before balancers learned of it.
-	DefaultLinger = 3 * time.Second
+	// DefaultLinger covers the heartbeats that announce the leave, and balancers
+	// that learn of it late: until then their packets for other hosts pass this
+	// agent. Updates may be 10 s late.
+	DefaultLinger = 10 * time.Second
 	// leastDrain is the shortest drain: balancers place no more work here
 	// within this time, so none is refused that could have gone elsewhere.
 	leastDrain = 2 * time.Second
@@ -153,28 +154,22 @@
 			now := a.clock.Now()
 			actions = a.machine.Tick(now, actions[:0])
 			a.carryOut(ctx, now, actions, limiter)
-			a.reportServices()
 		}
 	}
 }
 
-// reportServices keeps the host in the candidate lists of former services while
-// they have flows here.
-func (a *Agent) reportServices() {
-	orders, ok := a.reporter.Orders()
-	if !ok {
-		return
-	}
-	var former []anvilglade.ServiceID
-	for _, number := range a.machine.Services() {
-		for service := range a.settings.Backends {
-			if service.Number() == number && service != orders.Service {
-				former = append(former, service)
-			}
+// holding returns the services that have flows here. Balancers keep the host in
+// the candidate lists of these services.
+func (a *Agent) holding() []anvilglade.ServiceID {
+	var services []anvilglade.ServiceID
+	numbers := a.machine.Services()
+	for service := range a.settings.Backends {
+		if slices.Contains(numbers, service.Number()) {
+			services = append(services, service)
 		}
 	}
-	slices.Sort(former)
-	a.reporter.SetServices(orders.Service, former)
+	slices.Sort(services)
+	return services
 }
 
 // followOrders enforces each change of the orders.
@@ -203,7 +198,6 @@
 	a.setClosed(a.closedBy(orders))
 	now := a.clock.Now()
 	a.carryOut(ctx, now, a.machine.SetOrders(now, orders, nil), aglog.NewLimiter(dropLogInterval))
-	a.reportServices()
 	if previous := a.counters.revision.Swap(uint64(orders.Revision)); previous != uint64(orders.Revision) {
 		a.events.Record(anvilglade.Event{Type: agevent.RevisionAdopted, Host: a.settings.Host, Service: orders.Service, Revision: orders.Revision})
 		a.log.WithField("Revision", orders.Revision).WithField("Service", orders.Service).WithField("DataCentreState", orders.DataCentreState).Info("Orders are in force.")
--- a/internal/operate/agcommand/agent.go
+++ b/internal/operate/agcommand/agent.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/hex"
 	"errors"
 	"fmt"
 	"net/netip"
@@ -16,13 +15,16 @@
 
 	"github.com/anvilglade/anvilglade"
 	"github.com/anvilglade/anvilglade/internal/flow/agflow"
+	"github.com/anvilglade/anvilglade/internal/membership/agmember"
 	"github.com/anvilglade/anvilglade/internal/observe/aglog"
 	"github.com/anvilglade/anvilglade/internal/operate/agagent"
 	"github.com/anvilglade/anvilglade/internal/operate/agsettings"
+	"github.com/anvilglade/anvilglade/internal/packet/agconnid"
+	"github.com/anvilglade/anvilglade/internal/state/agkeys"
 )
 
 // maxJoinSecrets allows an overlap of the former and the new secret.
-const maxJoinSecrets = 2
+const maxJoinSecrets = agkeys.MaxJoinSecrets
 
 // agentVerb runs the agent beside a backend server.
 type agentVerb struct {
@@ -51,6 +53,7 @@
 	v.set.AddrList(&s.Balancers, "balancers", "datagram addresses of balancers to start with", agsettings.Required)
 	v.set.Add("join-secret", "secret of the fleet, two during a change", agsettings.Required, "64 hexadecimal digits, or two such values with a comma", v.parseSecrets)
 	v.set.Duration(&s.IdleTimeout, "flow-idle-timeout", "time without packets after which a plain UDP flow ends", agflow.DefaultIdleTimeout.String(), time.Second, 24*time.Hour)
+	v.set.Duration(&s.Linger, "linger", "time that a stopping agent stays after it has left, for packets on their way", agagent.DefaultLinger.String(), 100*time.Millisecond, time.Minute)
 	v.set.Add("ownership", "how flows get their host; baseline is for measurements", string(agflow.OwnershipArbitrated), "arbitrated or baseline", v.parseOwnership)
 	v.set.Add("admission", "what limits new work; baseline is for measurements", string(agagent.AdmissionAdaptive), "adaptive or baseline", v.parseAdmission)
 	v.set.Text(&v.logLevel, "log-level", "least level of log lines", "info")
@@ -80,22 +83,10 @@
 	return nil
 }
 
-// parseSecrets keeps the value out of its errors, as they go to the log.
 func (v *agentVerb) parseSecrets(text string) error {
-	parts := strings.Split(text, ",")
-	if len(parts) > maxJoinSecrets {
-		return fmt.Errorf("%d values, allowed are 1 or 2", len(parts))
-	}
-	for _, part := range parts {
-		var secret anvilglade.Secret
-		decoded, err := hex.DecodeString(part)
-		if err != nil || len(decoded) != len(secret) {
-			return errors.New("not 64 hexadecimal digits")
-		}
-		copy(secret[:], decoded)
-		v.settings.JoinSecrets = append(v.settings.JoinSecrets, secret)
-	}
-	return nil
+	var err error
+	v.settings.JoinSecrets, err = agkeys.ParseJoinSecrets(text)
+	return err
 }
 
 func (v *agentVerb) parseOwnership(text string) error {
@@ -154,7 +145,25 @@
 	return nil
 }
 
-// agentParts builds the parts that the agent gets from other packages.
-func agentParts(*agagent.Settings) (agagent.Parts, error) {
-	return agagent.Parts{}, errors.New("the key ring and the membership are not part of this build")
+// agentParts builds the parts that the agent gets from other packages. QUIC
+// services are served once NewServer is set.
+func agentParts(settings *agagent.Settings) (agagent.Parts, error) {
+	ring, err := agkeys.NewRing(settings.JoinSecrets)
+	if err != nil {
+		return agagent.Parts{}, err
+	}
+	codec := agconnid.NewCodec(ring)
+	return agagent.Parts{
+		Keys:        ring,
+		NewReporter: func(options agmember.ReporterOptions) agagent.Reporter { return agmember.NewReporter(options) },
+		Direct: func(record *anvilglade.HostRecord, service anvilglade.ServiceNumber, packet []byte) bool {
+			id, _, ok := agconnid.ParseDestination(packet)
+			if !ok {
+				return false
+			}
+			target, ok := codec.Decode(id)
+			own := agconnid.Target{Agent: record.AgentAddress, Incarnation: record.Incarnation.Tag(), Service: service.Tag()}
+			return ok && target == own
+		},
+	}, nil
 }
