--- a/internal/admission/agadmit/host.go
+++ b/internal/admission/agadmit/host.go
@@ -177,7 +177,7 @@
 	}
 	now := h.options.Clock.Now()
 	h.watchStalls(now)
-	if refusal := h.full(); refusal != anvilglade.RefusalNone {
+	if refusal := h.full(now); refusal != anvilglade.RefusalNone {
 		return h.refuse(refusal), nil
 	}
 	entry := &request{started: now, phase: h.ramp.phase}
@@ -190,13 +190,15 @@
 }
 
 // full names the lowest limit that is reached.
-func (h *Host) full() anvilglade.Refusal {
+func (h *Host) full(now time.Time) anvilglade.Refusal {
 	inProgress := len(h.requests)
 	switch {
 	case inProgress >= int(h.pool.Slots):
 		return anvilglade.RefusalSlots
 	case h.ramp.cold && inProgress >= h.ramp.limit:
 		return anvilglade.RefusalCold
+	case inProgress >= int(h.pool.ColdStart.InitialConcurrency) && h.held(now):
+		return anvilglade.RefusalCold
 	case inProgress >= h.adaptive.whole():
 		return anvilglade.RefusalLimit
 	}
