--- a/internal/membership/agmember/orders.go
+++ b/internal/membership/agmember/orders.go
@@ -104,8 +104,8 @@
 	return orders
 }
 
-// serviceMembers returns the living hosts of a service, oldest first. The stamp
-// is the one that routing goes by.
+// serviceMembers returns the living hosts of a service, oldest first, and those
+// that still hold flows of it after a change of their pool.
 func (m *Monitor) serviceMembers(current *view, tables *anvilglade.Tables, service anvilglade.ServiceID) []anvilglade.ServiceMember {
 	var members []anvilglade.ServiceMember
 	for i := range current.members.Hosts {
@@ -113,9 +113,12 @@
 		if host.State == anvilglade.HostDead || host.State == anvilglade.HostLeft {
 			continue
 		}
-		if of, ok := m.options.Service(host.Host); !ok || of != service {
+		of, ok := m.options.Service(host.Host)
+		wanted := ok && of == service
+		if !wanted && !slices.Contains(host.Services[:], service) {
 			continue
 		}
+		former := !wanted || !confirmed(host, service)
 		members = append(members, anvilglade.ServiceMember{
 			Host:           host.Host,
 			Incarnation:    host.Incarnation,
@@ -123,8 +126,9 @@
 			DataCentre:     host.DataCentre,
 			AgentAddress:   host.AgentAddress,
 			ControlAddress: host.ControlAddress,
-			JoinStamp:      max(host.JoinStamp, host.AcceptStamp),
-			Accepts:        host.State == anvilglade.HostActive && !draining(tables, host) && confirmed(host, service),
+			JoinStamp:      host.Age(),
+			Accepts:        host.State == anvilglade.HostActive && !draining(tables, host) && !former,
+			Former:         former,
 		})
 	}
 	slices.SortFunc(members, func(a, b anvilglade.ServiceMember) int {
--- a/internal/operate/agagent/run.go
+++ b/internal/operate/agagent/run.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/anvilglade/anvilglade"
@@ -19,9 +20,10 @@
 	// DefaultDrainLimit is how long flows may stay on a stopping agent whose
 	// pool sets no limit.
 	DefaultDrainLimit = 12 * time.Hour
-	// DefaultLinger covers the heartbeats that announce the leave and the
-	// packets that were sent before balancers learned of it.
-	DefaultLinger = 3 * time.Second
+	// DefaultLinger covers the heartbeats that announce the leave, and balancers
+	// that learn of it late: until then their packets for other hosts pass this
+	// agent. Updates may be 10 s late.
+	DefaultLinger = 10 * time.Second
 	// leastDrain is the shortest drain: balancers place no more work here
 	// within this time, so none is refused that could have gone elsewhere.
 	leastDrain = 2 * time.Second
@@ -156,6 +158,20 @@
 	}
 }
 
+// holding returns the services that have flows here. Balancers keep the host in
+// the candidate lists of these services.
+func (a *Agent) holding() []anvilglade.ServiceID {
+	var services []anvilglade.ServiceID
+	numbers := a.machine.Services()
+	for service := range a.settings.Backends {
+		if slices.Contains(numbers, service.Number()) {
+			services = append(services, service)
+		}
+	}
+	slices.Sort(services)
+	return services
+}
+
 // followOrders enforces each change of the orders.
 func (a *Agent) followOrders(ctx context.Context) error {
 	changed, end := a.reporter.Subscribe()
--- a/internal/operate/agcommand/agent.go
+++ b/internal/operate/agcommand/agent.go
@@ -46,6 +46,7 @@
 	v.set.AddrList(&s.Balancers, "balancers", "datagram addresses of balancers to start with", agsettings.Required)
 	addJoinSecret(v.set, &s.JoinSecrets)
 	v.set.Duration(&s.IdleTimeout, "flow-idle-timeout", "time without packets after which a plain UDP flow ends", agflow.DefaultIdleTimeout.String(), time.Second, 24*time.Hour)
+	v.set.Duration(&s.Linger, "linger", "time that a stopping agent stays after it has left, for packets on their way", agagent.DefaultLinger.String(), 100*time.Millisecond, time.Minute)
 	v.set.Add("ownership", "how flows get their host; baseline is for measurements", string(agflow.OwnershipArbitrated), "arbitrated or baseline", v.parseOwnership)
 	v.set.Add("admission", "what limits new work; baseline is for measurements", string(agagent.AdmissionAdaptive), "adaptive or baseline", v.parseAdmission)
 	addLogSettings(v.set, &v.log)
--- a/internal/operate/agcommand/agent_parts.go
+++ b/internal/operate/agcommand/agent_parts.go
@@ -27,14 +27,8 @@
 	}, nil
 }
 
-func newReporter(options agagent.ReporterOptions) agagent.Reporter {
-	return agmember.NewReporter(agmember.ReporterOptions{
-		Record: options.Record,
-		Seeds:  options.Seeds,
-		Send:   options.Send,
-		Clock:  options.Clock,
-		Events: options.Events,
-	})
+func newReporter(options agmember.ReporterOptions) agagent.Reporter {
+	return agmember.NewReporter(options)
 }
 
 // namesHost reports whether the connection id of a packet was issued by this
--- a/members.go
+++ b/members.go
@@ -90,6 +90,9 @@
 	JoinStamp JoinStamp
 	// Accepts is false for hosts that take no new work.
 	Accepts bool
+	// Former is set for hosts that work for another service now and still have
+	// flows of this one. They accept nothing and are no arbiters.
+	Former bool
 }
 
 // HostOrders is what a balancer tells an agent in the acknowledgement of a
