Add the request front end over HTTP/3

Cause: the agent needs a front end for QUIC services (design section 9).

Change: aglife (state machine in life.yaml), agproblem (problem details), agticket (tickets and outcomes), and agserve with admission, whole answers, deadlines, placement on other hosts and reports under tickets.

Conclusion: usable for wiring; tickets and drain are not tested yet.

--- /dev/null
+++ b/internal/request/agserve/backend.go
@@ -0,0 +1,125 @@
+package agserve
+
+// The HTTP/1.1 side towards the backend server over loopback.
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/netip"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/anvilglade/anvilglade/internal/request/agproblem"
+)
+
+const (
+	backendDialTimeout = 2 * time.Second
+	backendIdleTimeout = 30 * time.Second
+	backendIdleConns   = 64
+	maxAnswerHeader    = 64 << 10
+)
+
+type backend struct {
+	address netip.AddrPort
+	// kept is for requests that may be repeated, fresh for all others.
+	// net/http sends a request again by itself when a kept-alive connection
+	// closes, for an empty POST even because it carries an Idempotency-Key;
+	// it never does so on a new connection.
+	kept, fresh *http.Transport
+}
+
+func newBackend(address netip.AddrPort) *backend {
+	return &backend{address: address, kept: newTransport(false), fresh: newTransport(true)}
+}
+
+func newTransport(fresh bool) *http.Transport {
+	dialer := &net.Dialer{Timeout: backendDialTimeout}
+	return &http.Transport{
+		DialContext:            dialer.DialContext,
+		DisableKeepAlives:      fresh,
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    backendIdleConns,
+		IdleConnTimeout:        backendIdleTimeout,
+		MaxResponseHeaderBytes: maxAnswerHeader,
+		Protocols:              onlyHTTP1(),
+	}
+}
+
+func onlyHTTP1() *http.Protocols {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	return protocols
+}
+
+func (b *backend) close() {
+	b.kept.CloseIdleConnections()
+	b.fresh.CloseIdleConnections()
+}
+
+// send writes the call and waits for the head of the answer. Reached is false
+// if no connection was made, so that the server cannot have seen a byte.
+func (b *backend) send(ctx context.Context, c *call, now time.Time) (response *http.Response, reached bool, err error) {
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { reached = true }}
+	request := c.newRequest(httptrace.WithClientTrace(ctx, trace), "http", b.address.String(), now)
+	transport := b.fresh
+	if c.repeatable {
+		transport = b.kept
+		// A body without GetBody keeps net/http from repeating the request
+		// outside the retry budget.
+		request.Body = io.NopCloser(bytes.NewReader(nil))
+		request.ContentLength = 0
+	}
+	response, err = transport.RoundTrip(request)
+	if err != nil {
+		return nil, reached, fmt.Errorf("backend server %s: %w", b.address, err)
+	}
+	if err := checkFraming(response, c); err != nil {
+		_ = response.Body.Close()
+		return nil, true, fmt.Errorf("backend server %s: %w", b.address, err)
+	}
+	return response, true, nil
+}
+
+// checkFraming rejects answers whose end cannot be told from a broken
+// connection, and answers to another request.
+func checkFraming(response *http.Response, c *call) error {
+	if id := response.Header.Get(agproblem.HeaderRequestID); id != "" && id != string(c.id) {
+		return errForeign
+	}
+	if response.StatusCode < http.StatusOK {
+		return fmt.Errorf("%w: status %d", errFraming, response.StatusCode)
+	}
+	chunked := len(response.TransferEncoding) > 0
+	if response.ContentLength < 0 && !chunked && c.method != http.MethodHead {
+		return fmt.Errorf("%w: neither length nor chunks", errFraming)
+	}
+	return nil
+}
+
+// newRequest builds the outgoing request of one attempt.
+func (c *call) newRequest(ctx context.Context, scheme, authority string, now time.Time) *http.Request {
+	request := (&http.Request{
+		Method:        c.method,
+		URL:           &url.URL{Scheme: scheme, Host: authority, Path: c.path, RawPath: c.rawPath, RawQuery: c.query},
+		Host:          c.host,
+		Header:        c.header.Clone(),
+		ContentLength: int64(len(c.body)),
+		Body:          http.NoBody,
+	}).WithContext(ctx)
+	if len(c.body) > 0 {
+		request.Body = io.NopCloser(bytes.NewReader(c.body))
+	}
+	request.Header.Set(agproblem.HeaderRequestID, string(c.id))
+	request.Header.Del(agproblem.HeaderTimeout)
+	if !c.deadline.IsZero() {
+		left := max(c.deadline.Sub(now).Milliseconds(), 1)
+		request.Header.Set(agproblem.HeaderTimeout, strconv.FormatInt(left, 10))
+	}
+	return request
+}
--- /dev/null
+++ b/internal/request/agticket/ticket.go
@@ -0,0 +1,106 @@
+package agticket
+
+// The ticket as text: base64url over a fixed layout, so that it fits into a
+// header and other agents can read the issuer's address.
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"golang.org/x/crypto/cryptobyte"
+
+	"github.com/anvilglade/anvilglade"
+)
+
+const (
+	layoutVersion = 1
+	macSize       = 16
+	// maxTextLength is the length of a ticket with an IPv6 issuer.
+	maxTextLength = 80
+)
+
+// ErrInvalid means that a text is not a ticket, or not one of this process.
+var ErrInvalid = errors.New("not a valid ticket")
+
+var encoding = base64.RawURLEncoding.Strict()
+
+// Ticket is the content of a ticket.
+type Ticket struct {
+	// Issuer is the control address of the issuing agent.
+	Issuer      netip.AddrPort
+	Incarnation anvilglade.Incarnation
+	Number      uint64
+	// Expiry, to the millisecond, is for callers and other agents. The issuer
+	// itself goes by its table.
+	Expiry time.Time
+	// MAC is known to the issuer only.
+	MAC [macSize]byte
+}
+
+// Decode parses the text of a ticket without verifying its MAC. It returns
+// ErrInvalid if the text is not a ticket.
+func Decode(text string) (Ticket, error) {
+	if len(text) > maxTextLength {
+		return Ticket{}, fmt.Errorf("%w: %d characters", ErrInvalid, len(text))
+	}
+	data, err := encoding.DecodeString(text)
+	if err != nil {
+		return Ticket{}, fmt.Errorf("%w: %w", ErrInvalid, err)
+	}
+	var ticket Ticket
+	var version uint8
+	var address, mac []byte
+	var port uint16
+	var incarnation, expiry uint64
+	input := cryptobyte.String(data)
+	var raw cryptobyte.String
+	whole := input.ReadUint8(&version) && input.ReadUint8LengthPrefixed(&raw) &&
+		input.ReadUint16(&port) && input.ReadUint64(&incarnation) &&
+		input.ReadUint64(&ticket.Number) && input.ReadUint64(&expiry) &&
+		input.ReadBytes(&mac, macSize) && input.Empty()
+	address = raw
+	issuer, known := netip.AddrFromSlice(address)
+	if !whole || !known || version != layoutVersion || expiry > 1<<53 {
+		return Ticket{}, fmt.Errorf("%w: wrong layout", ErrInvalid)
+	}
+	ticket.Issuer = netip.AddrPortFrom(issuer, port)
+	ticket.Incarnation = anvilglade.Incarnation(incarnation)
+	ticket.Expiry = time.UnixMilli(int64(expiry))
+	copy(ticket.MAC[:], mac)
+	return ticket, nil
+}
+
+// Encode returns the text of the ticket.
+func (t Ticket) Encode() string {
+	return encoding.EncodeToString(append(t.content(), t.MAC[:]...))
+}
+
+func (t Ticket) content() []byte {
+	address := t.Issuer.Addr().AsSlice()
+	data := make([]byte, 0, maxTextLength)
+	data = append(data, layoutVersion, byte(len(address)))
+	data = append(data, address...)
+	data = binary.BigEndian.AppendUint16(data, t.Issuer.Port())
+	data = binary.BigEndian.AppendUint64(data, uint64(t.Incarnation))
+	data = binary.BigEndian.AppendUint64(data, t.Number)
+	return binary.BigEndian.AppendUint64(data, uint64(t.Expiry.UnixMilli()))
+}
+
+func (t Ticket) sum(secret *anvilglade.Secret) [macSize]byte {
+	mac := hmac.New(sha256.New, secret[:])
+	mac.Write(t.content())
+	var full [sha256.Size]byte
+	mac.Sum(full[:0])
+	return [macSize]byte(full[:macSize])
+}
+
+func (t Ticket) verify(secret *anvilglade.Secret) bool {
+	want := t.sum(secret)
+	return hmac.Equal(want[:], t.MAC[:])
+}
