--- /dev/null
+++ b/internal/request/aglife/life_test.go
@@ -0,0 +1,40 @@
+package aglife_test
+
+import (
+	"os"
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"go.yaml.in/yaml/v3"
+
+	"github.com/anvilglade/anvilglade/internal/request/aglife"
+)
+
+type lifeCase struct {
+	Name   string         `yaml:"Name"`
+	Events []aglife.Event `yaml:"Events"`
+	State  aglife.State   `yaml:"State"`
+	// Fails is set when the last event must be refused.
+	Fails bool `yaml:"Fails"`
+}
+
+// Guards against a transition table from which "not run" can be said of a
+// request that may have run.
+func TestLife(t *testing.T) {
+	data, err := os.ReadFile("testdata/lives.yaml")
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	var cases []lifeCase
+	NewWithT(t).Expect(yaml.Unmarshal(data, &cases)).To(Succeed())
+	for _, c := range cases {
+		t.Run(c.Name, func(t *testing.T) {
+			g := NewWithT(t)
+			life := aglife.New()
+			defer life.Release()
+			for i, event := range c.Events {
+				err := life.Do(event)
+				g.Expect(err != nil).To(Equal(c.Fails && i == len(c.Events)-1), "%s: %v", event, err)
+			}
+			g.Expect(life.State()).To(Equal(c.State))
+		})
+	}
+}
--- a/internal/request/agserve/answer_test.go
+++ b/internal/request/agserve/answer_test.go
@@ -87,9 +87,12 @@
 	Expect(f.group.Start("raw", func(context.Context) error {
 		for {
 			conn, err := listener.Accept()
-			if err != nil {
+			if errors.Is(err, net.ErrClosed) {
 				return nil
 			}
+			if err != nil {
+				return err
+			}
 			if err := f.group.Start("raw connection", func(context.Context) error {
 				c.serve(conn.(*net.TCPConn))
 				return nil
--- a/internal/request/agserve/handler.go
+++ b/internal/request/agserve/handler.go
@@ -90,9 +90,12 @@
 	case errors.Is(err, errBuffersFull):
 		kind = agproblem.NotRun
 	}
+	if report && kind == agproblem.NotRun {
+		kind = agproblem.OutcomeUnknown
+	}
 	problem := agproblem.New(kind, err.Error())
-	problem.NotRun = !report
-	if kind == agproblem.NotRun {
+	problem.AttemptNotRun, problem.NotRun = true, !report
+	if errors.Is(err, errBuffersFull) {
 		problem.RetryAfter = retryElsewhere
 	}
 	s.problem(w, c, problem)
--- a/internal/request/agserve/serve_test.go
+++ b/internal/request/agserve/serve_test.go
@@ -80,6 +80,8 @@
 	DescribeTable("ends the work at the backend server", func(cancelByCaller bool, outcome anvilglade.Outcome, counter string) {
 		begun, ended := make(chan string, 1), make(chan struct{})
 		a := f.add(startBackend(GinkgoTB(), func(w http.ResponseWriter, r *http.Request) {
+			// net/http notices a closed connection only after the body was read.
+			_, _ = io.Copy(io.Discard, r.Body)
 			begun <- r.Header.Get(agproblem.HeaderTimeout)
 			<-r.Context().Done()
 			_, _ = io.WriteString(w, "late")
