Add fabric, backend server, callers and scenario runner

Cause: the measures of the design need real processes behind a network that can lose, delay and cut, a ground truth of what ran, and callers that check every answer.

--- /dev/null
+++ b/internal/stand/agbackend/journal.go
@@ -0,0 +1,101 @@
+package agbackend
+
+// The journal is the ground truth of a scenario: every request that the server
+// began, in the order of its start.
+
+import (
+	"sync"
+	"time"
+)
+
+// Outcomes in the journal, beside the name of an unfinished request.
+const (
+	OutcomeRunning   = "Running"
+	OutcomeAnswered  = "Answered"
+	OutcomeFailed    = "Failed"
+	OutcomeTruncated = "Truncated"
+	OutcomeReset     = "Reset"
+	OutcomeShed      = "Shed"
+	OutcomeCanceled  = "Canceled"
+	OutcomeHung      = "Hung"
+	OutcomeTimedOut  = "TimedOut"
+)
+
+// Entry is one request in the journal.
+type Entry struct {
+	ID      string
+	Key     string `json:",omitempty"`
+	Report  string `json:",omitempty"`
+	Seed    string `json:",omitempty"`
+	Path    string
+	Service string
+	Start   time.Time
+	End     time.Time
+	Outcome string
+	// Ran is set when the work itself began; a shed request did not run.
+	Ran bool
+	// Load is the number of requests at once with this one, Limit what the
+	// server could handle then.
+	Load  int
+	Limit int
+	Over  bool
+	// Noticed is false for requests that came after the server turned cold
+	// and before any answer could have shown it.
+	Noticed bool
+	// TimeoutMillis is the deadline header as it arrived, 0 without one.
+	TimeoutMillis int64
+	// DeadlineMillis is the caller's absolute deadline in Unix milliseconds,
+	// 0 if the caller gave none.
+	DeadlineMillis int64
+}
+
+// Journal is the answer to GET /journal.
+type Journal struct {
+	Host        string
+	Incarnation int64
+	Slots       int
+	Busy        time.Duration
+	FellOver    []time.Time
+	TurnedCold  []time.Time
+	Entries     []Entry
+}
+
+type journal struct {
+	mu      sync.Mutex
+	entries []Entry
+}
+
+func (j *journal) add(entry Entry) int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.entries = append(j.entries, entry)
+	return len(j.entries) - 1
+}
+
+func (j *journal) finish(index int, outcome string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.entries[index].End = time.Now()
+	j.entries[index].Outcome = outcome
+}
+
+func (j *journal) list() []Entry {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return append([]Entry(nil), j.entries...)
+}
+
+// journalOf collects the journal and the state of the load model.
+func (s *Server) journalOf() Journal {
+	s.load.mu.Lock()
+	defer s.load.mu.Unlock()
+	return Journal{
+		Host:        s.options.Host,
+		Incarnation: s.incarnation,
+		Slots:       s.load.slots(),
+		Busy:        s.load.busy,
+		FellOver:    append([]time.Time(nil), s.load.fellOver...),
+		TurnedCold:  append([]time.Time(nil), s.load.turnedCold...),
+		Entries:     s.journal.list(),
+	}
+}
--- /dev/null
+++ b/internal/stand/agfabric/counters.go
@@ -0,0 +1,67 @@
+package agfabric
+
+// Counts of the data packets to each party, by time, for "packets to it after
+// 5 s".
+
+import (
+	"sync"
+	"time"
+)
+
+// CountInterval is the length of the interval of one Count.
+const CountInterval = 100 * time.Millisecond
+
+// Count is the number of data packets to a party in one interval.
+type Count struct {
+	Party  string
+	Groups []string
+	// UnixMillis is the start of the interval of 100 ms.
+	UnixMillis int64
+	Packets    int
+	// Kinds counts by the kind byte of the header in the clear.
+	Kinds map[int]int
+}
+
+type counters struct {
+	mu     sync.Mutex
+	counts map[*partyState]map[int64]*Count
+}
+
+func newCounters() *counters {
+	return &counters{counts: map[*partyState]map[int64]*Count{}}
+}
+
+func (c *counters) add(party *partyState, data []byte) {
+	slot := time.Now().Truncate(CountInterval).UnixMilli()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	slots := c.counts[party]
+	if slots == nil {
+		slots = map[int64]*Count{}
+		c.counts[party] = slots
+	}
+	count := slots[slot]
+	if count == nil {
+		count = &Count{Party: party.Name, Groups: party.Groups, UnixMillis: slot, Kinds: map[int]int{}}
+		slots[slot] = count
+	}
+	count.Packets++
+	if len(data) > kindOffset {
+		count.Kinds[int(data[kindOffset])]++
+	}
+}
+
+// since returns the counts of intervals that start at or after a time.
+func (c *counters) since(unixMillis int64) []Count {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	found := []Count{}
+	for _, slots := range c.counts {
+		for slot, count := range slots {
+			if slot >= unixMillis {
+				found = append(found, *count)
+			}
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/internal/stand/agscenario/measures.go
@@ -0,0 +1,522 @@
+package agscenario
+
+// The measures that a case can expect. Each returns its value and, where it is
+// a part of something, the whole.
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/anvilglade/anvilglade"
+	"github.com/anvilglade/anvilglade/internal/stand/agbackend"
+	"github.com/anvilglade/anvilglade/internal/stand/agcaller"
+	"github.com/anvilglade/anvilglade/internal/stand/agfabric"
+)
+
+// MeasureLine is one line of the output of measure.
+type MeasureLine struct {
+	Case     string
+	Measure  string
+	Value    float64
+	Of       float64
+	Op       string
+	Target   float64
+	Unit     string
+	Baseline *float64
+	Seed     uint64
+}
+
+// value is a measured value; missing says why there is none.
+type value struct {
+	value, of float64
+	unit      string
+	missing   error
+}
+
+type measure func(ctx context.Context, s *scene, of string) value
+
+func count(n, of int, unit string) value {
+	return value{value: float64(n), of: float64(of), unit: unit}
+}
+
+func missing(format string, args ...any) value {
+	return value{value: math.NaN(), missing: fmt.Errorf(format, args...)}
+}
+
+// measures names them all. "Of" is the option of expect: a load or a service.
+var measures = map[string]measure{
+	"BrokenFlows":          measureBrokenFlows,
+	"WrongService":         measureWrongService,
+	"PacketsAfterOut":      measurePacketsAfterOut,
+	"EffectTime":           measureEffectTime,
+	"FellOver":             measureFellOver,
+	"Answered":             measureAnswered,
+	"OverLimit":            measureOverLimit,
+	"Imbalance":            measureImbalance,
+	"ImbalanceToRandom":    measureImbalanceToRandom,
+	"Goodput":              measureGoodput,
+	"RefusalP99":           measureRefusalP99,
+	"Attempts":             measureAttempts,
+	"RanTwice":             measureRanTwice,
+	"SaidNotRunButRan":     measureSaidNotRunButRan,
+	"SilentlyLost":         measureSilentlyLost,
+	"Unknown":              measureUnknown,
+	"UnknownNotListed":     measureUnknownNotListed,
+	"PassedAsComplete":     measurePassedAsComplete,
+	"CutOff":               measureCutOff,
+	"StartedAfterDeadline": measureStartedAfterDeadline,
+	"RunningAfterCancel":   measureRunningAfterCancel,
+	"NewHostsWithoutWork":  measureNewHostsWithoutWork,
+	"GracefulStopFailures": func(_ context.Context, s *scene, _ string) value {
+		return count(s.violated("GracefulStop"), 0, "stops")
+	},
+	"InForceP99":        measureInForceP99,
+	"InForceMax":        measureInForceMax,
+	"Reverted":          measureReverted,
+	"EditsLost":         measureEditsLost,
+	"EditsWrongVerdict": measureEditsWrongVerdict,
+	"EditsOverwritten":  measureEditsOverwritten,
+}
+
+func measureBrokenFlows(_ context.Context, s *scene, _ string) value {
+	broken, all := 0, 0
+	for _, report := range s.reports() {
+		broken += report.Broken
+		all += report.Flows
+	}
+	return count(broken, all, "flows")
+}
+
+func measureWrongService(_ context.Context, s *scene, _ string) value {
+	wrong, all := 0, 0
+	for _, report := range s.reports() {
+		wrong += report.WrongService
+		all += report.Received
+	}
+	for _, load := range s.loads {
+		results, _ := load.Results()
+		all += len(results)
+	}
+	for _, journal := range s.final {
+		for _, entry := range journal.Entries {
+			if service, known := s.serviceOfEntry(entry); known && service != entry.Service {
+				wrong++
+			}
+		}
+	}
+	return count(wrong, all, "answers")
+}
+
+func (s *scene) reports() []agcaller.FlowReport {
+	var reports []agcaller.FlowReport
+	if s.flows != nil {
+		reports = append(reports, s.flows.Report())
+	}
+	for _, lines := range s.lines {
+		reports = append(reports, lines.Report())
+	}
+	return reports
+}
+
+// loadOfEntry finds the load of a journal entry by the name in front of its
+// seed or report.
+func (s *scene) loadOfEntry(entry agbackend.Entry) (string, bool) {
+	text := entry.Seed
+	if entry.Report != "" {
+		text = entry.Report
+	}
+	for name := range s.loads {
+		prefix := fmt.Sprintf("%s-%d-", name, s.fleet.options.Seed)
+		if len(text) > len(prefix) && text[:len(prefix)] == prefix {
+			return name, true
+		}
+	}
+	return "", false
+}
+
+func (s *scene) serviceOfEntry(entry agbackend.Entry) (string, bool) {
+	name, known := s.loadOfEntry(entry)
+	return s.loadService[name], known
+}
+
+// outGrace is the time after which a data centre that is out gets no packet.
+const outGrace = 5 * time.Second
+
+func measurePacketsAfterOut(ctx context.Context, s *scene, _ string) value {
+	counts, err := s.fleet.counts(ctx, s.started)
+	if err != nil {
+		return missing("counts of the fabric: %w", err)
+	}
+	packets, all := 0, 0
+	for i, change := range s.dcChanges {
+		if change.state != anvilglade.DataCentreOut {
+			continue
+		}
+		late, sum := s.packetsTo(change, s.backAgain(i), counts)
+		packets += late
+		all += sum
+	}
+	if all == 0 {
+		return missing("no data centre was taken out, or no packet was ever sent to it")
+	}
+	return count(packets, all, "packets")
+}
+
+// backAgain is when the data centre of a change was put into service again.
+func (s *scene) backAgain(i int) time.Time {
+	for _, later := range s.dcChanges[i+1:] {
+		if later.name == s.dcChanges[i].name && later.state != anvilglade.DataCentreOut {
+			return later.start
+		}
+	}
+	return time.Now()
+}
+
+// packetsTo counts the data packets to a data centre that was taken out: those
+// after the grace, and all of the case. The interval in which it returned is
+// left out.
+func (s *scene) packetsTo(change dcChange, until time.Time, counts []agfabric.Count) (late, all int) {
+	from := change.start.Add(outGrace)
+	kinds := map[int]int{}
+	for _, item := range counts {
+		if !slices.Contains(item.Groups, "hosts") || !slices.Contains(item.Groups, change.name) {
+			continue
+		}
+		all += item.Packets
+		at := time.UnixMilli(item.UnixMillis)
+		if at.Before(from) || at.Add(agfabric.CountInterval).After(until) {
+			continue
+		}
+		late += item.Packets
+		for kind, n := range item.Kinds {
+			kinds[kind] += n
+		}
+	}
+	if late > 0 {
+		s.note("packets to %s after %s by kind byte: %v", change.name, outGrace, kinds)
+	}
+	return late, all
+}
+
+func measureEffectTime(_ context.Context, s *scene, _ string) value {
+	longest := time.Duration(0)
+	for _, change := range s.dcChanges {
+		longest = max(longest, change.accepted.Sub(change.start))
+	}
+	return value{value: longest.Seconds(), unit: "s"}
+}
+
+func measureFellOver(_ context.Context, s *scene, _ string) value {
+	fell := 0
+	for _, journal := range s.final {
+		fell += len(journal.FellOver)
+	}
+	return count(fell, len(s.final), "hosts")
+}
+
+// resultsOf returns the results of one load, or of all, since the mark.
+func (s *scene) resultsOf(of string) []agcaller.Result {
+	var found []agcaller.Result
+	for name, load := range s.loads {
+		if of != "" && of != name {
+			continue
+		}
+		results, _ := load.Results()
+		for _, result := range results {
+			if !result.Start.Before(s.marked) {
+				found = append(found, result)
+			}
+		}
+	}
+	return found
+}
+
+func withVerdict(results []agcaller.Result, verdict agcaller.Verdict) int {
+	found := 0
+	for _, result := range results {
+		if result.Verdict == verdict {
+			found++
+		}
+	}
+	return found
+}
+
+func measureAnswered(_ context.Context, s *scene, of string) value {
+	results := s.resultsOf(of)
+	if len(results) == 0 {
+		return missing("no request ended")
+	}
+	answered := withVerdict(results, agcaller.Answered)
+	return value{value: 100 * float64(answered) / float64(len(results)), of: float64(len(results)), unit: "%"}
+}
+
+// measureOverLimit counts requests that began above what the server could
+// handle, other than those sent before it could be known that it turned cold.
+func measureOverLimit(_ context.Context, s *scene, _ string) value {
+	over, all := 0, 0
+	for _, journal := range s.final {
+		for _, entry := range journal.Entries {
+			all++
+			if entry.Over && entry.Noticed && (entry.Outcome != agbackend.OutcomeShed) {
+				over++
+			}
+		}
+	}
+	return count(over, all, "requests")
+}
+
+// utilisations returns the busy share of the slots of each host of a service
+// since the mark.
+func (s *scene) utilisations(of string) map[string]float64 {
+	before := map[string]time.Duration{}
+	for _, journal := range s.before {
+		before[journal.Host] = journal.Busy
+	}
+	window := s.lastEnd().Sub(s.marked)
+	found := map[string]float64{}
+	for _, journal := range s.final {
+		if item, err := s.fleet.host(journal.Host); err == nil && item.service == of {
+			found[journal.Host] = float64(journal.Busy-before[journal.Host]) / float64(window) / float64(journal.Slots)
+		}
+	}
+	return found
+}
+
+// lastEnd is when the last request of the loads ended.
+func (s *scene) lastEnd() time.Time {
+	last := s.marked
+	for _, result := range s.resultsOf("") {
+		if result.End.After(last) {
+			last = result.End
+		}
+	}
+	return last
+}
+
+func maxOverMean(values map[string]float64) float64 {
+	highest, sum := 0.0, 0.0
+	for _, one := range values {
+		highest = max(highest, one)
+		sum += one
+	}
+	return highest / (sum / float64(len(values)))
+}
+
+func measureImbalance(_ context.Context, s *scene, of string) value {
+	values := s.utilisations(of)
+	if len(values) == 0 {
+		return missing("no utilisation of the service %q", of)
+	}
+	s.note("utilisation %v", values)
+	return value{value: maxOverMean(values), of: float64(len(values)), unit: "max/mean"}
+}
+
+// measureImbalanceToRandom is the imbalance divided by the one of a random
+// choice of host for each connection, with the demand that the callers had.
+func measureImbalanceToRandom(ctx context.Context, s *scene, of string) value {
+	measured := measureImbalance(ctx, s, of)
+	random := s.randomImbalance(of)
+	if measured.missing != nil || math.IsNaN(random) {
+		return missing("no demand of callers of the service %q", of)
+	}
+	s.note("imbalance measured %.3f, random choice %.3f", measured.value, random)
+	return value{value: measured.value / random, of: random, unit: "ratio"}
+}
+
+func measureGoodput(_ context.Context, s *scene, of string) value {
+	service, err := s.fleet.service(s.loadService[of])
+	if err != nil {
+		return missing("goodput needs the name of a load, not %q", of)
+	}
+	selected, err := s.fleet.selectHosts(service.spec.name)
+	if err != nil {
+		return missing("%w", err)
+	}
+	results := s.resultsOf(of)
+	first, last, answered := time.Now(), s.marked, 0
+	for _, result := range results {
+		if result.Start.Before(first) {
+			first = result.Start
+		}
+		if result.Start.After(last) {
+			last = result.Start
+		}
+	}
+	for _, result := range results {
+		if result.Verdict == agcaller.Answered && result.End.Before(last) {
+			answered++
+		}
+	}
+	capacity := float64(len(selected)*service.spec.slots) / s.fleet.settings.serviceTime.Seconds()
+	rate := float64(answered) / last.Sub(first).Seconds()
+	s.note("goodput %.1f requests a second of a capacity of %.1f", rate, capacity)
+	return value{value: 100 * rate / capacity, of: capacity, unit: "% of capacity"}
+}
+
+func measureRefusalP99(_ context.Context, s *scene, of string) value {
+	var times []time.Duration
+	for _, result := range s.resultsOf(of) {
+		if result.Verdict == agcaller.NotRun {
+			times = append(times, result.End.Sub(result.Start))
+		}
+	}
+	if len(times) == 0 {
+		return missing("no request was refused")
+	}
+	return value{value: float64(agcaller.Percentile(times, 99)) / float64(time.Millisecond), of: float64(len(times)), unit: "ms"}
+}
+
+// measureAttempts is the number of requests that backend servers began for each
+// request that reached one.
+func measureAttempts(_ context.Context, s *scene, of string) value {
+	began, requests := 0, map[string]bool{}
+	for _, journal := range s.final {
+		for _, entry := range journal.Entries {
+			name, known := s.loadOfEntry(entry)
+			if !known || of != "" && name != of {
+				continue
+			}
+			began++
+			requests[entry.Seed+entry.Report] = true
+		}
+	}
+	if len(requests) == 0 {
+		return missing("no request reached a backend server")
+	}
+	return value{value: float64(began) / float64(len(requests)), of: float64(len(requests)), unit: "attempts"}
+}
+
+func measurePassedAsComplete(_ context.Context, s *scene, of string) value {
+	results := s.resultsOf(of)
+	return count(withVerdict(results, agcaller.Foreign), len(results), "responses")
+}
+
+// measureCutOff counts requests without an answer, and with an unknown one.
+func measureCutOff(_ context.Context, s *scene, of string) value {
+	results := s.resultsOf(of)
+	return count(withVerdict(results, agcaller.Lost)+withVerdict(results, agcaller.Unknown)+withVerdict(results, agcaller.Failed), len(results), "requests")
+}
+
+// clockTolerance covers the time between the check of a deadline and the write
+// of the journal entry, on one machine with one clock.
+const clockTolerance = 5 * time.Millisecond
+
+func measureStartedAfterDeadline(_ context.Context, s *scene, _ string) value {
+	late, all := 0, 0
+	for _, journal := range s.final {
+		for _, entry := range journal.Entries {
+			if entry.DeadlineMillis == 0 || !entry.Ran {
+				continue
+			}
+			all++
+			if entry.Start.After(time.UnixMilli(entry.DeadlineMillis).Add(clockTolerance)) {
+				late++
+			}
+		}
+	}
+	return count(late, all, "requests")
+}
+
+// cancelGrace is how long cancelled work may go on.
+const cancelGrace = time.Second
+
+func measureRunningAfterCancel(_ context.Context, s *scene, of string) value {
+	canceled := map[string]time.Time{}
+	for _, result := range s.resultsOf(of) {
+		if result.Verdict == agcaller.Canceled {
+			canceled[result.Seed] = result.End
+		}
+	}
+	running, all := 0, 0
+	for _, journal := range s.final {
+		for _, entry := range journal.Entries {
+			at, ok := canceled[entry.Seed]
+			if !ok {
+				continue
+			}
+			all++
+			if entry.End.IsZero() || entry.End.After(at.Add(cancelGrace)) {
+				running++
+			}
+		}
+	}
+	if all == 0 {
+		return missing("no cancelled request reached a backend server")
+	}
+	return count(running, all, "requests")
+}
+
+// newHostLimit is how soon a host that joined has work.
+const newHostLimit = 5 * time.Second
+
+// measureNewHostsWithoutWork counts joined hosts that began no request within
+// the limit after their agent was ready or, without requests, hold no flow.
+func measureNewHostsWithoutWork(_ context.Context, s *scene, _ string) value {
+	without := 0
+	for _, name := range s.joined {
+		item, err := s.fleet.host(name)
+		if err != nil {
+			return missing("%w", err)
+		}
+		worked := false
+		for _, journal := range s.final {
+			for _, entry := range journal.Entries {
+				worked = worked || journal.Host == name && entry.Start.Before(item.joined.Add(newHostLimit))
+			}
+		}
+		if !worked {
+			s.note("host %s began no work within %s", name, newHostLimit)
+			without++
+		}
+	}
+	return count(without, len(s.joined), "hosts")
+}
+
+// compare checks a value against a target.
+func compare(got float64, op string, target float64) bool {
+	switch op {
+	case "=":
+		return got == target
+	case "<=":
+		return got <= target
+	case ">=":
+		return got >= target
+	case "<":
+		return got < target
+	default:
+		return got > target
+	}
+}
+
+// runExpect settles the case and writes one line of output.
+func runExpect(ctx context.Context, s *scene, step *step) error {
+	name := step.value("measure")
+	take, known := measures[name]
+	if !known {
+		return fmt.Errorf("no measure %q", name)
+	}
+	s.settle(ctx)
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	got := take(ctx, s, step.value("of"))
+	target, err := strconv.ParseFloat(step.value("target"), 64)
+	if err != nil {
+		return err
+	}
+	if got.missing != nil {
+		s.note("%s has no value: %v", name, got.missing)
+	}
+	s.output = append(s.output, outcome{
+		line: MeasureLine{
+			Case: s.name, Measure: name, Value: got.value, Of: got.of, Op: step.value("op"),
+			Target: target, Unit: got.unit, Seed: s.fleet.options.Seed,
+		},
+		missing: got.missing != nil,
+	})
+	return nil
+}
--- /dev/null
+++ b/internal/stand/agscenario/measures_reports.go
@@ -0,0 +1,86 @@
+package agscenario
+
+// Measures of reports that must run at most once. The truth is the journals of
+// the backend servers.
+
+import (
+	"bytes"
+	"context"
+
+	"github.com/anvilglade/anvilglade/internal/stand/agcaller"
+)
+
+// runs counts how often each report ran.
+func (s *scene) runs() map[string]int {
+	runs := map[string]int{}
+	for _, journal := range s.final {
+		for _, entry := range journal.Entries {
+			if entry.Report != "" && entry.Ran {
+				runs[entry.Report]++
+			}
+		}
+	}
+	return runs
+}
+
+func measureRanTwice(_ context.Context, s *scene, _ string) value {
+	twice := 0
+	runs := s.runs()
+	for report, n := range runs {
+		if n > 1 {
+			twice++
+			s.note("report %s ran %d times", report, n)
+		}
+	}
+	return count(twice, len(runs), "reports")
+}
+
+func measureSaidNotRunButRan(_ context.Context, s *scene, of string) value {
+	runs, wrong, all := s.runs(), 0, 0
+	for _, result := range s.resultsOf(of) {
+		if result.Report == "" {
+			continue
+		}
+		all++
+		if result.Verdict == agcaller.NotRun && runs[result.Report] > 0 {
+			wrong++
+			s.note("report %s was said not to have run and ran: %s", result.Report, result.Detail)
+		}
+	}
+	return count(wrong, all, "reports")
+}
+
+// measureSilentlyLost counts reports that the caller takes for done although
+// they never ran.
+func measureSilentlyLost(_ context.Context, s *scene, of string) value {
+	runs, lost, all := s.runs(), 0, 0
+	for _, result := range s.resultsOf(of) {
+		if result.Report == "" {
+			continue
+		}
+		all++
+		if result.Verdict == agcaller.Answered && runs[result.Report] == 0 {
+			lost++
+		}
+	}
+	return count(lost, all, "reports")
+}
+
+func measureUnknown(_ context.Context, s *scene, of string) value {
+	results := s.resultsOf(of)
+	return count(withVerdict(results, agcaller.Unknown)+withVerdict(results, agcaller.Lost), len(results), "reports")
+}
+
+// measureUnknownNotListed compares the reports that callers were told to be
+// unknown with the operator's list. It counts how many more the callers have
+// than the list.
+func measureUnknownNotListed(ctx context.Context, s *scene, of string) value {
+	told := withVerdict(s.resultsOf(of), agcaller.Unknown)
+	result, err := s.fleet.operate(ctx, "requests", "unknown", "--json")
+	if err != nil || result.code != 0 {
+		return missing("anvilglade requests unknown: exit code %d, %w: %s", result.code, err, result.errors)
+	}
+	listed := bytes.Count(result.output, []byte(`"Ticket"`))
+	s.note("unknown: told to callers %d, listed %d", told, listed)
+	return count(max(told-listed, 0), told, "reports")
+}
--- a/internal/stand/agstand/table.go
+++ b/internal/stand/agstand/table.go
@@ -43,6 +43,10 @@
 // table names the subcommands in the order of the help text.
 var table = []entry{
 	{name: "api", summary: "stand-in of the platform's object API", example: "agstand api --address 127.0.0.1:7000", create: newAPIVerb},
+	{name: "fabric", summary: "network between the processes, with fault injection", example: "agstand fabric --config fabric.json --control 127.0.0.1:7000", create: newFabricVerb},
+	{name: "backend", summary: "backend server", example: "agstand backend --host dk1-alerts-01 --services alerts=127.0.0.1:9001 --slots 4", create: newBackendVerb},
+	{name: "measure", summary: "run the cases and print one JSON line per measure", example: "agstand measure --anvilglade bin/anvilglade --cases test/cases --case ColdStart", create: newMeasureVerb},
+	{name: "demo", summary: "show a data centre leaving and returning, within 60 s", example: "agstand demo --anvilglade bin/anvilglade", create: newDemoVerb},
 }
 
 // Run parses the arguments, runs the chosen subcommand until it ends or the
