--- a/internal/stand/agscenario/measures.go
+++ b/internal/stand/agscenario/measures.go
@@ -59,6 +59,7 @@
 	"Imbalance":            measureImbalance,
 	"ImbalanceToRandom":    measureImbalanceToRandom,
 	"Goodput":              measureGoodput,
+	"GoodputOfSurviving":      measureGoodputOfSurviving,
 	"RefusalP99":           measureRefusalP99,
 	"Attempts":             measureAttempts,
 	"RanTwice":             measureRanTwice,
@@ -78,6 +79,7 @@
 	"InForceMax":        measureInForceMax,
 	"Reverted":          measureReverted,
 	"EditsLost":         measureEditsLost,
+	"EditsAppliedTwice":       measureEditsTwice,
 	"EditsWrongVerdict": measureEditsWrongVerdict,
 	"EditsOverwritten":  measureEditsOverwritten,
 }
@@ -357,6 +359,15 @@
 	return value{value: 100 * rate / capacity, of: capacity, unit: "% of capacity"}
 }
 
+// measureGoodputOfSurviving is the goodput as a part of the capacity that is
+// left when a share of the work fails.
+func measureGoodputOfSurviving(ctx context.Context, s *scene, of string) value {
+	got := measureGoodput(ctx, s, of)
+	got.value /= 1 - s.failShare
+	got.of *= 1 - s.failShare
+	return got
+}
+
 func measureRefusalP99(_ context.Context, s *scene, of string) value {
 	var times []time.Duration
 	for _, result := range s.resultsOf(of) {
--- a/internal/stand/agscenario/scene.go
+++ b/internal/stand/agscenario/scene.go
@@ -56,6 +56,8 @@
 	output     []outcome
 	// speeds are the speeds of hosts that are not 1.
 	speeds map[string]float64
+	// failShare is the share of the work that fails on all hosts.
+	failShare float64
 }
 
 type dcChange struct {
--- a/internal/stand/agscenario/verbs.go
+++ b/internal/stand/agscenario/verbs.go
@@ -170,6 +170,9 @@
 	if step.has("turncold") {
 		change["TurnCold"] = true
 	}
+	if step.value("name") == "all" && step.has("fail") {
+		s.failShare = step.share("fail")
+	}
 	selected, err := s.fleet.selectHosts(step.value("name"))
 	if err != nil {
 		return err
