--- a/internal/stand/agscenario/run.go
+++ b/internal/stand/agscenario/run.go
@@ -4,6 +4,7 @@
 // cases.
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -75,7 +76,7 @@
 	defer stop()
 	slots := make(chan struct{}, options.Parallel)
 	if err := group.Start("cases", func(context.Context) error {
-		for _, item := range jobs {
+		for _, item := range longestFirst(jobs) {
 			slots <- struct{}{}
 			if err := group.Start(item.name, func(context.Context) error {
 				defer func() { <-slots }()
@@ -126,6 +127,24 @@
 	return jobs, errors.Join(faults...)
 }
 
+// longestFirst orders the jobs by their waits, so that a long case does not run
+// alone at the end.
+func longestFirst(jobs []*job) []*job {
+	sorted := slices.Clone(jobs)
+	slices.SortStableFunc(sorted, func(a, b *job) int { return cmp.Compare(b.waits(), a.waits()) })
+	return sorted
+}
+
+func (j *job) waits() time.Duration {
+	total := time.Duration(0)
+	for _, item := range j.steps {
+		if item.verb.pattern == "wait <time:duration>" {
+			total += item.duration("time")
+		}
+	}
+	return total
+}
+
 func (j *job) label() string {
 	if j.baseline {
 		return j.name + "(baseline)"
--- a/internal/stand/agstand/demo.go
+++ b/internal/stand/agstand/demo.go
@@ -38,5 +38,9 @@
 		return ExitFailed
 	}
 	v.options.Agstand, v.options.Output = own, os.Stdout
-	return exitCode("demo", agscenario.Demo(ctx, v.options))
+	if err := agscenario.Demo(ctx, v.options); err != nil {
+		fmt.Fprintln(os.Stderr, "demo:", err)
+		return ExitFailed
+	}
+	return ExitDone
 }
