--- a/internal/stand/agcaller/caller_test.go
+++ b/internal/stand/agcaller/caller_test.go
@@ -7,6 +7,7 @@
 	"crypto/tls"
 	"crypto/x509"
 	"encoding/json"
+	"errors"
 	"io"
 	"math/big"
 	"net"
@@ -40,7 +41,7 @@
 		buf := make([]byte, 100)
 		for {
 			n, from, err := socket.ReadFrom(buf)
-			if err != nil {
+			if errors.Is(err, net.ErrClosed) {
 				return nil
 			}
 			answer, _ := json.Marshal(agbackend.Datagram{Service: "alerts", Host: host.Load().(string), Incarnation: 1, Echo: string(buf[:n])})
--- a/internal/stand/agscenario/measures.go
+++ b/internal/stand/agscenario/measures.go
@@ -59,7 +59,7 @@
 	"Imbalance":            measureImbalance,
 	"ImbalanceToRandom":    measureImbalanceToRandom,
 	"Goodput":              measureGoodput,
-	"GoodputOfSurviving":      measureGoodputOfSurviving,
+	"GoodputOfSurviving":   measureGoodputOfSurviving,
 	"RefusalP99":           measureRefusalP99,
 	"Attempts":             measureAttempts,
 	"RanTwice":             measureRanTwice,
@@ -79,7 +79,7 @@
 	"InForceMax":        measureInForceMax,
 	"Reverted":          measureReverted,
 	"EditsLost":         measureEditsLost,
-	"EditsAppliedTwice":       measureEditsTwice,
+	"EditsAppliedTwice": measureEditsTwice,
 	"EditsWrongVerdict": measureEditsWrongVerdict,
 	"EditsOverwritten":  measureEditsOverwritten,
 }
