--- a/internal/stand/agbackend/control.go
+++ b/internal/stand/agbackend/control.go
@@ -27,6 +27,8 @@
 	Speed float64
 	// TurnCold makes the server cold now; it is not kept.
 	TurnCold bool `json:",omitempty"`
+	// Known says with TurnCold that the server was out of service.
+	Known bool `json:",omitempty"`
 }
 
 func (s *Server) serveControl(w http.ResponseWriter, r *http.Request) {
@@ -37,13 +39,13 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	turn := control.TurnCold
-	control.TurnCold = false
+	turn, known := control.TurnCold, control.Known
+	control.TurnCold, control.Known = false, false
 	s.load.mu.Lock()
 	s.load.control = control
 	s.load.mu.Unlock()
 	if turn {
-		s.load.turnCold(time.Now())
+		s.load.turnCold(time.Now(), known)
 	}
 	writeJSON(w, control)
 }
--- a/internal/stand/agbackend/load.go
+++ b/internal/stand/agbackend/load.go
@@ -24,6 +24,12 @@
 // the server has read the end of the cancelled connection.
 const overGrace = 20 * time.Millisecond
 
+// noticeDelay is the time that an answer gets to reach the agent.
+const noticeDelay = 25 * time.Millisecond
+
+// unnoticed is a time that is never reached.
+var unnoticed = time.Unix(1<<40, 0)
+
 type load struct {
 	mu            sync.Mutex
 	options       Options
@@ -35,9 +41,9 @@
 	fellOverUntil time.Time
 	fellOver      []time.Time
 	turnedCold    []time.Time
-	// noticed is set once an answer left the server after it turned cold; an
-	// agent cannot know earlier.
-	noticed bool
+	// noticedAt is when an agent can know that the server turned cold; unnoticed
+	// until an answer has left it.
+	noticedAt time.Time
 	busy    time.Duration
 	// history holds past loads, so that /load can lag.
 	history []sample
@@ -58,7 +64,7 @@
 }
 
 func newLoad(options Options) *load {
-	return &load{options: options, warm: options.ColdInitial == 0, noticed: true}
+	return &load{options: options, warm: options.ColdInitial == 0}
 }
 
 func (l *load) slots() int {
@@ -79,15 +85,15 @@
 func (l *load) begin(now time.Time, final bool) admission {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	result := admission{load: l.inUse + 1, limit: l.limit(), noticed: l.noticed, factor: l.factor()}
+	result := admission{load: l.inUse + 1, limit: l.limit(), noticed: now.After(l.noticedAt), factor: l.factor()}
 	switch {
 	case now.Before(l.fellOverUntil):
 		result.verdict = verdictHang
 	case l.control.Draining || l.inUse >= l.slots():
 		result.verdict = verdictShed
-	case result.load > result.limit && l.noticed && !final:
+	case result.load > result.limit && result.noticed && !final:
 		result.verdict = verdictOver
-	case result.load > result.limit && l.noticed:
+	case result.load > result.limit && result.noticed:
 		result.verdict = verdictHang
 		l.fallOver(now)
 	default:
@@ -118,7 +124,9 @@
 	defer l.mu.Unlock()
 	l.inUse--
 	l.busy += worked
-	l.noticed = true
+	if l.noticedAt.Equal(unnoticed) {
+		l.noticedAt = now.Add(noticeDelay)
+	}
 	if completed {
 		l.completed++
 	}
@@ -128,11 +136,15 @@
 	l.remember(now)
 }
 
-// turnCold makes the server cold. Requests that it has begun go on.
-func (l *load) turnCold(now time.Time) {
+// turnCold makes the server cold. Requests that it has begun go on. Known says
+// that it was out of service, so that whoever sends to it has to expect it.
+func (l *load) turnCold(now time.Time, known bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.warm, l.completed, l.noticed = false, 0, false
+	l.warm, l.completed, l.noticedAt = false, 0, unnoticed
+	if known {
+		l.noticedAt = now
+	}
 	l.turnedCold = append(l.turnedCold, now)
 	if l.options.ColdInitial == 0 {
 		l.options.ColdInitial = 1
