--- a/internal/stand/agcaller/connection.go
+++ b/internal/stand/agcaller/connection.go
@@ -23,6 +23,9 @@
 	idleTimeout      = SilenceLimit
 	// redialPause keeps callers from dialling in a tight loop.
 	redialPause = 100 * time.Millisecond
+	// leaveGrace is above the timeouts of the cases, so that leaving cuts no
+	// request off.
+	leaveGrace = 5 * time.Second
 )
 
 // Target is the service that a caller connects to.
@@ -95,6 +98,19 @@
 	}
 }
 
+// leave makes the next request open a connection. The present one is closed
+// once the requests on it have had time to end.
+func (c *connection) leave() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.quic == nil {
+		return
+	}
+	old := &connection{quic: c.quic, transport: c.transport, socket: c.socket}
+	time.AfterFunc(leaveGrace, func() { old.close() })
+	c.quic, c.client = nil, nil
+}
+
 // drop closes a connection that a request found unusable, so that the next
 // request dials.
 func (c *connection) drop(conn *quic.Conn, reason string) {
--- a/internal/stand/agcaller/load.go
+++ b/internal/stand/agcaller/load.go
@@ -38,6 +38,9 @@
 	// CancelShare is the part of the requests that the caller cancels after a
 	// quarter of the work.
 	CancelShare float64
+	// ReconnectShare is the part of the requests after which the caller closes
+	// its connection and opens another for the next one.
+	ReconnectShare float64
 	// Uneven draws the callers with weights of a Pareto distribution.
 	Uneven bool
 	// Sends is how often a caller sends a GET that got no answer; at least 1.
@@ -153,6 +156,9 @@
 			result := l.run(ctx, l.callers[caller], item)
 			result.Caller = caller
 			l.keep(result)
+			if item.reconnect {
+				l.callers[caller].leave()
+			}
 			return nil
 		}); err != nil {
 			l.outstanding.Add(-1)
@@ -175,6 +181,7 @@
 	if l.options.CancelShare > 0 && random.Float64() < l.options.CancelShare {
 		item.cancelAfter = max(l.options.Work/4, time.Millisecond)
 	}
+	item.reconnect = l.options.ReconnectShare > 0 && random.Float64() < l.options.ReconnectShare
 	if l.options.Reports {
 		item.report = item.seed + " brakes replaced, two hours of work"
 	}
--- a/internal/stand/agcaller/request.go
+++ b/internal/stand/agcaller/request.go
@@ -71,6 +71,8 @@
 	ticket string
 	// cancelAfter ends the request early if it is above 0.
 	cancelAfter time.Duration
+	// reconnect makes the caller leave its connection after the request.
+	reconnect bool
 }
 
 func (o *order) request(ctx context.Context, target Target, deadline time.Time) (*http.Request, error) {
--- a/internal/stand/agscenario/verbs.go
+++ b/internal/stand/agscenario/verbs.go
@@ -31,7 +31,7 @@
 		}},
 		{"open <count:count> flows to <service:name> [every :duration]", runOpenFlows},
 		{"lines <count:count> to <service:name> from <callers:count> callers", runLines},
-		{"load <name:name> to <service:name> rate <rate:number> from <callers:count> callers [count :count] [min-size :count] [max-size :count] [work :duration] [timeout :duration] [cancel :share] [sends :count] [uneven] [reports] [tickets]", runLoad},
+		{"load <name:name> to <service:name> rate <rate:number> from <callers:count> callers [count :count] [min-size :count] [max-size :count] [work :duration] [timeout :duration] [cancel :share] [reconnect :share] [sends :count] [uneven] [reports] [tickets]", runLoad},
 		{"finish <name:name>", runFinish},
 		{"halt <name:name>", runHalt},
 		{"mark", runMark},
--- a/internal/stand/agscenario/verbs_callers.go
+++ b/internal/stand/agscenario/verbs_callers.go
@@ -86,6 +86,8 @@
 		Reports:     step.has("reports"),
 		Tickets:     step.has("tickets"),
 		CancelShare: step.share("cancel"),
+
+		ReconnectShare: step.share("reconnect"),
 		Uneven:      step.has("uneven"),
 		Sends:       max(step.count("sends"), 1),
 		Seed:        s.fleet.options.Seed,
--- a/internal/stand/agscenario/verbs_fleet.go
+++ b/internal/stand/agscenario/verbs_fleet.go
@@ -36,6 +36,12 @@
 	return names
 }
 
+func (f *Fleet) setEnded(item *host) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	item.ended = true
+}
+
 func (f *Fleet) host(name string) (*host, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -149,7 +155,7 @@
 	if err := s.fleet.keepJournal(ctx, item); err != nil {
 		return err
 	}
-	item.ended = true
+	s.fleet.setEnded(item)
 	item.agent.kill()
 	item.backend.kill()
 	s.hostGone(item.name)
@@ -170,8 +176,10 @@
 		if err := s.fleet.keepJournal(context.WithoutCancel(ctx), item); err != nil {
 			s.violation("GracefulStop", "%v", err)
 		}
-		item.ended = true
+		s.fleet.setEnded(item)
 		item.backend.kill()
+		// Flows that outlast the drain limit end by the operator's decision.
+		s.hostGone(item.name)
 		return nil
 	})
 }
