--- a/internal/stand/agbackend/load.go
+++ b/internal/stand/agbackend/load.go
@@ -44,7 +44,7 @@
 	// noticedAt is when an agent can know that the server turned cold; unnoticed
 	// until an answer has left it.
 	noticedAt time.Time
-	busy    time.Duration
+	busy      time.Duration
 	// history holds past loads, so that /load can lag.
 	history []sample
 }
--- a/internal/stand/agscenario/verbs_callers.go
+++ b/internal/stand/agscenario/verbs_callers.go
@@ -88,9 +88,9 @@
 		CancelShare: step.share("cancel"),
 
 		ReconnectShare: step.share("reconnect"),
-		Uneven:      step.has("uneven"),
-		Sends:       max(step.count("sends"), 1),
-		Seed:        s.fleet.options.Seed,
+		Uneven:         step.has("uneven"),
+		Sends:          max(step.count("sends"), 1),
+		Seed:           s.fleet.options.Seed,
 	})
 	if err != nil {
 		return err
