--- a/internal/membership/agmember/reporter.go
+++ b/internal/membership/agmember/reporter.go
@@ -33,10 +33,13 @@
 	// JoinStamp are set by the reporter.
 	Record anvilglade.HostRecord
 	// Seeds are datagram addresses of balancers to start with.
-	Seeds  []netip.AddrPort
-	Send   SendFunc
-	Clock  anvilglade.Clock
-	Events anvilglade.Recorder
+	Seeds []netip.AddrPort
+	// Holding returns the services of which the host has established flows. It
+	// may be nil.
+	Holding func() []anvilglade.ServiceID
+	Send    SendFunc
+	Clock   anvilglade.Clock
+	Events  anvilglade.Recorder
 }
 
 // Reporter is the agent's side of membership: it sends heartbeats and keeps the
@@ -50,6 +53,7 @@
 	record      anvilglade.HostRecord
 	orders      *anvilglade.HostOrders
 	ordersHash  uint64
+	maxStamp    anvilglade.JoinStamp
 	sendRecord  bool
 	turn        int
 	lastAck     time.Time
@@ -138,7 +142,9 @@
 // beat sends one heartbeat to the next target and returns the time to the next
 // one.
 func (r *Reporter) beat() time.Duration {
+	holding := r.holding()
 	r.mu.Lock()
+	r.announceServices(holding)
 	targets := r.targets()
 	interval := startInterval
 	if r.orders != nil {
@@ -208,12 +214,13 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.lastAck = r.options.Clock.Now()
+	r.maxStamp = max(r.maxStamp, ack.MaxJoinStamp)
 	if ack.SendRecord {
 		r.sendRecord = true
 	}
 	changed := r.handleClaim(ack)
 	if r.record.JoinStamp == 0 {
-		r.join(ack.MaxJoinStamp)
+		r.join()
 		changed = true
 	}
 	if ack.Orders != nil && r.adopt(ack) {
@@ -231,6 +238,7 @@
 		return false
 	}
 	r.record.Sequence = *ack.Claimed
+	r.record.AcceptStamp = r.drawStamp()
 	r.setState(r.record.OwnState)
 	r.log.WithField("Sequence", r.record.Sequence).Warn("Host was claimed to be unreachable; the claim is refuted.")
 	return true
@@ -238,19 +246,60 @@
 
 // join takes a join stamp above all that the balancer knows, so that this host
 // is younger than every host that may hold flows.
-func (r *Reporter) join(highest anvilglade.JoinStamp) {
-	r.record.JoinStamp = max(anvilglade.JoinStamp(r.options.Events.Now()), highest+1)
+func (r *Reporter) join() {
+	r.record.JoinStamp = r.drawStamp()
+	r.record.AcceptStamp = r.record.JoinStamp
 	if r.record.OwnState == anvilglade.HostJoining {
 		r.setState(anvilglade.HostActive)
 	}
 	r.sendRecord = true
 }
 
+// drawStamp returns a stamp above all that this agent has heard of.
+func (r *Reporter) drawStamp() anvilglade.JoinStamp {
+	r.maxStamp = max(anvilglade.JoinStamp(r.options.Events.Now()), r.maxStamp+1)
+	return r.maxStamp
+}
+
+func (r *Reporter) holding() []anvilglade.ServiceID {
+	if r.options.Holding == nil {
+		return nil
+	}
+	return r.options.Holding()
+}
+
+// announceServices puts the service that takes new flows and those with
+// established flows into the record.
+func (r *Reporter) announceServices(holding []anvilglade.ServiceID) {
+	if r.orders == nil {
+		return
+	}
+	services := [anvilglade.MaxHostServices]anvilglade.ServiceID{r.orders.Service}
+	next := 1
+	for _, service := range holding {
+		if service != r.orders.Service && next < len(services) {
+			services[next] = service
+			next++
+		}
+	}
+	if services == r.record.Services {
+		return
+	}
+	r.record.Services = services
+	r.record.Sequence++
+	r.sendRecord = true
+}
+
 // adopt takes orders unless they rest on a lower revision or on older keys.
 func (r *Reporter) adopt(ack *HeartbeatAck) bool {
 	if r.orders != nil && (ack.Orders.Revision < r.orders.Revision || ack.Orders.KeysAt < r.orders.KeysAt) {
 		return false
 	}
+	if r.orders != nil && acceptsAnew(r.orders, ack.Orders) {
+		r.record.AcceptStamp = r.drawStamp()
+		r.record.Sequence++
+		r.sendRecord = true
+	}
 	r.orders = ack.Orders
 	r.ordersHash = ack.OrdersHash
 	for signal := range r.subscribers {
@@ -259,6 +308,16 @@
 	return true
 }
 
+// acceptsAnew reports whether the host begins to take new flows of a service
+// that it did not take before.
+func acceptsAnew(before, after *anvilglade.HostOrders) bool {
+	return accepting(after) && (!accepting(before) || before.Service != after.Service)
+}
+
+func accepting(orders *anvilglade.HostOrders) bool {
+	return orders.Service != "" && !orders.Draining && orders.DataCentreState == anvilglade.DataCentreIn
+}
+
 func (*Reporter) signal(channel chan struct{}) {
 	select {
 	case channel <- struct{}{}:
