--- a/internal/stand/agscenario/fleet.go
+++ b/internal/stand/agscenario/fleet.go
@@ -392,7 +392,7 @@
 		"--join-secret", f.secret,
 	}
 	if f.options.Baseline {
-		args = append(args, "--ownership", "baseline")
+		args = append(args, "--ownership", "baseline", "--admission", "baseline")
 	}
 	var err error
 	item.agent, err = startProcess(f.group, f.options.Dir, item.name+"-agent", f.options.Anvilglade, args...)
