--- a/internal/stand/agcaller/report.go
+++ b/internal/stand/agcaller/report.go
@@ -5,17 +5,16 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
 	"strings"
 	"time"
-
-	"github.com/anvilglade/anvilglade/internal/stand/agbackend"
 )
 
 const (
-	ticketPath   = "/.well-known/anvilglade/tickets"
+	ticketPath   = "/.anvilglade/tickets"
 	maxTicket    = 1 << 12
 	reportSends  = 6
 	reportPause  = 200 * time.Millisecond
@@ -41,7 +40,7 @@
 	var result Result
 	for sends := 1; ; sends++ {
 		result = c.send(ctx, item)
-		result.Start, result.Sends = start, sends
+		result.Start, result.Sends, result.Ticket = start, sends, ticket
 		final := result.Verdict == Answered || result.Verdict == NotRun || result.Verdict == Foreign
 		if final || sends >= reportSends || ctx.Err() != nil {
 			return result
@@ -67,12 +66,12 @@
 		return "", err
 	}
 	defer closeBody(response)
-	if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxTicket)); err != nil {
-		return "", err
+	var answer struct{ Ticket string }
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxTicket)).Decode(&answer); err != nil {
+		return "", fmt.Errorf("status %d, no ticket: %w", response.StatusCode, err)
 	}
-	ticket := response.Header.Get(agbackend.HeaderKey)
-	if ticket == "" {
+	if answer.Ticket == "" {
 		return "", fmt.Errorf("status %d without a ticket", response.StatusCode)
 	}
-	return ticket, nil
+	return answer.Ticket, nil
 }
--- a/internal/stand/agcaller/request.go
+++ b/internal/stand/agcaller/request.go
@@ -40,6 +40,7 @@
 	// Seed names a GET, Report a POST; both are unique in a scenario.
 	Seed     string
 	Report   string
+	Ticket   string
 	Start    time.Time
 	End      time.Time
 	Deadline time.Time
@@ -57,7 +58,6 @@
 const (
 	problemContent = "application/problem+json"
 	maxProblem     = 1 << 16
-	headerRepeat   = "Anvilglade-Repeat"
 )
 
 // order is a request that is to be sent.
--- a/internal/stand/agscenario/measures_reports.go
+++ b/internal/stand/agscenario/measures_reports.go
@@ -71,16 +71,23 @@
 	return count(withVerdict(results, agcaller.Unknown)+withVerdict(results, agcaller.Lost), len(results), "reports")
 }
 
-// measureUnknownNotListed compares the reports that callers were told to be
-// unknown with the operator's list. It counts how many more the callers have
-// than the list.
+// measureUnknownNotListed counts reports that callers were told to be unknown
+// and whose ticket is not on the operator's list.
 func measureUnknownNotListed(ctx context.Context, s *scene, of string) value {
-	told := withVerdict(s.resultsOf(of), agcaller.Unknown)
 	result, err := s.fleet.operate(ctx, "requests", "unknown", "--json")
 	if err != nil || result.code != 0 {
 		return missing("anvilglade requests unknown: exit code %d, %w: %s", result.code, err, result.errors)
 	}
-	listed := bytes.Count(result.output, []byte(`"Ticket"`))
-	s.note("unknown: told to callers %d, listed %d", told, listed)
-	return count(max(told-listed, 0), told, "reports")
+	told, unlisted := 0, 0
+	for _, one := range s.resultsOf(of) {
+		if one.Verdict != agcaller.Unknown {
+			continue
+		}
+		told++
+		if !bytes.Contains(result.output, []byte(one.Ticket)) {
+			unlisted++
+			s.note("report %s is unknown to its caller and not on the list: %s", one.Report, one.Detail)
+		}
+	}
+	return count(unlisted, told, "reports")
 }
