--- a/internal/stand/agcaller/request.go
+++ b/internal/stand/agcaller/request.go
@@ -130,6 +130,11 @@
 		result.Detail = "dial: " + result.Detail
 		return result
 	}
+	// Another request of this caller may have held up the dial.
+	if !time.Now().Before(result.Deadline) {
+		result.finish(Lost, errors.New("deadline passed before a connection was open"))
+		return result
+	}
 	request, err := item.request(ctx, c.target, result.Deadline)
 	if err != nil {
 		result.finish(Lost, err)
--- a/internal/stand/agfabric/counters.go
+++ b/internal/stand/agfabric/counters.go
@@ -4,6 +4,7 @@
 // 5 s".
 
 import (
+	"maps"
 	"sync"
 	"time"
 )
@@ -20,6 +21,8 @@
 	Packets    int
 	// Kinds counts by the kind byte of the header in the clear.
 	Kinds map[int]int
+	// Senders counts by the name of the sending party.
+	Senders map[string]int
 }
 
 type counters struct {
@@ -31,7 +34,7 @@
 	return &counters{counts: map[*partyState]map[int64]*Count{}}
 }
 
-func (c *counters) add(party *partyState, data []byte) {
+func (c *counters) add(from, party *partyState, data []byte) {
 	slot := time.Now().Truncate(CountInterval).UnixMilli()
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -42,10 +45,11 @@
 	}
 	count := slots[slot]
 	if count == nil {
-		count = &Count{Party: party.Name, Groups: party.Groups, UnixMillis: slot, Kinds: map[int]int{}}
+		count = &Count{Party: party.Name, Groups: party.Groups, UnixMillis: slot, Kinds: map[int]int{}, Senders: map[string]int{}}
 		slots[slot] = count
 	}
 	count.Packets++
+	count.Senders[from.Name]++
 	if len(data) > kindOffset {
 		count.Kinds[int(data[kindOffset])]++
 	}
@@ -59,9 +63,16 @@
 	for _, slots := range c.counts {
 		for slot, count := range slots {
 			if slot >= unixMillis {
-				found = append(found, *count)
+				found = append(found, count.clone())
 			}
 		}
 	}
 	return found
 }
+
+// clone keeps the maps of a count that still grows out of the answer.
+func (c *Count) clone() Count {
+	copied := *c
+	copied.Kinds, copied.Senders = maps.Clone(c.Kinds), maps.Clone(c.Senders)
+	return copied
+}
--- a/internal/stand/agfabric/forward.go
+++ b/internal/stand/agfabric/forward.go
@@ -26,7 +26,7 @@
 		}
 		class := classOf(to, data)
 		if class == ClassData {
-			f.counts.add(to.party, data)
+			f.counts.add(from.party, to.party, data)
 		}
 		f.deliver(link{from: from.party.names, to: to.party.names, class: class}, data, from.socket, to.Real)
 	})
--- a/internal/stand/agscenario/demo.go
+++ b/internal/stand/agscenario/demo.go
@@ -33,8 +33,9 @@
 open 200 flows to jobs every 500ms
 load guides to archive rate 60 from 12 callers max-size 100000 timeout 2s sends 3
 load sheets to jobs rate 120 from 20 callers max-size 20000 timeout 2s sends 3
-wait 2s
+wait 1s
 mark
+wait 3s
 datacentre out dk2
 wait 7s
 datacentre in dk2
@@ -69,6 +70,11 @@
 	defer stopScene()
 	for _, item := range steps {
 		current.note("%s", item.text)
+		if strings.HasPrefix(item.text, "datacentre out") {
+			if err := current.keepBalance(ctx); err != nil {
+				return err
+			}
+		}
 		if err := item.verb.run(ctx, current, item); err != nil {
 			return fmt.Errorf("logs are in %s: %w", dir, item.errorf("%w", err))
 		}
@@ -95,6 +101,21 @@
 	return steps, nil
 }
 
+// keepBalance keeps the utilisation of the hosts since the mark, before a data
+// centre without work is part of it.
+func (s *scene) keepBalance(ctx context.Context) error {
+	journals, err := s.fleet.journals(ctx)
+	if err != nil {
+		return err
+	}
+	s.final = journals
+	s.balance = map[string]map[string]float64{}
+	for _, service := range s.fleet.services {
+		s.balance[service.spec.name] = s.utilisations(service.spec.name)
+	}
+	return nil
+}
+
 // table prints what happened, one row for each service and change.
 func (s *scene) table(ctx context.Context, output io.Writer) error {
 	writer := tabwriter.NewWriter(output, 0, 0, 2, ' ', 0)
@@ -104,7 +125,7 @@
 	row("UDP FLOWS\tBROKEN\tLOST WITH THE DATA CENTRE\tWRONG SERVICE\tP99 TO FIRST ANSWER")
 	row("%d\t%d\t%d\t%d\t%s", report.Flows, report.Broken, report.Lost, report.WrongService, report.OpenP99.Round(time.Millisecond))
 	row("")
-	row("SERVICE\tREQUESTS\tANSWERED\tREFUSED\tOTHER\tP99\tIMBALANCE")
+	row("SERVICE\tREQUESTS\tANSWERED\tREFUSED\tOTHER\tP99\tIMBALANCE BEFORE THE CHANGE")
 	for _, name := range []string{"guides", "sheets"} {
 		results, _ := s.loads[name].Results()
 		answered, refused := withVerdict(results, agcaller.Answered), withVerdict(results, agcaller.NotRun)
@@ -114,7 +135,7 @@
 		}
 		service := s.loadService[name]
 		row("%s\t%d\t%d\t%d\t%d\t%s\t%.2f", service, len(results), answered, refused, len(results)-answered-refused,
-			agcaller.Percentile(times, 99).Round(time.Millisecond), maxOverMean(s.utilisations(service)))
+			agcaller.Percentile(times, 99).Round(time.Millisecond), maxOverMean(s.balance[service]))
 	}
 	row("")
 	row("CHANGE\tIN EFFECT AFTER")
--- a/internal/stand/agscenario/measures.go
+++ b/internal/stand/agscenario/measures.go
@@ -183,7 +183,7 @@
 // left out.
 func (s *scene) packetsTo(change dcChange, until time.Time, counts []agfabric.Count) (late, all int) {
 	from := change.start.Add(outGrace)
-	kinds := map[int]int{}
+	kinds, senders := map[int]int{}, map[string]int{}
 	for _, item := range counts {
 		if !slices.Contains(item.Groups, "hosts") || !slices.Contains(item.Groups, change.name) {
 			continue
@@ -197,9 +197,12 @@
 		for kind, n := range item.Kinds {
 			kinds[kind] += n
 		}
+		for sender, n := range item.Senders {
+			senders[sender+" to "+item.Party] += n
+		}
 	}
 	if late > 0 {
-		s.note("packets to %s after %s by kind byte: %v", change.name, outGrace, kinds)
+		s.note("packets to %s after %s by kind byte: %v, by sender: %v", change.name, outGrace, kinds, senders)
 	}
 	return late, all
 }
--- a/internal/stand/agscenario/scene.go
+++ b/internal/stand/agscenario/scene.go
@@ -56,6 +56,8 @@
 	output     []outcome
 	// speeds are the speeds of hosts that are not 1.
 	speeds map[string]float64
+	// balance is the utilisation of the hosts of each service at one time.
+	balance map[string]map[string]float64
 	// failShare is the share of the work that fails on all hosts.
 	failShare float64
 }
