Add the operators' subcommands and timeline output

Cause: operators edit tables, take data centres out, rotate keys and read the time line of the fleet from the command line and from scripts.

--- a/internal/config/agconfig/agconfig_test.go
+++ b/internal/config/agconfig/agconfig_test.go
@@ -1,6 +1,7 @@
 package agconfig_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/netip"
 	"path"
@@ -202,6 +203,10 @@
 	if err != nil {
 		b.Fatal(err)
 	}
+	plain, err := json.Marshal(document)
+	if err != nil {
+		b.Fatal(err)
+	}
 	matcher := agconfig.NewMatcher(tables)
 	for name, work := range map[string]func() error{
 		"Encode":  func() error { _, err := agconfig.Encode(document); return err },
@@ -225,12 +230,13 @@
 		},
 	} {
 		b.Run(name, func(b *testing.B) {
-			b.ReportMetric(float64(len(data)), "object-bytes")
 			for b.Loop() {
 				if err := work(); err != nil {
 					b.Fatal(err)
 				}
 			}
+			b.ReportMetric(float64(len(data)), "object-bytes")
+			b.ReportMetric(float64(len(plain)), "json-bytes")
 		})
 	}
 }
--- a/internal/config/agconfig/pattern.go
+++ b/internal/config/agconfig/pattern.go
@@ -62,6 +62,13 @@
 }
 
 func charactersOf(token string) uint64 {
+	// Most patterns are plain names, so a plain character is looked up.
+	if len(token) == 1 && token != "?" {
+		if i := strings.IndexByte(nameAlphabet, token[0]); i >= 0 {
+			return 1 << i
+		}
+		return 0
+	}
 	var set uint64
 	for i := range nameAlphabet {
 		if ok, err := path.Match(token, nameAlphabet[i:i+1]); ok && err == nil {
--- /dev/null
+++ b/internal/config/agedit/race_test.go
@@ -0,0 +1,128 @@
+package agedit_test
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anvilglade/anvilglade"
+	"github.com/anvilglade/anvilglade/internal/config/agconfig"
+	"github.com/anvilglade/anvilglade/internal/config/agedit"
+	"github.com/anvilglade/anvilglade/internal/operate/agtask"
+	"github.com/anvilglade/anvilglade/internal/platform/agstore"
+	"github.com/anvilglade/anvilglade/internal/stand/agapi"
+)
+
+const (
+	racers       = 8
+	editsOfRacer = 25
+)
+
+// Guards against lost, repeated or misreported edits when eight operators edit
+// at once over HTTP while a fifth of the answers to writes is lost. Each
+// operator has its own row, so every edit must be accepted in the end.
+func TestRacingOperatorsWithLostAnswers(t *testing.T) {
+	stand := agapi.NewServer(agapi.Options{})
+	if err := stand.Play(agapi.Script{Seed: 11, Steps: []agapi.Step{{Faults: agapi.Faults{LostAnswers: 0.2}}}}); err != nil {
+		t.Fatal(err)
+	}
+	server := httptest.NewServer(stand)
+	defer server.Close()
+	group, stop, err := agtask.NewGroup(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stop()
+	var mu sync.Mutex
+	verdicts := map[anvilglade.EditID]agedit.Verdict{}
+	for i := range racers {
+		if err := group.Start("racer", func(ctx context.Context) error {
+			store, closeStore, err := agstore.NewStore(agstore.Options{URL: server.URL, ReadsPerSecond: 1000, WritesPerSecond: 1000})
+			if err != nil {
+				return err
+			}
+			defer closeStore()
+			editor := agedit.NewEditor(agedit.Options{Store: store, Author: fmt.Sprint(i), Attempts: 1000, Pause: shortPause})
+			for n := range editsOfRacer {
+				verdict, err := raceOnce(ctx, editor, i, n)
+				if err != nil {
+					return err
+				}
+				mu.Lock()
+				verdicts[verdict.EditID] = verdict
+				mu.Unlock()
+			}
+			return nil
+		}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := group.Wait(); err != nil {
+		t.Fatal(err)
+	}
+	if lost := stand.Counts().Lost; lost == 0 {
+		t.Error("no answer was lost, so the test shows nothing")
+	}
+	checkRace(t, stand, verdicts)
+}
+
+// shortPause keeps the test short; the rates of the stand-in bound the load.
+func shortPause(ctx context.Context, wait time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(wait / 10):
+		return nil
+	}
+}
+
+func raceOnce(ctx context.Context, editor *agedit.Editor, racer, n int) (agedit.Verdict, error) {
+	snapshot, err := editor.Read(ctx)
+	if err != nil {
+		return agedit.Verdict{}, err
+	}
+	name := anvilglade.DataCentreID(fmt.Sprintf("dc%d", racer))
+	row := anvilglade.DataCentre{Name: name, Region: anvilglade.RegionID(fmt.Sprintf("r%d", n)), State: anvilglade.DataCentreIn}
+	var own anvilglade.Tables
+	for _, centre := range snapshot.Document.Tables.DataCentres {
+		if centre.Name == name {
+			own.DataCentres = append(own.DataCentres, centre)
+		}
+	}
+	changes, err := agconfig.Diff(own, anvilglade.Tables{DataCentres: []anvilglade.DataCentre{row}})
+	if err != nil {
+		return agedit.Verdict{}, err
+	}
+	return editor.Submit(ctx, agedit.Request{Base: snapshot.Revision, Changes: changes}), nil
+}
+
+func checkRace(t *testing.T, stand *agapi.Server, verdicts map[anvilglade.EditID]agedit.Verdict) {
+	t.Helper()
+	revisions := map[anvilglade.Revision]bool{}
+	for id, verdict := range verdicts {
+		if verdict.Outcome != agedit.Accepted {
+			t.Errorf("edit %s: %s %s", id, verdict.Outcome, verdict.Reason)
+		}
+		if revisions[verdict.Revision] {
+			t.Errorf("two edits were told the revision %d", verdict.Revision)
+		}
+		revisions[verdict.Revision] = true
+	}
+	object, _ := stand.Objects().Get(agconfig.ObjectKind, agconfig.ObjectName, 0)
+	if object.Version != racers*editsOfRacer {
+		t.Errorf("%d writes took effect, want %d", object.Version, racers*editsOfRacer)
+	}
+	document, err := agconfig.Decode(object.Data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, centre := range document.Tables.DataCentres {
+		if want := anvilglade.RegionID(fmt.Sprintf("r%d", editsOfRacer-1)); centre.Region != want {
+			t.Errorf("row %s ends with %s, want %s", centre.Name, centre.Region, want)
+		}
+	}
+	t.Logf("%d edits, API calls: %+v", len(verdicts), stand.Counts())
+}
--- a/internal/config/agedit/submit.go
+++ b/internal/config/agedit/submit.go
@@ -43,7 +43,6 @@
 		}
 		// Half of the pause is random, so that racing editors part.
 		if err := e.options.Pause(ctx, wait/2+rand.N(wait/2)); err != nil {
-			a.last = err
 			break
 		}
 		wait = min(2*wait, longestPause)
@@ -55,6 +54,14 @@
 	return Verdict{Outcome: outcome, EditID: a.request.ID, Revision: revision, Base: a.base}
 }
 
+// note keeps the reason of a failed attempt. The end of ctx says less than the
+// failure before it.
+func (a *attempt) note(ctx context.Context, err error) {
+	if ctx.Err() == nil || errors.Is(a.last, ErrContention) {
+		a.last = err
+	}
+}
+
 func (a *attempt) giveUp() Verdict {
 	if a.pending {
 		verdict := a.verdict(Unknown, a.seen)
@@ -70,7 +77,7 @@
 func (a *attempt) try(ctx context.Context) (Verdict, bool) {
 	snapshot, err := a.editor.Read(ctx)
 	if err != nil {
-		a.last = err
+		a.note(ctx, err)
 		return Verdict{}, false
 	}
 	if snapshot.Revision < a.floor {
@@ -158,9 +165,9 @@
 		a.last = ErrContention
 	case errors.Is(err, anvilglade.ErrUnknownOutcome):
 		a.pending, a.base = true, snapshot.Revision
-		a.last = err
+		a.note(ctx, err)
 	default:
-		a.last = err
+		a.note(ctx, err)
 	}
 	return Verdict{}, false
 }
--- /dev/null
+++ b/internal/operate/agcommand/fleet.go
@@ -0,0 +1,272 @@
+package agcommand
+
+// Learns the fleet from admin addresses. The given addresses are asked first;
+// the /status of a balancer lists the records of all balancers and hosts with
+// their admin addresses, which are asked next.
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/anvilglade/anvilglade"
+	"github.com/anvilglade/anvilglade/internal/operate/agtask"
+)
+
+const (
+	// fetchLimit bounds the processes that are asked at once.
+	fetchLimit   = 64
+	fetchTimeout = 3 * time.Second
+	maxAnswer    = 64 << 20
+	waitInterval = 200 * time.Millisecond
+)
+
+// processStatus is the part of /status that the operators' commands use.
+type processStatus struct {
+	Balancer    anvilglade.BalancerID
+	Host        anvilglade.HostID
+	DataCentre  anvilglade.DataCentreID
+	Revision    anvilglade.Revision
+	KeysVersion anvilglade.Version
+	Members     anvilglade.Members
+}
+
+// processAnswer is what a process said, or why it did not.
+type processAnswer struct {
+	Address netip.AddrPort
+	// Name is set for processes whose record is known.
+	Name   string
+	Status processStatus
+	Ready  string
+	Err    error
+}
+
+func (a *processAnswer) name() string {
+	switch {
+	case a.Status.Balancer != "":
+		return "balancer/" + string(a.Status.Balancer)
+	case a.Status.Host != "":
+		return "agent/" + string(a.Status.Host)
+	case a.Name != "":
+		return a.Name
+	default:
+		return a.Address.String()
+	}
+}
+
+// fetch gets a path of an admin address.
+func fetch(ctx context.Context, address netip.AddrPort, path string) ([]byte, int, error) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address.String()+path, nil)
+	if err != nil {
+		return nil, 0, err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, 0, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer))
+	if err != nil {
+		return nil, 0, err
+	}
+	return body, response.StatusCode, nil
+}
+
+// fetchAll calls work for each index, at most fetchLimit at once.
+func fetchAll(ctx context.Context, count int, work func(ctx context.Context, index int)) error {
+	group, stop, err := agtask.NewGroup(ctx)
+	if err != nil {
+		return err
+	}
+	defer stop()
+	var mu sync.Mutex
+	next := 0
+	for range min(count, fetchLimit) {
+		if err := group.Start("fetch", func(ctx context.Context) error {
+			for {
+				mu.Lock()
+				index := next
+				next++
+				mu.Unlock()
+				if index >= count {
+					return nil
+				}
+				work(ctx, index)
+			}
+		}); err != nil {
+			return err
+		}
+	}
+	return group.Wait()
+}
+
+func askStatus(ctx context.Context, answer *processAnswer) {
+	body, code, err := fetch(ctx, answer.Address, "/status")
+	if err == nil && code != http.StatusOK {
+		err = fmt.Errorf("answered %d", code)
+	}
+	if err == nil {
+		err = json.Unmarshal(body, &answer.Status)
+	}
+	if err != nil {
+		answer.Err = err
+		return
+	}
+	ready, code, err := fetch(ctx, answer.Address, "/ready")
+	switch {
+	case err != nil:
+		answer.Ready = "no"
+	case code == http.StatusOK:
+		answer.Ready = "yes"
+	default:
+		answer.Ready = "no: " + strings.TrimSpace(string(ready))
+	}
+}
+
+// processes asks the given addresses, and the processes that they know.
+func (c *operatorCommand) processes(ctx context.Context, hosts bool) []processAnswer {
+	var answers []processAnswer
+	known := map[netip.AddrPort]bool{}
+	add := func(address netip.AddrPort, name string) {
+		if address.IsValid() && !known[address] {
+			known[address] = true
+			answers = append(answers, processAnswer{Address: address, Name: name})
+		}
+	}
+	for _, address := range c.admin {
+		add(address, "")
+	}
+	ask := func(from int) {
+		if err := fetchAll(ctx, len(answers)-from, func(ctx context.Context, i int) { askStatus(ctx, &answers[from+i]) }); err != nil {
+			_ = c.fail(err)
+		}
+	}
+	ask(0)
+	given := len(answers)
+	for i := range given {
+		members := answers[i].Status.Members
+		for _, balancer := range members.Balancers {
+			if balancer.Living {
+				add(balancer.AdminAddress, "balancer/"+string(balancer.Balancer))
+			}
+		}
+		for _, host := range members.Hosts {
+			if hosts && host.State != anvilglade.HostDead && host.State != anvilglade.HostLeft {
+				add(host.AdminAddress, "agent/"+string(host.Host))
+			}
+		}
+	}
+	ask(given)
+	slices.SortStableFunc(answers, func(a, b processAnswer) int { return strings.Compare(a.name(), b.name()) })
+	return answers
+}
+
+// knownHosts returns the hosts that the given balancers know, nil if none
+// answers.
+func (c *operatorCommand) knownHosts(ctx context.Context) []anvilglade.HostRecord {
+	for _, address := range c.admin {
+		answer := processAnswer{Address: address}
+		askStatus(ctx, &answer)
+		if answer.Err == nil && len(answer.Status.Members.Hosts) > 0 {
+			return answer.Status.Members.Hosts
+		}
+	}
+	return nil
+}
+
+// awaitRevision polls until the revision is in effect on every living balancer
+// and names those that lag.
+func (c *operatorCommand) awaitRevision(ctx context.Context, revision anvilglade.Revision) int {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), c.waitTimeout)
+	defer cancel()
+	began := time.Now()
+	for {
+		var lagging []string
+		balancers := 0
+		for _, answer := range c.processes(ctx, false) {
+			if answer.Status.Host != "" {
+				continue
+			}
+			balancers++
+			if answer.Err != nil {
+				lagging = append(lagging, answer.name()+" does not answer")
+			} else if answer.Status.Revision < revision {
+				lagging = append(lagging, fmt.Sprintf("%s has revision %d", answer.name(), answer.Status.Revision))
+			}
+		}
+		if len(lagging) == 0 && balancers > 0 {
+			fmt.Fprintf(os.Stderr, "Revision %d is in effect on %d balancers after %s.\n", revision, balancers, time.Since(began).Round(time.Millisecond))
+			return ExitDone
+		}
+		select {
+		case <-ctx.Done():
+			fmt.Fprintf(os.Stderr, "Revision %d is accepted but not in effect everywhere:\n  %s\n", revision, strings.Join(lagging, "\n  "))
+			return ExitFailed
+		case <-time.After(waitInterval):
+		}
+	}
+}
+
+func newStatusVerb() Verb {
+	return newOperatorVerb(action{run: showStatus})
+}
+
+// statusLine is one process in the output of 'status'.
+type statusLine struct {
+	Process  string
+	Revision anvilglade.Revision
+	Keys     anvilglade.Version
+	Ready    string
+	Lagging  bool
+}
+
+// showStatus prints the newest revision and what each process has in effect.
+func showStatus(ctx context.Context, c *operatorCommand) int {
+	snapshot, platformErr := c.read(ctx)
+	code := ExitDone
+	lines := []statusLine{}
+	var rows [][]string
+	for _, answer := range c.processes(ctx, true) {
+		line := statusLine{Process: answer.name(), Revision: answer.Status.Revision, Keys: answer.Status.KeysVersion, Ready: answer.Ready}
+		if answer.Err != nil {
+			line.Ready = "no answer"
+		}
+		line.Lagging = answer.Err != nil || platformErr == nil && line.Revision < snapshot.Revision
+		if line.Lagging {
+			code = ExitFailed
+		}
+		lines = append(lines, line)
+		rows = append(rows, []string{line.Process, strconv.FormatUint(uint64(line.Revision), 10), strconv.FormatUint(uint64(line.Keys), 10), line.Ready})
+	}
+	if platformErr != nil {
+		code = ExitFailed
+	}
+	if c.json {
+		problem := ""
+		if platformErr != nil {
+			problem = platformErr.Error()
+		}
+		c.printJSON(map[string]any{"Revision": snapshot.Revision, "Platform": problem, "Processes": lines})
+		return code
+	}
+	if platformErr != nil {
+		fmt.Printf("Platform: %v. The balancers keep their last revision.\n", platformErr)
+	} else {
+		fmt.Printf("Platform: revision %d\n", snapshot.Revision)
+	}
+	if len(rows) > 0 {
+		printTable([]string{"PROCESS", "REVISION", "KEYS", "READY"}, rows)
+	}
+	return code
+}
--- a/internal/operate/agcommand/table.go
+++ b/internal/operate/agcommand/table.go
@@ -51,6 +51,15 @@
 		example: "anvilglade agent --host dk1-h01 --data-centre dk1 --agent-address 127.0.0.1:7300 --control-address 127.0.0.1:7301 --admin-address 127.0.0.1:7302 --backends alerts=127.0.0.1:9001 --balancers 127.0.0.1:7200 --join-secret $SECRET",
 	},
 	{name: "balancer", summary: "run a balancer", example: "anvilglade balancer --id b1 --data-centre dk1 --datagram-address 10.0.0.1:7800 --platform http://10.0.0.9:7000 --join-secret $SECRET", create: newBalancerVerb},
+	{name: "routes", summary: "edit which traffic belongs to which service", example: "anvilglade routes set 127.100.0.1:7001 UDP alerts", create: newRoutesVerb},
+	{name: "pools", summary: "edit which hosts serve a service, and their limits", example: "anvilglade pools set alerts --hosts 'dk?-a*' --slots 4 --connections 2000", create: newPoolsVerb},
+	{name: "datacentres", summary: "edit data centres; take them out and bring them back", example: "anvilglade datacentres out dk1 --wait --admin 10.0.0.1:7900", create: newDataCentresVerb},
+	{name: "hosts", summary: "list hosts, drain and undrain them", example: "anvilglade hosts drain dk1-a3", create: newHostsVerb},
+	{name: "apply", summary: "apply a file of tables", example: "anvilglade apply tables.yaml --dry-run", create: newApplyVerb},
+	{name: "status", summary: "print the revision in effect at each process", example: "anvilglade status --admin 10.0.0.1:7900", create: newStatusVerb},
+	{name: "timeline", summary: "merge the events of all processes", example: "anvilglade timeline --admin 10.0.0.1:7900 --host dk1-a3 --format html > timeline.html", create: newTimelineVerb},
+	{name: "snapshot", summary: "save, verify and restore the tables", example: "anvilglade snapshot save before.json", create: newSnapshotVerb},
+	{name: "keys", summary: "draw, rotate, retire and list keys", example: "anvilglade keys rotate --admin 10.0.0.1:7900", create: newKeysVerb},
 	{name: "version", summary: "print the version", example: "anvilglade version", create: newVersionVerb},
 }
 
--- a/internal/stand/agapi/faults.go
+++ b/internal/stand/agapi/faults.go
@@ -14,6 +14,8 @@
 type Faults struct {
 	// Outage answers every call with 503 and applies nothing.
 	Outage bool
+	// WriteOutage does so for writes only.
+	WriteOutage bool
 	// Delay holds each call before it takes effect. A caller that gives up in
 	// the meantime does not stop its write.
 	Delay anvilglade.Duration
--- a/internal/stand/agapi/server.go
+++ b/internal/stand/agapi/server.go
@@ -120,6 +120,7 @@
 
 // enter applies rate, delay and outage. It returns false after it has answered.
 func (s *Server) enter(w http.ResponseWriter, limiter *rate.Limiter) bool {
+	write := limiter == s.writes
 	if !limiter.Allow() {
 		s.refused.Add(1)
 		w.Header().Set("Retry-After", "1")
@@ -129,7 +130,7 @@
 	// The delay goes on when the caller gives up: a write can take effect
 	// after its caller's timeout.
 	time.Sleep(time.Duration(s.faults.now().Delay))
-	if s.faults.now().Outage {
+	if faults := s.faults.now(); faults.Outage || write && faults.WriteOutage {
 		s.unavailable.Add(1)
 		http.Error(w, "outage", http.StatusServiceUnavailable)
 		return false
--- a/internal/state/agkeys/agkeys_test.go
+++ b/internal/state/agkeys/agkeys_test.go
@@ -57,7 +57,7 @@
 		first, ok := ring.CurrentDatagram()
 		Expect(ok).To(BeTrue())
 
-		added, err := agkeys.AddNext(bundle)
+		added, err := agkeys.AddNext(bundle, agkeys.SetAll)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(ring.Adopt(added, 2)).To(BeTrue())
 		current, _ := ring.CurrentDatagram()
@@ -65,14 +65,14 @@
 		next := added.Datagram[1]
 		Expect(material(ring.Datagram(next.ID))).To(Equal(next.Secret))
 
-		promoted, err := agkeys.Promote(added)
+		promoted, err := agkeys.Promote(added, agkeys.SetAll)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(ring.Adopt(promoted, 3)).To(BeTrue())
 		current, _ = ring.CurrentDatagram()
 		Expect(current.ID).To(Equal(next.ID))
 		Expect(material(ring.Datagram(first.ID))).To(Equal(first.Secret))
 
-		retired, err := agkeys.Retire(promoted)
+		retired, err := agkeys.Retire(promoted, agkeys.SetAll)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(ring.Adopt(retired, 4)).To(BeTrue())
 		_, accepted := ring.Datagram(first.ID)
@@ -85,15 +85,15 @@
 	// Guards against a rotation that drops a key which is still in use.
 	It("refuses rotation steps out of order", func() {
 		bundle := agkeys.NewBundle()
-		_, err := agkeys.Promote(bundle)
+		_, err := agkeys.Promote(bundle, agkeys.SetAll)
 		Expect(err).To(MatchError(agkeys.ErrNoNext))
-		_, err = agkeys.Retire(bundle)
+		_, err = agkeys.Retire(bundle, agkeys.SetAll)
 		Expect(err).To(MatchError(agkeys.ErrNoPrevious))
-		added, _ := agkeys.AddNext(bundle)
-		_, err = agkeys.AddNext(added)
+		added, _ := agkeys.AddNext(bundle, agkeys.SetAll)
+		_, err = agkeys.AddNext(added, agkeys.SetAll)
 		Expect(err).To(MatchError(agkeys.ErrNextExists))
-		promoted, _ := agkeys.Promote(added)
-		_, err = agkeys.AddNext(promoted)
+		promoted, _ := agkeys.Promote(added, agkeys.SetAll)
+		_, err = agkeys.AddNext(promoted, agkeys.SetAll)
 		Expect(err).To(MatchError(agkeys.ErrPrevious))
 	})
 
@@ -102,8 +102,8 @@
 		bundle := agkeys.NewBundle()
 		for range 300 {
 			var err error
-			for _, step := range []func(anvilglade.KeyBundle) (anvilglade.KeyBundle, error){agkeys.AddNext, agkeys.Promote, agkeys.Retire} {
-				bundle, err = step(bundle)
+			for _, step := range []func(anvilglade.KeyBundle, agkeys.Set) (anvilglade.KeyBundle, error){agkeys.AddNext, agkeys.Promote, agkeys.Retire} {
+				bundle, err = step(bundle, agkeys.SetAll)
 				Expect(err).NotTo(HaveOccurred())
 				Expect(agkeys.Validate(bundle)).To(Succeed())
 			}
--- a/internal/state/agkeys/bundle.go
+++ b/internal/state/agkeys/bundle.go
@@ -126,10 +126,21 @@
 	ErrNoPrevious = errors.New("no Previous key to retire")
 )
 
+// Set selects the keys of a rotation step.
+type Set string
+
+// Sets of keys. Connection-id keys are retired later than datagram keys: the
+// connection ids of open flows are encrypted under the key of their time.
+const (
+	SetAll          Set = "All"
+	SetDatagram     Set = "Datagram"
+	SetConnectionID Set = "ConnectionID"
+)
+
 // AddNext is the first step of a rotation: it draws a Next key in each set. It
 // must be in force at every process before Promote.
-func AddNext(bundle anvilglade.KeyBundle) (anvilglade.KeyBundle, error) {
-	return eachSet(bundle, func(keys []anvilglade.Key) ([]anvilglade.Key, error) {
+func AddNext(bundle anvilglade.KeyBundle, set Set) (anvilglade.KeyBundle, error) {
+	return eachSet(bundle, set, func(keys []anvilglade.Key) ([]anvilglade.Key, error) {
 		if has(keys, anvilglade.KeyNext) {
 			return nil, ErrNextExists
 		}
@@ -146,8 +157,8 @@
 
 // Promote is the second step: Next becomes Current and Current becomes
 // Previous, which stays accepted.
-func Promote(bundle anvilglade.KeyBundle) (anvilglade.KeyBundle, error) {
-	return eachSet(bundle, func(keys []anvilglade.Key) ([]anvilglade.Key, error) {
+func Promote(bundle anvilglade.KeyBundle, set Set) (anvilglade.KeyBundle, error) {
+	return eachSet(bundle, set, func(keys []anvilglade.Key) ([]anvilglade.Key, error) {
 		if !has(keys, anvilglade.KeyNext) {
 			return nil, ErrNoNext
 		}
@@ -160,8 +171,8 @@
 
 // Retire is the last step: Previous keys are no longer accepted and their
 // secrets are erased.
-func Retire(bundle anvilglade.KeyBundle) (anvilglade.KeyBundle, error) {
-	return eachSet(bundle, func(keys []anvilglade.Key) ([]anvilglade.Key, error) {
+func Retire(bundle anvilglade.KeyBundle, set Set) (anvilglade.KeyBundle, error) {
+	return eachSet(bundle, set, func(keys []anvilglade.Key) ([]anvilglade.Key, error) {
 		if !has(keys, anvilglade.KeyPrevious) {
 			return nil, ErrNoPrevious
 		}
@@ -170,17 +181,20 @@
 	})
 }
 
-func eachSet(bundle anvilglade.KeyBundle, change func([]anvilglade.Key) ([]anvilglade.Key, error)) (anvilglade.KeyBundle, error) {
-	datagram, err := change(bundle.Datagram)
-	if err != nil {
-		return bundle, fmt.Errorf("Datagram keys: %w", err)
+func eachSet(bundle anvilglade.KeyBundle, set Set, change func([]anvilglade.Key) ([]anvilglade.Key, error)) (anvilglade.KeyBundle, error) {
+	changed := bundle
+	var err error
+	if set != SetConnectionID {
+		if changed.Datagram, err = change(bundle.Datagram); err != nil {
+			return bundle, fmt.Errorf("datagram keys: %w", err)
+		}
 	}
-	connectionID, err := change(bundle.ConnectionID)
-	if err != nil {
-		return bundle, fmt.Errorf("ConnectionID keys: %w", err)
+	if set != SetDatagram {
+		if changed.ConnectionID, err = change(bundle.ConnectionID); err != nil {
+			return bundle, fmt.Errorf("connection-id keys: %w", err)
+		}
 	}
-	bundle.Datagram, bundle.ConnectionID = datagram, connectionID
-	return bundle, nil
+	return changed, nil
 }
 
 func has(keys []anvilglade.Key, state anvilglade.KeyState) bool {
