--- a/internal/flow/agflow/orders.go
+++ b/internal/flow/agflow/orders.go
@@ -9,8 +9,13 @@
 	"time"
 
 	"github.com/anvilglade/anvilglade"
+	"github.com/anvilglade/anvilglade/internal/observe/agevent"
 )
 
+// listAll is the number of hosts up to which a candidate list has all hosts of
+// the service.
+const listAll = 16
+
 // view is the newest known membership of a service. A view of a former service
 // is kept, so that late packets of it still reach its arbiter. A nil view knows
 // nothing.
@@ -52,14 +57,15 @@
 	return member != nil && (member.State == anvilglade.HostDead || member.State == anvilglade.HostLeft)
 }
 
-// lives reports whether a placement on this incarnation still stands. The
-// incarnation is 0 if the host was not known when the flow was placed.
+// lives reports whether a placement on this incarnation still stands. Orders
+// leave out hosts that are dead or have left. The incarnation is 0 if the host
+// was not known when the flow was placed.
 func (v *view) lives(address netip.AddrPort, incarnation anvilglade.Incarnation) bool {
-	member := v.member(address)
-	if member == nil {
-		return true
+	if incarnation == 0 {
+		return !v.gone(address)
 	}
-	return !v.gone(address) && (incarnation == 0 || member.Incarnation == incarnation)
+	member := v.member(address)
+	return member != nil && !v.gone(address) && member.Incarnation == incarnation
 }
 
 func (v *view) incarnation(address netip.AddrPort) anvilglade.Incarnation {
@@ -82,33 +88,55 @@
 	return member == nil || member.Accepts
 }
 
-func mayArbitrate(state anvilglade.HostState) bool {
+func living(state anvilglade.HostState) bool {
 	return state == anvilglade.HostActive || state == anvilglade.HostDraining || state == anvilglade.HostSuspect
 }
 
-// arbiter returns the oldest living host. An agent that has left is no arbiter
-// any more, whatever the orders say.
-func (v *view) arbiter(m *Machine) (anvilglade.ServiceMember, bool) {
+// arbiter returns the oldest living host, or nil. Hosts that told the packet
+// that they have left are none. An agent that has left, or that restarted under
+// a former record, is none itself, whatever the orders say: the entries of its
+// former life are gone.
+func (v *view) arbiter(m *Machine, declined []anvilglade.Candidate) *anvilglade.ServiceMember {
 	if v == nil {
-		return anvilglade.ServiceMember{}, false
+		return nil
 	}
+	var self *anvilglade.ServiceMember
 	for i := range v.members {
 		member := &v.members[i]
-		self := member.AgentAddress == m.options.Self
-		if !mayArbitrate(member.State) || self && (m.left || v.former || member.Incarnation != m.options.Incarnation) {
+		if !living(member.State) || member.Former {
 			continue
 		}
-		return *member, true
+		if member.AgentAddress == m.options.Self {
+			if !m.left && !v.former && member.Incarnation == m.options.Incarnation {
+				self = member
+			}
+			continue
+		}
+		if self != nil && m.stamp(self) <= member.JoinStamp {
+			return self
+		}
+		left := func(c anvilglade.Candidate) bool { return c.Accepts && c.Address == member.AgentAddress }
+		if !slices.ContainsFunc(declined, left) {
+			return member
+		}
 	}
-	return anvilglade.ServiceMember{}, false
+	return self
 }
 
-// mayDecide reports whether the orders list this incarnation as a living host of
-// the service. A restarted agent under a former record must not decide: the
-// entries of its former life are gone.
-func (v *view) mayDecide(m *Machine) bool {
-	member := v.member(m.options.Self)
-	return member != nil && !v.former && member.Incarnation == m.options.Incarnation && mayArbitrate(member.State)
+// stamp returns the age of this host as it announces it itself.
+func (m *Machine) stamp(self *anvilglade.ServiceMember) anvilglade.JoinStamp {
+	if m.options.Stamp == nil {
+		return self.JoinStamp
+	}
+	return max(self.JoinStamp, m.options.Stamp())
+}
+
+// mayBeMissing reports whether a balancer's list of possible holders may lack
+// the host only because the balancer does not know it yet. Small services list
+// every host, so any missing one counts.
+func (v *view) mayBeMissing(member *anvilglade.ServiceMember, now int64) bool {
+	joined := agevent.UnixMilli(anvilglade.Timestamp(member.JoinStamp)) * int64(time.Millisecond)
+	return len(v.members) <= listAll || now-joined < int64(EntryLife)
 }
 
 // meanUtilisation is computed at most once for each report interval, as it
@@ -140,8 +168,8 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	service := orders.Service.Number()
-	if m.ordered && service != m.service && m.views[m.service] != nil {
-		m.views[m.service].former = true
+	if m.ordered && service != m.service {
+		m.changeService(service)
 	}
 	m.ordered = true
 	m.service, m.serviceID = service, orders.Service
@@ -160,6 +188,19 @@
 	return actions
 }
 
+// changeService ends the decisions on the former service. Placements of the new
+// one are from an earlier time at it: its arbiter has decided since.
+func (m *Machine) changeService(service anvilglade.ServiceNumber) {
+	if former := m.views[m.service]; former != nil {
+		former.former = true
+	}
+	for key, entry := range m.placements {
+		if entry.service == service {
+			delete(m.placements, key)
+		}
+	}
+}
+
 func (m *Machine) forgetLoads() {
 	known := m.views[m.service]
 	for address := range m.loads {
--- a/members.go
+++ b/members.go
@@ -50,6 +50,12 @@
 // MaxHostServices bounds the services whose flows one host holds at a time.
 const MaxHostServices = 4
 
+// Age returns the stamp that orders hosts for the choice of the arbiter: the
+// host with the lowest Age arbitrates. Balancers and agents must both use it.
+func (r *HostRecord) Age() JoinStamp {
+	return max(r.JoinStamp, r.AcceptStamp)
+}
+
 // BalancerRecord is what the fleet knows of one balancer.
 type BalancerRecord struct {
 	Balancer    BalancerID
@@ -84,6 +90,9 @@
 	JoinStamp JoinStamp
 	// Accepts is false for hosts that take no new work.
 	Accepts bool
+	// Former is set for hosts that work for another service now and still have
+	// flows of this one. They accept nothing and are no arbiters.
+	Former bool
 }
 
 // HostOrders is what a balancer tells an agent in the acknowledgement of a
