Leave hosts of a data centre that is out of the orders

Cause: agents forward decisions to the oldest host of their service; the orders still listed hosts of a data centre that was out, which drop every packet. Ruled out: routing, whose lists lacked those hosts (the counts by sender named agents only). Change: serviceMembers skips such hosts; the operator commands of the scenarios get the admin addresses of the balancers.

--- a/internal/membership/agmember/monitor_test.go
+++ b/internal/membership/agmember/monitor_test.go
@@ -192,6 +192,17 @@
 		Expect(late.Record().JoinStamp).To(BeNumerically(">", first))
 	})
 
+	// Guards against agents that hand decisions to the oldest host although its
+	// data centre is out; it drops them, so no new flow found a host.
+	ginkgo.It("lists no member in a data centre that is out", func() {
+		world := newTestWorld()
+		world.hear(world.reporter, "a")
+		monitor := world.monitors["a"]
+		tables := anvilglade.Tables{DataCentres: []anvilglade.DataCentre{{Name: "dk1", State: anvilglade.DataCentreOut}}}
+		Expect(monitor.serviceMembers(monitor.view.Load(), &anvilglade.Tables{}, "alerts")).To(HaveLen(1))
+		Expect(monitor.serviceMembers(monitor.view.Load(), &tables, "alerts")).To(BeEmpty())
+	})
+
 	// Guards against a lower revision that an agent takes from a balancer that
 	// lags behind.
 	ginkgo.It("keeps orders of a higher revision", func() {
--- a/internal/membership/agmember/orders.go
+++ b/internal/membership/agmember/orders.go
@@ -104,8 +104,9 @@
 	return orders
 }
 
-// serviceMembers returns the living hosts of a service, oldest first, and those
-// that still hold flows of it after a change of their pool.
+// serviceMembers returns the living hosts of a service in data centres that are
+// not out, oldest first, and those that still hold flows of it after a change of
+// their pool.
 func (m *Monitor) serviceMembers(current *view, tables *anvilglade.Tables, service anvilglade.ServiceID) []anvilglade.ServiceMember {
 	var members []anvilglade.ServiceMember
 	for i := range current.members.Hosts {
@@ -113,6 +114,11 @@
 		if host.State == anvilglade.HostDead || host.State == anvilglade.HostLeft {
 			continue
 		}
+		// Agents forward decisions to the oldest member, and a host of a data
+		// centre that is out drops every packet.
+		if stateOf(tables, host.DataCentre) == anvilglade.DataCentreOut {
+			continue
+		}
 		of, ok := m.options.Service(host.Host)
 		wanted := ok && of == service
 		if !wanted && !slices.Contains(host.Services[:], service) {
--- a/internal/stand/agscenario/control.go
+++ b/internal/stand/agscenario/control.go
@@ -14,6 +14,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"time"
 
 	"github.com/anvilglade/anvilglade/internal/stand/agapi"
@@ -136,7 +137,7 @@
 	command := exec.CommandContext(ctx, f.options.Anvilglade, args...) //nolint:gosec // the program is the caller's own setting
 	var output, failures bytes.Buffer
 	command.Stdout, command.Stderr = &output, &failures
-	command.Env = append(os.Environ(), "ANVILGLADE_JOIN_SECRET="+f.secret)
+	command.Env = append(os.Environ(), "ANVILGLADE_JOIN_SECRET="+f.secret, "ANVILGLADE_ADMIN="+f.balancerAdmins())
 	err := command.Run()
 	result := commandResult{output: output.Bytes(), errors: failures.Bytes()}
 	if exit, ok := errors.AsType[*exec.ExitError](err); ok {
@@ -146,6 +147,20 @@
 	return result, err
 }
 
+// balancerAdmins returns the admin addresses of the running balancers as the
+// setting of the operator commands has them.
+func (f *Fleet) balancerAdmins() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var addresses []string
+	for _, item := range f.balancers {
+		if item.process != nil {
+			addresses = append(addresses, at(f.plan.balancer(item.number), portAdmin).String())
+		}
+	}
+	return strings.Join(addresses, ",")
+}
+
 // mustOperate runs an operator command that has to succeed.
 func (f *Fleet) mustOperate(ctx context.Context, args ...string) error {
 	result, err := f.operate(ctx, args...)
