--- a/internal/operate/agcommand/agent_requests.go
+++ b/internal/operate/agcommand/agent_requests.go
@@ -123,9 +123,42 @@
 		return nil, err
 	}
 	l.peers = peers
+	follow := func(ctx context.Context) error { return l.followMembers(ctx, options.Orders) }
+	if err := options.Group.Start("members", follow); err != nil {
+		stop()
+		return nil, err
+	}
 	return stop, nil
 }
 
+// followMembers closes idle connections to other agents when one of them is no
+// member of the service any more.
+func (l *requestLayer) followMembers(ctx context.Context, source anvilglade.OrdersSource) error {
+	changed, end := source.Subscribe()
+	defer end()
+	known := make(map[anvilglade.HostID]struct{})
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+		}
+		orders, ok := source.Orders()
+		if !ok {
+			continue
+		}
+		members := make(map[anvilglade.HostID]struct{}, len(orders.Members))
+		for i := range orders.Members {
+			members[orders.Members[i].Host] = struct{}{}
+			delete(known, orders.Members[i].Host)
+		}
+		if len(known) > 0 {
+			l.peers.CloseIdle()
+		}
+		known = members
+	}
+}
+
 // serviceTLS looks the certificate up at each handshake, since the keys come
 // with the first orders and change with rotations.
 func (l *requestLayer) serviceTLS(service anvilglade.ServiceID) *tls.Config {
--- a/internal/request/agserve/peers.go
+++ b/internal/request/agserve/peers.go
@@ -132,6 +132,13 @@
 	_ = p.transport.Close()
 }
 
+// CloseIdle closes the connections to other agents that carry no request. The
+// keep-alives of such a connection would go on after the data centre of the
+// other agent was taken out of service.
+func (p *Peers) CloseIdle() {
+	p.client.CloseIdleConnections()
+}
+
 func (p *Peers) register(service anvilglade.ServiceID, server *Server) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
