Show members and key versions to the operators' commands

Change: a balancer serves /members; its /status and that of an agent have KeysVersion; the commands discover the fleet from /members. Conclusion: the commands see the whole fleet from one admin address.

--- a/internal/operate/agagent/counters.go
+++ b/internal/operate/agagent/counters.go
@@ -48,6 +48,7 @@
 	Incarnation     anvilglade.Incarnation
 	Service         anvilglade.ServiceID
 	Revision        anvilglade.Revision
+	KeysVersion     anvilglade.Version
 	DataCentreState anvilglade.DataCentreState
 	Draining        bool
 	Stopping        bool
@@ -71,6 +72,7 @@
 		RelayFailures: a.relay.Failures(), Drops: a.counters.copyDrops(), Flow: a.machine.Statistics(),
 	}
 	if orders, ok := a.reporter.Orders(); ok {
+		s.KeysVersion = orders.KeysAt
 		s.Service, s.Revision, s.DataCentreState, s.Draining = orders.Service, orders.Revision, orders.DataCentreState, orders.Draining
 	}
 	if a.limits != nil {
--- a/internal/operate/agbalancer/balancer.go
+++ b/internal/operate/agbalancer/balancer.go
@@ -228,6 +228,11 @@
 	return status
 }
 
+// Members returns the hosts and balancers that the balancer knows.
+func (b *Balancer) Members() *anvilglade.Members {
+	return b.heartbeats.Members()
+}
+
 // Vars returns the counters.
 func (b *Balancer) Vars() expvar.Var {
 	return expvar.Func(func() any { return b.counters.snapshot(b.opener.Drops()) })
--- a/internal/operate/agcommand/balancer.go
+++ b/internal/operate/agcommand/balancer.go
@@ -6,9 +6,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"expvar"
 	"fmt"
+	"net/http"
 	"net/netip"
 	"net/url"
 	"os"
@@ -131,8 +133,15 @@
 		Address: settings.admin,
 		Events:  events,
 		Ready:   func() error { return balancer.Ready() },
-		Status:  func() any { return balancer.Status() },
+		Status: func() any {
+			status, _ := balancer.Status().(agbalancer.Status)
+			return balancerStatus{Status: status, KeysVersion: keysVersion(parts.Keys)}
+		},
 	})
+	admin.Handle("GET /members", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(balancer.Members())
+	}))
 	parts.Tasks["admin"] = admin.Run
 	parts.Tasks["signals"] = func(ctx context.Context) error {
 		return followSignals(ctx, signals, func() { balancer.Shutdown() }, cancel)
@@ -147,6 +156,22 @@
 	return balancer.Run(ctx)
 }
 
+// balancerStatus is the status page of a balancer. The operators' commands read
+// Revision and KeysVersion; see processStatus.
+type balancerStatus struct {
+	agbalancer.Status
+	KeysVersion anvilglade.Version
+}
+
+// keysVersion returns the version of the bundle in effect, 0 for key rings that
+// have none.
+func keysVersion(ring anvilglade.KeyRing) anvilglade.Version {
+	if versioned, ok := ring.(interface{ Version() anvilglade.Version }); ok {
+		return versioned.Version()
+	}
+	return 0
+}
+
 // advertiseDefaults fills in advertised addresses that are not set.
 func (s *balancerSettings) advertiseDefaults() {
 	if !s.options.AdvertiseDatagram.IsValid() {
--- a/internal/operate/agcommand/cases_test.go
+++ b/internal/operate/agcommand/cases_test.go
@@ -30,11 +30,12 @@
 )
 
 type caseRun struct {
-	t      *testing.T
-	stand  *agapi.Server
-	status processStatus
-	names  map[string]string
-	edits  []string
+	t       *testing.T
+	stand   *agapi.Server
+	status  processStatus
+	members anvilglade.Members
+	names   map[string]string
+	edits   []string
 }
 
 var (
@@ -101,6 +102,8 @@
 	switch request.URL.Path {
 	case "/status":
 		_ = json.NewEncoder(w).Encode(r.status)
+	case "/members":
+		_ = json.NewEncoder(w).Encode(r.members)
 	case "/events":
 		clock := anvilglade.Timestamp(1_800_000_000_000 << 16)
 		_ = json.NewEncoder(w).Encode([]anvilglade.Event{
@@ -145,7 +148,7 @@
 		}
 		return ""
 	case "@host":
-		r.status.Members.Hosts = append(r.status.Members.Hosts, anvilglade.HostRecord{
+		r.members.Hosts = append(r.members.Hosts, anvilglade.HostRecord{
 			Host: anvilglade.HostID(words[1]), DataCentre: anvilglade.DataCentreID(words[2]), State: anvilglade.HostActive,
 		})
 		return ""
--- a/internal/operate/agcommand/fleet.go
+++ b/internal/operate/agcommand/fleet.go
@@ -1,7 +1,7 @@
 package agcommand
 
 // Learns the fleet from admin addresses. The given addresses are asked first;
-// the /status of a balancer lists the records of all balancers and hosts with
+// the /members of a balancer lists the records of all balancers and hosts with
 // their admin addresses, which are asked next.
 
 import (
@@ -37,17 +37,17 @@
 	DataCentre  anvilglade.DataCentreID
 	Revision    anvilglade.Revision
 	KeysVersion anvilglade.Version
-	Members     anvilglade.Members
 }
 
 // processAnswer is what a process said, or why it did not.
 type processAnswer struct {
 	Address netip.AddrPort
 	// Name is set for processes whose record is known.
-	Name   string
-	Status processStatus
-	Ready  string
-	Err    error
+	Name    string
+	Status  processStatus
+	Members anvilglade.Members
+	Ready   string
+	Err     error
 }
 
 func (a *processAnswer) name() string {
@@ -123,6 +123,10 @@
 		answer.Err = err
 		return
 	}
+	// Agents have no /members, so the lack of it is not a failure.
+	if body, code, err := fetch(ctx, answer.Address, "/members"); err == nil && code == http.StatusOK {
+		answer.Err = json.Unmarshal(body, &answer.Members)
+	}
 	ready, code, err := fetch(ctx, answer.Address, "/ready")
 	switch {
 	case err != nil:
@@ -155,7 +159,7 @@
 	ask(0)
 	given := len(answers)
 	for i := range given {
-		members := answers[i].Status.Members
+		members := answers[i].Members
 		for _, balancer := range members.Balancers {
 			if balancer.Living {
 				add(balancer.AdminAddress, "balancer/"+string(balancer.Balancer))
@@ -178,8 +182,8 @@
 	for _, address := range c.admin {
 		answer := processAnswer{Address: address}
 		askStatus(ctx, &answer)
-		if answer.Err == nil && len(answer.Status.Members.Hosts) > 0 {
-			return answer.Status.Members.Hosts
+		if answer.Err == nil && len(answer.Members.Hosts) > 0 {
+			return answer.Members.Hosts
 		}
 	}
 	return nil
