Add administration API over HTTPS for many teams

Cause: many teams edit their own rows and must not touch those of others. An edit id that belongs to another edit is refused.

--- /dev/null
+++ b/internal/config/agconfig/row.go
@@ -0,0 +1,88 @@
+package agconfig
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"github.com/anvilglade/anvilglade"
+)
+
+// ErrNoTable means that there is no table of the name.
+var ErrNoTable = errors.New("no such table")
+
+// TableNames returns the names of the tables in the order of reports.
+func TableNames() []string {
+	names := make([]string, len(tableList))
+	for i, table := range tableList {
+		names[i] = table.name
+	}
+	return names
+}
+
+func findTable(name string) (tableRows, error) {
+	for _, table := range tableList {
+		if table.name == name {
+			return table, nil
+		}
+	}
+	return tableRows{}, fmt.Errorf("%w: %q", ErrNoTable, name)
+}
+
+// Row reads one row and returns its key and its JSON with defaults, in the form
+// in which rows are compared. Unknown fields are errors.
+func Row(table string, raw json.RawMessage) (key string, row json.RawMessage, err error) {
+	found, err := findTable(table)
+	if err != nil {
+		return "", nil, err
+	}
+	var tables anvilglade.Tables
+	if err := decodeStrict(table, raw, &tables); err != nil {
+		return "", nil, fmt.Errorf("row of table %s: %w", table, err)
+	}
+	tables = WithDefaults(tables)
+	rows, err := found.rows(&tables)
+	if err != nil {
+		return "", nil, err
+	}
+	for key, row := range rows {
+		return key, row, nil
+	}
+	return "", nil, fmt.Errorf("row of table %s is empty", table)
+}
+
+// decodeStrict decodes a row as the only one of its table.
+func decodeStrict(table string, raw json.RawMessage, tables *anvilglade.Tables) error {
+	whole := fmt.Appendf(nil, `{%q:[`, table)
+	whole = append(append(whole, raw...), `]}`...)
+	decoder := json.NewDecoder(bytes.NewReader(whole))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(tables); err != nil {
+		return err
+	}
+	if count := len(tables.Routes) + len(tables.Pools) + len(tables.DataCentres) + len(tables.Hosts); count != 1 || decoder.More() {
+		return errors.New("not one JSON object")
+	}
+	return nil
+}
+
+// FindRow returns a row of the tables, empty if there is none.
+func FindRow(tables anvilglade.Tables, table, key string) (json.RawMessage, error) {
+	rows, err := tableAsRows(tables, table)
+	return rows[key], err
+}
+
+// Rows returns the rows of a table in the order of their keys.
+func Rows(tables anvilglade.Tables, table string) ([]json.RawMessage, error) {
+	rows, err := tableAsRows(tables, table)
+	return sortedRows(rows), err
+}
+
+func tableAsRows(tables anvilglade.Tables, table string) (map[string]json.RawMessage, error) {
+	found, err := findTable(table)
+	if err != nil {
+		return nil, err
+	}
+	return found.rows(&tables)
+}
--- a/internal/config/agedit/submit.go
+++ b/internal/config/agedit/submit.go
@@ -1,6 +1,7 @@
 package agedit
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -86,10 +87,7 @@
 	}
 	a.seen = snapshot.Revision
 	if edit, revision, ok := snapshot.Document.Find(a.request.ID, snapshot.Revision); ok {
-		a.base = edit.Base
-		verdict := a.verdict(Accepted, revision)
-		verdict.Changes = edit.Changes
-		return verdict, true
+		return a.found(edit, revision), true
 	}
 	if a.pending && snapshot.Revision > a.base {
 		if !snapshot.Document.Covers(a.base) {
@@ -105,6 +103,26 @@
 	return a.write(ctx, snapshot, next)
 }
 
+// found ends an edit whose id is in the history. A caller that sets ids itself
+// may have used the id of another edit, which says nothing of this one.
+func (a *attempt) found(edit agconfig.Edit, revision anvilglade.Revision) Verdict {
+	a.base = edit.Base
+	same := edit.Author == a.editor.options.Author
+	for _, change := range edit.Changes {
+		same = same && slices.ContainsFunc(a.request.Changes, func(wanted agconfig.Change) bool {
+			return wanted.Table == change.Table && wanted.Row == change.Row && bytes.Equal(wanted.After, change.After)
+		})
+	}
+	if !same {
+		verdict := a.verdict(Rejected, revision)
+		verdict.Reason = fmt.Sprintf("the id %s belongs to another edit, at revision %d", edit.ID, revision)
+		return verdict
+	}
+	verdict := a.verdict(Accepted, revision)
+	verdict.Changes = edit.Changes
+	return verdict
+}
+
 // build applies the changes and validates the result.
 func (a *attempt) build(snapshot Snapshot) (agconfig.Document, Verdict, bool) {
 	document := snapshot.Document
--- a/internal/operate/agcommand/balancer.go
+++ b/internal/operate/agcommand/balancer.go
@@ -38,6 +38,7 @@
 	peer          netip.AddrPort
 	advertisePeer netip.AddrPort
 	admin         netip.AddrPort
+	api           netip.AddrPort
 	platform      string
 	platformToken string
 	seeds         []netip.AddrPort
@@ -70,6 +71,7 @@
 	set.Addr(&s.peer, "peer-address", "address for replication between balancers", agsettings.Required)
 	set.Addr(&s.advertisePeer, "advertise-peer", "peer address as other balancers see it", "")
 	set.Addr(&s.admin, "admin-address", "admin listener", "127.0.0.1:7900")
+	set.Addr(&s.api, "api-address", "listener of the administration API over HTTPS, off if empty", "")
 	set.Add("platform", "URL of the object API", agsettings.Required, "http://HOST:PORT or https://HOST:PORT", func(text string) error {
 		parsed, err := url.Parse(text)
 		if err != nil {
@@ -143,6 +145,11 @@
 		_ = json.NewEncoder(w).Encode(balancer.Members())
 	}))
 	parts.Tasks["admin"] = admin.Run
+	closeAPI, err := addAdminAPI(settings, &parts, events, func() *anvilglade.Members { return balancer.Members() })
+	if err != nil {
+		return err
+	}
+	defer closeAPI()
 	parts.Tasks["signals"] = func(ctx context.Context) error {
 		return followSignals(ctx, signals, func() { balancer.Shutdown() }, cancel)
 	}
--- a/internal/operate/agcommand/keys.go
+++ b/internal/operate/agcommand/keys.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -93,7 +94,8 @@
 	return c.writeKeys(ctx, editor, bundle, 0, fmt.Sprintf("%d certificates.", len(bundle.Certificates)))
 }
 
-// certificates signs one certificate for each QUIC service.
+// certificates signs one certificate for each QUIC service and one for the
+// administration API.
 func (c *operatorCommand) certificates(tables anvilglade.Tables) ([]anvilglade.Certificate, error) {
 	var order []anvilglade.ServiceID
 	names := map[anvilglade.ServiceID][]string{}
@@ -101,16 +103,14 @@
 		if route.Protocol != anvilglade.ProtocolQUIC {
 			continue
 		}
-		if names[route.Service] == nil {
+		if !slices.Contains(order, route.Service) {
 			order = append(order, route.Service)
-			for name := range strings.SplitSeq(c.keys.names, ",") {
-				if name != "" {
-					names[route.Service] = append(names[route.Service], name)
-				}
-			}
+			names[route.Service] = splitList(c.keys.names)
 		}
 		names[route.Service] = append(names[route.Service], route.Address.Addr().String())
 	}
+	order = append(order, apiCertificate)
+	names[apiCertificate] = splitList(c.keys.names)
 	var certificates []anvilglade.Certificate
 	for _, service := range order {
 		certificate, err := agkeys.NewSelfSigned(service, names[service], time.Now())
--- a/internal/operate/agcommand/operator.go
+++ b/internal/operate/agcommand/operator.go
@@ -59,6 +59,7 @@
 	centre     centreFlags
 	timeline   timelineFlags
 	keys       keyFlags
+	team       teamFlags
 	positional int
 }
 
--- a/internal/operate/agcommand/table.go
+++ b/internal/operate/agcommand/table.go
@@ -60,6 +60,7 @@
 	{name: "timeline", summary: "merge the events of all processes", example: "anvilglade timeline --admin 10.0.0.1:7900 --host dk1-a3 --format html > timeline.html", create: newTimelineVerb},
 	{name: "snapshot", summary: "save, verify and restore the tables", example: "anvilglade snapshot save before.json", create: newSnapshotVerb},
 	{name: "keys", summary: "draw, rotate, retire and list keys", example: "anvilglade keys rotate --admin 10.0.0.1:7900", create: newKeysVerb},
+	{name: "teams", summary: "keep the teams of the administration API", example: "anvilglade teams add alerts --role Editor --pools alerts --routes '127.100.0.*:7001'", create: newTeamsVerb},
 	{name: "request", summary: "send one request as a caller", example: "anvilglade request POST https://127.0.0.1:7001/reports --data '{\"Job\":7}' --timeout 10s", create: newRequestVerb},
 	{name: "requests", summary: "list requests whose outcome is unknown", example: "anvilglade requests unknown --agents 10.0.0.1:7900", create: newRequestsVerb},
 	{name: "version", summary: "print the version", example: "anvilglade version", create: newVersionVerb},
