Check the deadline again before the first byte

Cause: a process that is paused between its check and the first byte would begin a request after the deadline, as net/http writes on a new connection without looking at the context.

Change: the connection to the backend server asks once more before its first write. A refusal there is a true 'not run', and the first write replaces the connection as the mark after which a request may have run. Tests of a pause, of a restart on the same address and of a caller without a certificate on the control address.

--- a/internal/request/agserve/backend.go
+++ b/internal/request/agserve/backend.go
@@ -5,14 +5,15 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/netip"
 	"net/url"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/anvilglade/anvilglade/internal/request/agproblem"
@@ -34,9 +35,8 @@
 }
 
 func newBackend(address netip.AddrPort) *backend {
-	dialer := &net.Dialer{Timeout: backendDialTimeout}
 	return &backend{address: address, transport: &http.Transport{
-		DialContext:            dialer.DialContext,
+		DialContext:            dialGuarded,
 		DisableKeepAlives:      true,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxAnswerHeader,
@@ -44,20 +44,61 @@
 	}}
 }
 
+// guard decides at the last moment whether the first byte of a request may go
+// out. The process may have been paused since the request was admitted, and
+// net/http writes a request on a new connection without looking at its context.
+type guard struct {
+	check func() error
+	wrote atomic.Bool
+}
+
+type guardKey struct{}
+
+type guardedConn struct {
+	net.Conn
+	guard *guard
+}
+
+// Write refuses the first byte if the check fails; the server has then seen
+// nothing.
+func (c *guardedConn) Write(data []byte) (int, error) {
+	if !c.guard.wrote.Load() {
+		if err := c.guard.check(); err != nil {
+			return 0, err
+		}
+		c.guard.wrote.Store(true)
+	}
+	return c.Conn.Write(data)
+}
+
+func dialGuarded(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: backendDialTimeout}
+	conn, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	g, ok := ctx.Value(guardKey{}).(*guard)
+	if !ok {
+		return nil, errors.Join(errors.New("request without a guard"), conn.Close())
+	}
+	return &guardedConn{Conn: conn, guard: g}, nil
+}
+
 func onlyHTTP1() *http.Protocols {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	return protocols
 }
 
-// send writes the call and waits for the head of the answer. Reached is false
-// if no connection was made, so that the server cannot have seen a byte.
-func (b *backend) send(ctx context.Context, c *call, now time.Time) (response *http.Response, reached bool, err error) {
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { reached = true }}
-	request := c.newRequest(httptrace.WithClientTrace(ctx, trace), "http", b.address.String(), now)
+// send writes the call and waits for the head of the answer. Check is asked just
+// before the first byte. Sent is false if none went out, so that the server
+// cannot have seen the request.
+func (b *backend) send(ctx context.Context, c *call, now time.Time, check func() error) (response *http.Response, sent bool, err error) {
+	g := &guard{check: check}
+	request := c.newRequest(context.WithValue(ctx, guardKey{}, g), "http", b.address.String(), now)
 	response, err = b.transport.RoundTrip(request)
 	if err != nil {
-		return nil, reached, fmt.Errorf("backend server %s: %w", b.address, err)
+		return nil, g.wrote.Load(), fmt.Errorf("backend server %s: %w", b.address, err)
 	}
 	if err := checkFraming(response, c); err != nil {
 		_ = response.Body.Close()
--- a/internal/request/agserve/harness_test.go
+++ b/internal/request/agserve/harness_test.go
@@ -48,6 +48,8 @@
 	outcomes []anvilglade.Outcome
 	inUse    int
 	flows    int
+	// onStart runs when a request is admitted.
+	onStart func()
 }
 
 func (f *fakeAdmitter) refuse(refusal anvilglade.Refusal) {
@@ -76,6 +78,9 @@
 	if f.refusal != anvilglade.RefusalNone {
 		return f.refusal, nil
 	}
+	if f.onStart != nil {
+		f.onStart()
+	}
 	f.inUse++
 	return anvilglade.RefusalNone, func(outcome anvilglade.Outcome) {
 		f.mu.Lock()
--- a/internal/request/agserve/report_test.go
+++ b/internal/request/agserve/report_test.go
@@ -15,6 +15,7 @@
 	"github.com/anvilglade/anvilglade"
 	"github.com/anvilglade/anvilglade/internal/request/agproblem"
 	"github.com/anvilglade/anvilglade/internal/request/agserve"
+	"github.com/anvilglade/anvilglade/internal/request/agticket"
 )
 
 var _ = Describe("Reports under tickets", func() {
@@ -157,6 +158,21 @@
 		Expect(runs.Load()).To(Equal(int64(1)))
 	})
 
+	// Guards against a new process that runs a report of its predecessor.
+	It("answers unknown after a restart on the same address", func() {
+		a := f.add(startBackend(GinkgoTB(), ledger), func(o *agserve.Options) {
+			var err error
+			o.Tickets, err = agticket.NewTable(agticket.Options{Issuer: o.Tickets.Address(), Incarnation: 2})
+			Expect(err).NotTo(HaveOccurred())
+		})
+		old, _, err := a.tickets.Issue()
+		Expect(err).NotTo(HaveOccurred())
+		got := report(background, client, a, old, "7")
+		Expect(got.problem.Type).To(Equal(agproblem.OutcomeUnknown))
+		Expect(got.problem.Detail).To(ContainSubstring("restarted"))
+		Expect(runs.Load()).To(BeZero())
+	})
+
 	// Guards against a report that is run again after its server died.
 	It("keeps unknown when the backend server breaks off after the run", func() {
 		a := f.add(startBackend(GinkgoTB(), func(w http.ResponseWriter, r *http.Request) {
@@ -276,6 +292,15 @@
 		Expect(b.server.Count("ReceivedFromPeers")).To(Equal(before))
 	})
 
+	// Guards against a caller who reaches the control address and passes as an
+	// agent.
+	It("takes nothing on the control address without a certificate", func() {
+		a := f.add(startBackend(GinkgoTB(), named("a")), nil)
+		control := &agent{address: a.control}
+		Expect(call(background, client, control, http.MethodGet, "/", nil, "Anvilglade-Service", string(service)).err).To(HaveOccurred())
+		Expect(a.server.Count("ReceivedFromPeers")).To(BeZero())
+	})
+
 	// Guards against a failure that another host could have hidden.
 	It("hides a broken answer to a GET behind another host", func() {
 		a := f.add(startBackend(GinkgoTB(), func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }), nil)
--- a/internal/request/agserve/run.go
+++ b/internal/request/agserve/run.go
@@ -82,10 +82,9 @@
 		release(anvilglade.OutcomeFailed)
 		return result{kind: lost, err: err}
 	}
-	// The check comes last before the first byte: the process may have been
-	// paused since the request arrived.
 	started := s.options.Clock.Now()
-	if err := ctxError(ctx); err != nil || s.tooLate(c) {
+	check := func() error { return s.stillWanted(ctx, c) }
+	if err := check(); err != nil {
 		release(anvilglade.OutcomeCanceled)
 		return result{kind: refused, refusal: anvilglade.RefusalDeadline, err: err}
 	}
@@ -94,9 +93,12 @@
 		return result{kind: lost, err: err}
 	}
 	s.counters.Add("Sent", 1)
-	response, reached, err := s.backend.send(ctx, c, started)
-	if !reached {
+	response, sent, err := s.backend.send(ctx, c, started, check)
+	if !sent {
 		release(failure(ctx))
+		if errors.Is(err, errDeadline) || ctx.Err() != nil {
+			return notSent(life, anvilglade.RefusalDeadline, err)
+		}
 		return notSent(life, anvilglade.RefusalNone, err)
 	}
 	var a *answer
@@ -120,6 +122,17 @@
 	return result{kind: answered, answer: a}
 }
 
+// stillWanted returns why the call should not begin any more, or nil.
+func (s *Server) stillWanted(ctx context.Context, c *call) error {
+	if err := ctxError(ctx); err != nil {
+		return err
+	}
+	if s.tooLate(c) {
+		return errDeadline
+	}
+	return nil
+}
+
 // tooLate reports whether the call cannot end within its deadline.
 func (s *Server) tooLate(c *call) bool {
 	if c.deadline.IsZero() {
--- a/internal/request/agserve/serve_test.go
+++ b/internal/request/agserve/serve_test.go
@@ -138,6 +138,18 @@
 		Expect(got.status).To(Equal(http.StatusOK))
 	})
 
+	// Guards against a paused agent that begins a request after its deadline.
+	It("refuses a request whose deadline passed during a pause", func() {
+		clock := &manualClock{now: time.Now()}
+		var ran atomic.Int64
+		a := f.add(startBackend(GinkgoTB(), func(http.ResponseWriter, *http.Request) { ran.Add(1) }), func(o *agserve.Options) { o.Clock = clock })
+		a.admitter.onStart = func() { clock.advance(20 * time.Second) }
+		got := call(context.Background(), client, a, http.MethodPost, "/reports", nil, agproblem.HeaderTimeout, "10000")
+		Expect(got.problem.Type).To(Equal(agproblem.DeadlineTooShort))
+		Expect(got.problem.NotRun).To(BeTrue())
+		Expect(ran.Load()).To(BeZero())
+	})
+
 	// Guards against lines that are held back, hold a slot, or end silently.
 	It("streams an alert line at once and without a slot", func() {
 		next := make(chan string)
