--- /dev/null
+++ b/internal/operate/agcommand/agent_requests.go
@@ -0,0 +1,191 @@
+package agcommand
+
+// Builds the request layer of an agent: one ticket table, one journal and one
+// control socket for the process, one HTTP/3 server for each service.
+
+import (
+	"context"
+	"crypto/hkdf"
+	"crypto/sha256"
+	"crypto/tls"
+	"errors"
+	"expvar"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/quic-go/quic-go"
+
+	"github.com/anvilglade/anvilglade"
+	"github.com/anvilglade/anvilglade/internal/observe/aglog"
+	"github.com/anvilglade/anvilglade/internal/operate/agagent"
+	"github.com/anvilglade/anvilglade/internal/operate/agtask"
+	"github.com/anvilglade/anvilglade/internal/packet/agconnid"
+	"github.com/anvilglade/anvilglade/internal/request/agserve"
+	"github.com/anvilglade/anvilglade/internal/request/agticket"
+	"github.com/anvilglade/anvilglade/internal/state/agkeys"
+)
+
+// journalSize is the number of unknown outcomes that an agent keeps.
+const journalSize = 10000
+
+// requestLayer has what the servers of all services of an agent share.
+type requestLayer struct {
+	settings *agagent.Settings
+	ring     *agkeys.Ring
+	tickets  *agticket.Table
+	journal  *agticket.Journal
+	peers    *agserve.Peers
+	resetKey *quic.StatelessResetKey
+}
+
+// newServer builds the HTTP/3 server of one service.
+func (l *requestLayer) newServer(options agagent.ServerOptions) (agagent.Server, func(), error) {
+	closeShared := func() {}
+	if l.peers == nil {
+		stop, err := l.share(options)
+		if err != nil {
+			return nil, nil, err
+		}
+		closeShared = stop
+	}
+	target := agconnid.Target{
+		Agent:       options.Record.AgentAddress,
+		Incarnation: options.Record.Incarnation.Tag(),
+		Service:     options.Service.Number().Tag(),
+	}
+	server, stop, err := agserve.NewServer(agserve.Options{
+		Service:       options.Service,
+		Conn:          options.Conn,
+		TLS:           l.serviceTLS(options.Service),
+		Backend:       options.Backend,
+		Admitter:      options.Admitter,
+		ConnectionIDs: agconnid.NewGenerator(agconnid.NewCodec(l.ring), target),
+		ResetKey:      l.resetKey,
+		Tickets:       l.tickets,
+		Journal:       l.journal,
+		Peers:         l.peers,
+		Members:       func() []anvilglade.ServiceMember { return membersOf(options.Orders, options.Service) },
+		DataCentre:    options.Record.DataCentre,
+		Clock:         anvilglade.SystemClock{},
+		Events:        options.Events,
+	})
+	if err != nil {
+		closeShared()
+		return nil, nil, err
+	}
+	expvar.Publish("Requests."+string(options.Service), server.Vars())
+	if err := options.Group.Start("requests-"+string(options.Service), server.Run); err != nil {
+		stop()
+		closeShared()
+		return nil, nil, err
+	}
+	return &drainedServer{server: server, group: options.Group, orders: options.Orders}, func() {
+		stop()
+		closeShared()
+	}, nil
+}
+
+// share creates the parts that all services use, with the first server.
+func (l *requestLayer) share(options agagent.ServerOptions) (func(), error) {
+	key, err := deriveResetKey(l.settings)
+	if err != nil {
+		return nil, err
+	}
+	l.resetKey = key
+	l.journal = agticket.NewJournal(journalSize, anvilglade.SystemClock{})
+	options.Admin.Handle("GET /requests/unknown", l.journal)
+	if l.tickets, err = agticket.NewTable(agticket.Options{
+		Issuer: options.Record.ControlAddress, Incarnation: options.Record.Incarnation,
+	}); err != nil {
+		return nil, err
+	}
+	socket, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(l.settings.ControlAddress))
+	if err != nil {
+		return nil, fmt.Errorf("listen on control address %s: %w", l.settings.ControlAddress, err)
+	}
+	server, client, err := agkeys.ProcessTLS(l.settings.JoinSecrets, anvilglade.ProcessID("agent/"+l.settings.Host))
+	if err != nil {
+		return nil, errors.Join(err, socket.Close())
+	}
+	peers, closePeers, err := agserve.NewPeers(agserve.PeersOptions{
+		Conn: socket, Address: options.Record.ControlAddress, ServerTLS: server, ClientTLS: client, ResetKey: key,
+	})
+	if err != nil {
+		return nil, errors.Join(err, socket.Close())
+	}
+	stop := func() {
+		closePeers()
+		_ = socket.Close()
+	}
+	if err := options.Group.Start("peers", peers.Run); err != nil {
+		stop()
+		return nil, err
+	}
+	l.peers = peers
+	return stop, nil
+}
+
+// serviceTLS looks the certificate up at each handshake, since the keys come
+// with the first orders and change with rotations.
+func (l *requestLayer) serviceTLS(service anvilglade.ServiceID) *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		GetCertificate: func(hello *tls.ClientHelloInfo) (*tls.Certificate, error) {
+			config, err := l.ring.ServerTLS(service)
+			if err != nil {
+				return nil, err
+			}
+			return config.GetCertificate(hello)
+		},
+	}
+}
+
+// deriveResetKey returns the key for stateless resets. It is the same after a
+// restart, so that callers of the former process learn that their connection
+// is gone.
+func deriveResetKey(settings *agagent.Settings) (*quic.StatelessResetKey, error) {
+	secret := settings.JoinSecrets[0]
+	raw, err := hkdf.Key(sha256.New, secret[:], nil, "stateless reset "+string(settings.Host), anvilglade.SecretSize)
+	if err != nil {
+		return nil, fmt.Errorf("derive stateless reset key: %w", err)
+	}
+	key := quic.StatelessResetKey(raw)
+	return &key, nil
+}
+
+// membersOf returns the hosts of the service that the orders are for.
+func membersOf(source anvilglade.OrdersSource, service anvilglade.ServiceID) []anvilglade.ServiceMember {
+	orders, ok := source.Orders()
+	if !ok || orders.Service != service {
+		return nil
+	}
+	return orders.Members
+}
+
+// drainedServer runs the graceful stop of a server as a task.
+type drainedServer struct {
+	server *agserve.Server
+	group  *agtask.Group
+	orders anvilglade.OrdersSource
+}
+
+// Drain starts the graceful stop and does not wait for its end.
+func (d *drainedServer) Drain() {
+	limit := agagent.DefaultDrainLimit
+	if orders, ok := d.orders.Orders(); ok && orders.Pool.DrainLimit > 0 {
+		limit = time.Duration(orders.Pool.DrainLimit)
+	}
+	log := aglog.New("request")
+	task := func(ctx context.Context) error {
+		ctx, cancel := context.WithTimeout(ctx, limit)
+		defer cancel()
+		if err := d.server.Drain(ctx); err != nil {
+			log.WithError(err).Warn("Requests were cut off.")
+		}
+		return nil
+	}
+	if err := d.group.Start("drain", task); err != nil {
+		log.WithError(err).Error("Drain was not started.")
+	}
+}
