--- a/internal/operate/agcommand/fleet.go
+++ b/internal/operate/agcommand/fleet.go
@@ -172,10 +172,34 @@
 		}
 	}
 	ask(given)
+	answers = slices.DeleteFunc(answers, func(a processAnswer) bool { return a.Err != nil && replaced(&a, answers) })
 	slices.SortStableFunc(answers, func(a, b processAnswer) int { return strings.Compare(a.name(), b.name()) })
 	return answers
 }
 
+// replaced reports whether a process that does not answer is known to be gone:
+// some balancer answers and none lists a living balancer or host with its
+// address. Without it a list of admin addresses that names a replaced balancer
+// would make --wait fail.
+func replaced(silent *processAnswer, answers []processAnswer) bool {
+	asked := false
+	for i := range answers {
+		members := &answers[i].Members
+		for _, balancer := range members.Balancers {
+			asked = true
+			if balancer.Living && balancer.AdminAddress == silent.Address {
+				return false
+			}
+		}
+		for _, host := range members.Hosts {
+			if host.State != anvilglade.HostDead && host.State != anvilglade.HostLeft && host.AdminAddress == silent.Address {
+				return false
+			}
+		}
+	}
+	return asked
+}
+
 // knownHosts returns the hosts that the given balancers know, nil if none
 // answers.
 func (c *operatorCommand) knownHosts(ctx context.Context) []anvilglade.HostRecord {
