Take memory for a request body as it arrives

Cause: GET over HTTP/3 has no length, and each one reserved the largest body (8 of 64 MB), so the ninth request at once was refused with 'memory for request bodies is full'. Ruled out: a leak, since the reservations were given back. Change: a body of unknown length takes memory in steps of 32 KB. Conclusion: bounded memory stays; the limit now counts real bytes.

--- a/internal/request/agserve/call.go
+++ b/internal/request/agserve/call.go
@@ -96,6 +96,11 @@
 	return anvilglade.RequestID(rand.Text())
 }
 
+// bodyChunk is the step in which a body of unknown length takes memory, in
+// bytes. HTTP/3 gives a GET no length, so reserving the largest body for each
+// one refused requests after a few at once.
+const bodyChunk = 32 << 10
+
 // readBody reads the body within the limits. The returned function gives the
 // memory back.
 func (s *Server) readBody(r *http.Request) ([]byte, func(), error) {
@@ -105,25 +110,28 @@
 	if r.ContentLength > s.options.MaxBody {
 		return nil, nil, errTooLarge
 	}
-	reserved := r.ContentLength
-	if reserved < 0 {
-		reserved = s.options.MaxBody
-	}
-	if s.buffered.Add(reserved) > s.options.MaxBuffered {
-		s.buffered.Add(-reserved)
-		return nil, nil, errBuffersFull
-	}
+	var reserved int64
 	release := func() { s.buffered.Add(-reserved) }
-	body, err := io.ReadAll(io.LimitReader(r.Body, s.options.MaxBody+1))
-	if err != nil {
-		release()
-		return nil, nil, fmt.Errorf("%w: %w", errIncomplete, err)
-	}
-	if int64(len(body)) > s.options.MaxBody {
-		release()
-		return nil, nil, errTooLarge
+	var body []byte
+	for {
+		part, err := io.ReadAll(io.LimitReader(r.Body, bodyChunk))
+		reserved += int64(len(part))
+		full := s.buffered.Add(int64(len(part))) > s.options.MaxBuffered
+		body = append(body, part...)
+		switch {
+		case err != nil:
+			release()
+			return nil, nil, fmt.Errorf("%w: %w", errIncomplete, err)
+		case full:
+			release()
+			return nil, nil, errBuffersFull
+		case int64(len(body)) > s.options.MaxBody:
+			release()
+			return nil, nil, errTooLarge
+		case len(part) < bodyChunk:
+			return body, release, nil
+		}
 	}
-	return body, release, nil
 }
 
 // callContext returns the context of all attempts. It ends when parent ends or
