--- a/internal/stand/agscenario/control.go
+++ b/internal/stand/agscenario/control.go
@@ -14,6 +14,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"time"
 
 	"github.com/anvilglade/anvilglade/internal/stand/agapi"
@@ -129,10 +130,24 @@
 	errors []byte
 }
 
-// operate runs an operator command against the object API. The error is about
-// the start of the command, not about its exit code.
-func (f *Fleet) operate(ctx context.Context, args ...string) (commandResult, error) {
+// edits adds the addresses that commands on the configuration need.
+func (f *Fleet) edits(args ...string) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	args = append(args, "--platform", "http://"+f.plan.relay(0).String())
+	var admins []string
+	for _, name := range f.livingBalancers() {
+		admins = append(admins, at(f.plan.balancer(f.balancers[name].number), portAdmin).String())
+	}
+	if len(admins) > 0 {
+		args = append(args, "--admin", strings.Join(admins, ","))
+	}
+	return args
+}
+
+// operate runs an operator command. The error is about the start of the
+// command, not about its exit code.
+func (f *Fleet) operate(ctx context.Context, args ...string) (commandResult, error) {
 	command := exec.CommandContext(ctx, f.options.Anvilglade, args...) //nolint:gosec // the program is the caller's own setting
 	var output, failures bytes.Buffer
 	command.Stdout, command.Stderr = &output, &failures
@@ -164,10 +179,10 @@
 	if err != nil {
 		return err
 	}
-	if err := f.mustOperate(ctx, "apply", path); err != nil {
+	if err := f.mustOperate(ctx, f.edits("apply", path, "--force")...); err != nil {
 		return err
 	}
-	return f.mustOperate(ctx, "keys", "init")
+	return f.mustOperate(ctx, f.edits("keys", "init")...)
 }
 
 func (f *Fleet) writeTables(name string, tables any) (string, error) {
--- a/internal/stand/agscenario/measures_reports.go
+++ b/internal/stand/agscenario/measures_reports.go
@@ -6,6 +6,9 @@
 import (
 	"bytes"
 	"context"
+	"maps"
+	"slices"
+	"strings"
 
 	"github.com/anvilglade/anvilglade/internal/stand/agcaller"
 )
@@ -71,10 +74,23 @@
 	return count(withVerdict(results, agcaller.Unknown)+withVerdict(results, agcaller.Lost), len(results), "reports")
 }
 
+// agentAdmins lists the admin addresses of the living agents.
+func (f *Fleet) agentAdmins() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var admins []string
+	for _, name := range slices.Sorted(maps.Keys(f.hosts)) {
+		if item := f.hosts[name]; !item.ended {
+			admins = append(admins, at(f.plan.host(item.number), portAdmin).String())
+		}
+	}
+	return strings.Join(admins, ",")
+}
+
 // measureUnknownNotListed counts reports that callers were told to be unknown
 // and whose ticket is not on the operator's list.
 func measureUnknownNotListed(ctx context.Context, s *scene, of string) value {
-	result, err := s.fleet.operate(ctx, "requests", "unknown", "--json")
+	result, err := s.fleet.operate(ctx, "requests", "unknown", "--json", "--agents", s.fleet.agentAdmins())
 	if err != nil || result.code != 0 {
 		return missing("anvilglade requests unknown: exit code %d, %w: %s", result.code, err, result.errors)
 	}
--- a/internal/stand/agscenario/verbs_config.go
+++ b/internal/stand/agscenario/verbs_config.go
@@ -13,17 +13,25 @@
 	"regexp"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/anvilglade/anvilglade"
+	"github.com/anvilglade/anvilglade/internal/config/agconfig"
 	"github.com/anvilglade/anvilglade/internal/operate/agtask"
+	"github.com/anvilglade/anvilglade/internal/stand/agapi"
 	"github.com/anvilglade/anvilglade/internal/stand/agcaller"
 )
 
 // Exit codes of the operator commands.
 const (
 	exitAccepted = 0
+	// exitFailed says that nothing was written, for a reason other than the
+	// edit itself, such as an outage.
+	exitFailed   = 1
+	exitUsage    = 2
 	exitRejected = 3
 	exitUnknown  = 4
 )
@@ -48,6 +56,8 @@
 	seen     map[string][]sighting
 	reverted int
 	watching bool
+	// paused counts the races with a paused operator.
+	paused int
 }
 
 type sighting struct {
@@ -158,7 +168,7 @@
 
 func (s *scene) edit(ctx context.Context, row string, drain bool) error {
 	one := edit{row: row, drain: drain, start: time.Now()}
-	result, err := s.fleet.operate(ctx, editArguments(row, drain)...)
+	result, err := s.fleet.operate(ctx, s.fleet.edits(editArguments(row, drain)...)...)
 	if err != nil {
 		return fmt.Errorf("edit %s: %w", row, err)
 	}
@@ -171,44 +181,72 @@
 	return nil
 }
 
-// runPauseOperator stops an operator command in the middle of its edit, lets
-// another operator change the same row, and lets the first go on.
+// pausedRead is the delay of the object API while an operator is paused. The
+// first operator stops in the middle of its read, which then takes effect before
+// the write of the second one.
+const pausedRead = 400 * time.Millisecond
+
+// pausedRounds is how often the race is run.
+const pausedRounds = 4
+
+// runPauseOperator stops an operator's command between its read and its write,
+// lets another operator change the same row, and lets the first go on. The
+// first must not replace what it has not seen.
 func runPauseOperator(ctx context.Context, s *scene, step *step) error {
-	const row = "paused-row"
-	args := append(editArguments(row, true), "--platform", "http://"+s.fleet.plan.relay(0).String())
-	for delay := time.Millisecond; delay <= 16*time.Millisecond; delay *= 2 {
-		command := exec.CommandContext(ctx, s.fleet.options.Anvilglade, args...) //nolint:gosec // the program is the caller's own setting
-		if err := command.Start(); err != nil {
-			return err
-		}
-		time.Sleep(delay)
-		if err := command.Process.Signal(syscall.SIGSTOP); err != nil {
-			continue
-		}
-		before := time.Now()
-		if err := s.edit(ctx, row, false); err != nil {
+	if err := s.fleet.apiFaults(ctx, agapi.Faults{Delay: anvilglade.Duration(pausedRead)}); err != nil {
+		return err
+	}
+	for round := range pausedRounds {
+		code, err := s.pausedRound(ctx, round, step.duration("time"))
+		if err != nil {
 			return err
 		}
-		time.Sleep(step.duration("time") / 5)
-		if err := command.Process.Signal(syscall.SIGCONT); err != nil {
-			return err
+		s.config.paused++
+		if code == exitAccepted {
+			s.violation("EditsOverwritten", "round %d: the edit of the paused operator replaced a newer one", round)
 		}
-		err := command.Wait()
-		s.note("operator paused after %s for %s, ended with %v", delay, time.Since(before).Round(time.Millisecond), err)
 	}
-	return nil
+	return s.fleet.apiFaults(ctx, agapi.Faults{})
+}
+
+func (s *scene) pausedRound(ctx context.Context, round int, length time.Duration) (int, error) {
+	arguments := func(author string) []string {
+		return s.fleet.edits("datacentres", "set", "dk3", "--region", fmt.Sprintf("%s-%d", author, round), "--json")
+	}
+	command := exec.CommandContext(ctx, s.fleet.options.Anvilglade, arguments("paused")...) //nolint:gosec // the program is the caller's own setting
+	if err := command.Start(); err != nil {
+		return 0, err
+	}
+	time.Sleep(pausedRead / 2)
+	if err := command.Process.Signal(syscall.SIGSTOP); err != nil {
+		return 0, err
+	}
+	other, err := s.fleet.operate(ctx, arguments("other")...)
+	if err != nil {
+		return 0, err
+	}
+	if other.code != exitAccepted {
+		return 0, fmt.Errorf("edit of the second operator: exit code %d: %s%s", other.code, other.output, other.errors)
+	}
+	time.Sleep(length)
+	if err := command.Process.Signal(syscall.SIGCONT); err != nil {
+		return 0, err
+	}
+	// The exit code is in the process state; the error repeats it.
+	_ = command.Wait()
+	return command.ProcessState.ExitCode(), nil
 }
 
 // finalRows returns the overrides that are in the table at the end.
 func (s *scene) finalRows(ctx context.Context) (map[string]bool, error) {
-	result, err := s.fleet.operate(ctx, "hosts", "get", "--json")
+	result, err := s.fleet.operate(ctx, s.fleet.edits("hosts", "list", "--json")...)
 	if err != nil || result.code != 0 {
-		return nil, fmt.Errorf("anvilglade hosts get: exit code %d, %w: %s", result.code, err, result.errors)
+		return nil, fmt.Errorf("anvilglade hosts list: exit code %d, %w: %s", result.code, err, result.errors)
 	}
 	return rowsIn(result.output)
 }
 
-// rowsIn finds {"Name", "Draining"} at any depth, because the command may wrap
+// rowsIn finds {"Host", "Draining"} at any depth, because the command may wrap
 // the rows.
 func rowsIn(data []byte) (map[string]bool, error) {
 	var tree any
@@ -227,7 +265,7 @@
 			collectRows(item, rows)
 		}
 	case map[string]any:
-		name, named := node["Name"].(string)
+		name, named := node["Host"].(string)
 		if draining, ok := node["Draining"].(bool); ok && named {
 			rows[name] = draining
 		}
@@ -363,8 +401,8 @@
 		own := touched[one.row] == 1
 		switch {
 		case one.code == exitAccepted && own && rows[one.row] != one.drain,
-			one.code == exitRejected && own && rows[one.row] == one.drain,
-			one.code != exitAccepted && one.code != exitRejected && one.code != exitUnknown:
+			(one.code == exitRejected || one.code == exitFailed) && own && rows[one.row] == one.drain,
+			one.code > exitUnknown || one.code == exitUsage:
 			wrong++
 			s.note("edit of %s ended with %d: %s", one.row, one.code, one.output)
 		}
@@ -373,27 +411,43 @@
 	return count(wrong, len(s.config.edits), "edits")
 }
 
-// measureEditsTwice counts accepted edits beyond one for each revision of the
-// configuration object: an edit that was applied twice raises the revision
-// twice.
-func measureEditsTwice(_ context.Context, s *scene, _ string) value {
-	s.config.mu.Lock()
-	defer s.config.mu.Unlock()
-	byRevision := map[uint64]int{}
-	for _, one := range s.config.edits {
-		if one.code == exitAccepted && one.revision > 0 {
-			byRevision[one.revision]++
+// measureEditsTwice counts edits that are more than once in the history of the
+// configuration object: by their id, or by a row that was edited once.
+func measureEditsTwice(ctx context.Context, s *scene, _ string) value {
+	data, err := call(ctx, "GET", "http://"+s.fleet.plan.api().String()+"/v1/objects/"+agconfig.ObjectKind+"/"+agconfig.ObjectName, nil)
+	if err != nil {
+		return missing("read the configuration: %w", err)
+	}
+	document, err := agconfig.Decode(data)
+	if err != nil {
+		return missing("%w", err)
+	}
+	ids, rows := map[string]int{}, map[string]int{}
+	for _, one := range document.History {
+		ids[string(one.ID)]++
+		for _, change := range one.Changes {
+			if strings.HasPrefix(change.Row, "edit-") {
+				rows[change.Row]++
+			}
 		}
 	}
 	twice := 0
-	for _, n := range byRevision {
-		twice += n - 1
+	for _, times := range []map[string]int{ids, rows} {
+		for name, n := range times {
+			if n > 1 {
+				twice++
+				s.note("edit %s is %d times in the history", name, n)
+			}
+		}
 	}
-	return count(twice, len(s.config.edits), "edits")
+	return count(twice, len(document.History), "edits")
 }
 
-// measureEditsOverwritten counts rows in which an accepted edit of another
-// operator was replaced by the one of a paused operator.
-func measureEditsOverwritten(ctx context.Context, s *scene, of string) value {
-	return measureEditsLost(ctx, s, of)
+// measureEditsOverwritten counts accepted edits that a paused operator replaced
+// without having seen them.
+func measureEditsOverwritten(_ context.Context, s *scene, _ string) value {
+	if s.config.paused == 0 {
+		return missing("no operator was paused")
+	}
+	return count(s.violated("EditsOverwritten"), s.config.paused, "edits")
 }
--- a/internal/stand/agscenario/verbs_fleet.go
+++ b/internal/stand/agscenario/verbs_fleet.go
@@ -228,7 +228,7 @@
 	if _, err := s.fleet.host(step.value("name")); err != nil {
 		return err
 	}
-	return s.fleet.mustOperate(ctx, "hosts", action, step.value("name"))
+	return s.fleet.mustOperate(ctx, s.fleet.edits("hosts", action, step.value("name"))...)
 }
 
 // dataCentre changes the state of a data centre through the operator command.
@@ -243,7 +243,7 @@
 		return err
 	}
 	start := time.Now()
-	if err := s.fleet.mustOperate(ctx, "datacentres", action, name, "--wait"); err != nil {
+	if err := s.fleet.mustOperate(ctx, s.fleet.edits("datacentres", action, name, "--wait", "--force")...); err != nil {
 		return err
 	}
 	accepted := time.Now()
@@ -276,11 +276,11 @@
 	for i := range tables.Pools {
 		tables.Pools[i].Hosts = s.poolMembers(string(tables.Pools[i].Service))
 	}
-	path, err := s.fleet.writeTables("moved.json", tables)
+	path, err := s.fleet.writeTables("moved.json", map[string]any{"Pools": tables.Pools})
 	if err != nil {
 		return err
 	}
-	return s.fleet.mustOperate(ctx, "apply", path)
+	return s.fleet.mustOperate(ctx, s.fleet.edits("apply", path)...)
 }
 
 func (s *scene) poolMembers(service string) []string {
--- a/internal/stand/agscenario/verbs_keys.go
+++ b/internal/stand/agscenario/verbs_keys.go
@@ -10,8 +10,8 @@
 
 func runRotate(ctx context.Context, s *scene, step *step) error {
 	for range step.count("times") {
-		for _, action := range []string{"next", "promote", "retire"} {
-			if err := s.fleet.mustOperate(ctx, "keys", action); err != nil {
+		for _, action := range []string{"rotate", "rotate", "retire"} {
+			if err := s.fleet.mustOperate(ctx, s.fleet.edits("keys", action)...); err != nil {
 				return err
 			}
 			select {
