--- a/internal/operate/agcommand/request_test.go
+++ b/internal/operate/agcommand/request_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"testing"
@@ -45,20 +46,22 @@
 	journal := agticket.NewJournal(1, anvilglade.SystemClock{})
 	journal.Record(agticket.UnknownRequest{RequestID: "first", Service: "alerts"})
 	journal.Record(agticket.UnknownRequest{RequestID: "second", Service: "alerts", Reason: "connection lost"})
-	server := httptest.NewServer(journal)
+	mux := http.NewServeMux()
+	mux.Handle("GET /requests/unknown", journal)
+	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(`{"Host":"dk1-a1"}`)) })
+	server := httptest.NewServer(mux)
 	defer server.Close()
 	living := netip.MustParseAddrPort(server.Listener.Addr().String())
-	got, err := fetchJournal(t.Context(), living)
-	g.Expect(err).NotTo(HaveOccurred())
+	got := agentJournal{Agent: "agent/dk1-a1"}
+	g.Expect(got.fetch(t.Context(), living)).To(Succeed())
 	var output bytes.Buffer
-	missing := agentJournal{Agent: netip.MustParseAddrPort("10.0.0.1:1"), Error: "no route"}
-	g.Expect(printJournals(&output, []agentJournal{got, missing}, false)).To(Succeed())
+	g.Expect(printJournals(&output, []agentJournal{got, {Agent: "agent/dk1-a2", Error: "no route"}}, false)).To(Succeed())
 	g.Expect(output.String()).To(And(
 		ContainSubstring("second"), ContainSubstring("connection lost"), ContainSubstring("1 older entries"),
 		ContainSubstring("not asked: no route"), Not(ContainSubstring("first"))))
-	g.Expect(Run([]string{"requests", "unknown", "--agents", living.String()})).To(Equal(ExitDone))
-	unused := httptest.NewServer(journal)
+	g.Expect(Run([]string{"requests", "unknown", "--admin", living.String()})).To(Equal(ExitDone))
+	unused := httptest.NewServer(mux)
 	unused.Close()
-	g.Expect(Run([]string{"requests", "unknown", "--agents", unused.Listener.Addr().String(), "--json"})).To(Equal(ExitFailed))
+	g.Expect(Run([]string{"requests", "unknown", "--admin", living.String() + "," + unused.Listener.Addr().String(), "--json"})).To(Equal(ExitFailed))
 	g.Expect(Run([]string{"request", "PUT", "https://127.0.0.1:1/"})).To(Equal(ExitUsage))
 }
--- a/internal/operate/agcommand/requests.go
+++ b/internal/operate/agcommand/requests.go
@@ -1,7 +1,7 @@
 package agcommand
 
 // The subcommand requests unknown lists requests whose outcome is unknown, from
-// the admin addresses of agents.
+// the journals of all agents that the given processes know.
 
 import (
 	"context"
@@ -15,95 +15,70 @@
 	"text/tabwriter"
 	"time"
 
-	"github.com/integrii/flaggy"
-
-	"github.com/anvilglade/anvilglade/internal/operate/agsettings"
 	"github.com/anvilglade/anvilglade/internal/request/agticket"
 )
 
-const (
-	journalTimeout = 5 * time.Second
-	maxJournalPage = 16 << 20
-)
-
-type requestsVerb struct {
-	unknown *flaggy.Subcommand
-	agents  []netip.AddrPort
-	json    bool
-	set     *agsettings.Set
-}
-
 func newRequestsVerb() Verb {
-	return &requestsVerb{}
-}
-
-// Bind adds the nested subcommand unknown.
-func (v *requestsVerb) Bind(subcommand *flaggy.Subcommand) {
-	v.unknown = flaggy.NewSubcommand("unknown")
-	v.unknown.Description = "list requests whose outcome is unknown"
-	v.unknown.AdditionalHelpAppend = "\nExample:\n  anvilglade requests unknown --agents 10.0.0.1:7900,10.0.0.2:7900 --json"
-	v.set = agsettings.NewSet(v.unknown)
-	v.set.AddrList(&v.agents, "agents", "admin addresses of the agents to ask", agsettings.Required)
-	v.unknown.Bool(&v.json, "", "json", "print JSON")
-	subcommand.AttachSubcommand(v.unknown, 1)
+	return newOperatorVerb(action{
+		name: "unknown", summary: "list requests whose outcome is unknown",
+		example: "anvilglade requests unknown --admin 10.0.0.1:7900 --json",
+		run:     showUnknown,
+	})
 }
 
 // agentJournal is what one agent answered.
 type agentJournal struct {
-	Agent netip.AddrPort
+	Agent string
 	// Error is set if the agent could not be asked; its list is then missing.
 	Error string `json:",omitempty"`
 	agticket.JournalPage
 }
 
-// Run asks every agent. It exits with 1 if one could not be asked, because the
-// list is then not complete.
-func (v *requestsVerb) Run(ctx context.Context) int {
-	if !v.unknown.Used {
-		fmt.Fprintln(os.Stderr, "anvilglade requests: the subcommand is missing, allowed: unknown")
-		return ExitUsage
+// showUnknown asks every agent. It exits with 1 if a process could not be asked,
+// because the list is then not complete.
+func showUnknown(ctx context.Context, c *operatorCommand) int {
+	if len(c.admin) == 0 {
+		return c.fail(fmt.Errorf("%w: give at least one address with --admin", errUsage))
 	}
-	if err := v.set.Check(); err != nil {
-		fmt.Fprintln(os.Stderr, "anvilglade requests unknown:", err)
-		return ExitUsage
+	var journals []agentJournal
+	var addresses []netip.AddrPort
+	for _, answer := range c.processes(ctx, true) {
+		if answer.Status.Balancer != "" {
+			continue
+		}
+		journals = append(journals, agentJournal{Agent: answer.name()})
+		addresses = append(addresses, answer.Address)
 	}
-	code := ExitDone
-	journals := make([]agentJournal, 0, len(v.agents))
-	for _, agent := range v.agents {
-		journal, err := fetchJournal(ctx, agent)
-		if err != nil {
-			code = ExitFailed
-			journal.Error = err.Error()
+	if err := fetchAll(ctx, len(journals), func(ctx context.Context, i int) {
+		if err := journals[i].fetch(ctx, addresses[i]); err != nil {
+			journals[i].Error = err.Error()
 		}
-		journals = append(journals, journal)
+	}); err != nil {
+		return c.fail(err)
 	}
-	if err := printJournals(os.Stdout, journals, v.json); err != nil {
-		fmt.Fprintln(os.Stderr, "anvilglade requests unknown:", err)
-		return ExitFailed
+	if err := printJournals(os.Stdout, journals, c.json); err != nil {
+		return c.fail(err)
 	}
-	return code
+	for _, journal := range journals {
+		if journal.Error != "" {
+			return ExitFailed
+		}
+	}
+	return ExitDone
 }
 
-func fetchJournal(ctx context.Context, agent netip.AddrPort) (agentJournal, error) {
-	ctx, cancel := context.WithTimeout(ctx, journalTimeout)
-	defer cancel()
-	journal := agentJournal{Agent: agent}
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+agent.String()+"/requests/unknown", http.NoBody)
-	if err != nil {
-		return journal, fmt.Errorf("build request: %w", err)
-	}
-	response, err := http.DefaultClient.Do(request)
+func (j *agentJournal) fetch(ctx context.Context, address netip.AddrPort) error {
+	body, code, err := fetch(ctx, address, "/requests/unknown")
 	if err != nil {
-		return journal, err
+		return err
 	}
-	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode != http.StatusOK {
-		return journal, fmt.Errorf("agent %s answered with status %d", agent, response.StatusCode)
+	if code != http.StatusOK {
+		return fmt.Errorf("answered %d", code)
 	}
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxJournalPage)).Decode(&journal.JournalPage); err != nil {
-		return journal, fmt.Errorf("parse journal of agent %s: %w", agent, err)
+	if err := json.Unmarshal(body, &j.JournalPage); err != nil {
+		return fmt.Errorf("parse journal: %w", err)
 	}
-	return journal, nil
+	return nil
 }
 
 func printJournals(w io.Writer, journals []agentJournal, asJSON bool) error {
@@ -111,9 +86,8 @@
 		return json.NewEncoder(w).Encode(journals)
 	}
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	var faults []error
 	_, err := fmt.Fprintln(table, "AGENT\tTIME\tSERVICE\tMETHOD\tPATH\tREQUEST\tATTEMPTS\tREASON")
-	faults = append(faults, err)
+	faults := []error{err}
 	for _, journal := range journals {
 		if journal.Error != "" {
 			_, err = fmt.Fprintf(table, "%s\t-\t-\t-\t-\t-\t-\tnot asked: %s\n", journal.Agent, journal.Error)
--- a/internal/operate/agcommand/table.go
+++ b/internal/operate/agcommand/table.go
@@ -61,7 +61,7 @@
 	{name: "snapshot", summary: "save, verify and restore the tables", example: "anvilglade snapshot save before.json", create: newSnapshotVerb},
 	{name: "keys", summary: "draw, rotate, retire and list keys", example: "anvilglade keys rotate --admin 10.0.0.1:7900", create: newKeysVerb},
 	{name: "request", summary: "send one request as a caller", example: "anvilglade request POST https://127.0.0.1:7001/reports --data '{\"Job\":7}' --timeout 10s", create: newRequestVerb},
-	{name: "requests", summary: "list requests whose outcome is unknown", example: "anvilglade requests unknown --agents 10.0.0.1:7900", create: newRequestsVerb},
+	{name: "requests", summary: "list requests whose outcome is unknown", example: "anvilglade requests unknown --admin 10.0.0.1:7900", create: newRequestsVerb},
 	{name: "version", summary: "print the version", example: "anvilglade version", create: newVersionVerb},
 }
 
