Count flows as lost from the moment a data centre is taken out

Cause: SmallFleet reported 38 of 120 flows as broken; the trace shows that each began with a host of dk3 and moved after 'datacentre out dk3' was accepted but before the command returned, which waited for the record of a killed balancer. Such flows are lost by decision, which is accepted. Change: the scenario marks the hosts at the start of the command.

--- a/internal/stand/agscenario/verbs_fleet.go
+++ b/internal/stand/agscenario/verbs_fleet.go
@@ -243,16 +243,20 @@
 		return err
 	}
 	start := time.Now()
+	// The flows may end from the moment of the command on, not only once it
+	// has seen the change in effect on every balancer.
+	if state == anvilglade.DataCentreOut {
+		for _, item := range hosts {
+			s.hostGone(item.name)
+		}
+	}
 	if err := s.fleet.mustOperate(ctx, s.fleet.edits("datacentres", action, name, "--wait", "--force")...); err != nil {
 		return err
 	}
 	accepted := time.Now()
 	s.note("data centre %s %s, in effect after %s", name, state, accepted.Sub(start).Round(time.Millisecond))
-	for _, item := range hosts {
-		if state == anvilglade.DataCentreOut {
-			s.hostGone(item.name)
-		}
-		if state == anvilglade.DataCentreIn {
+	if state == anvilglade.DataCentreIn {
+		for _, item := range hosts {
 			s.hostBack(item.name)
 		}
 	}
