Take flows of the baseline although balancers set Direct

Cause: balancers of the baseline set Direct on every packet, so baseline agents dropped all of them as WrongService and the measures had no baseline.

Change: agents in the baseline take the flow before they look at Direct.

--- a/internal/flow/agflow/choice_test.go
+++ b/internal/flow/agflow/choice_test.go
@@ -197,3 +197,15 @@
 		}
 	}
 }
+
+// TestBaseline guards against measurements whose baseline drops every packet.
+func TestBaseline(t *testing.T) {
+	_, candidates := benchMachine(2)
+	machine := agflow.NewMachine(agflow.Options{Self: candidates[0].Address, Ownership: agflow.OwnershipBaseline, Admitter: &benchHost{}})
+	machine.SetOrders(time.Unix(1, 0), &anvilglade.HostOrders{Service: "alerts", DataCentreState: anvilglade.DataCentreIn}, nil)
+	header := benchHeader(1, candidates)
+	header.Direct = true
+	if actions := machine.Handle(time.Unix(1, 0), agheader.KindLookup, &header, nil, nil); actions[0].Kind != agflow.ActionDeliver {
+		t.Fatalf("packet is not delivered: %+v", actions[0])
+	}
+}
--- a/internal/flow/agflow/lookup.go
+++ b/internal/flow/agflow/lookup.go
@@ -24,13 +24,15 @@
 	if header.Balancer.IsValid() {
 		m.recent = header.Balancer
 	}
-	if header.Direct {
+	// Balancers of the baseline set Direct on every packet.
+	baseline := m.options.Ownership == OwnershipBaseline
+	if header.Direct && !baseline {
 		return m.takeDirect(header, payload, actions)
 	}
 	if flow := m.flows[header.Flow]; flow != nil {
 		return m.deliver(now, flow, header, payload, actions)
 	}
-	if m.options.Ownership == OwnershipBaseline {
+	if baseline {
 		return m.takeFirst(now, header, payload, actions)
 	}
 	step := int(header.Step)
