--- a/internal/admission/agadmit/host.go
+++ b/internal/admission/agadmit/host.go
@@ -30,6 +30,7 @@
 package agadmit
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -62,6 +63,7 @@
 	closed  anvilglade.Refusal
 
 	flows    anvilglade.Connections
+	busy     busy
 	requests map[*request]struct{}
 	adaptive adaptive
 	ramp     ramp
@@ -181,6 +183,7 @@
 		return h.refuse(refusal), nil
 	}
 	entry := &request{started: now, phase: h.ramp.phase}
+	h.busy.advance(now, len(h.requests))
 	h.requests[entry] = struct{}{}
 	h.counts.RequestsStarted++
 	var once sync.Once
@@ -224,8 +227,9 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	inProgress := len(h.requests)
-	delete(h.requests, entry)
 	now := h.options.Clock.Now()
+	h.busy.advance(now, inProgress)
+	delete(h.requests, entry)
 	reaction := reactions[outcome]
 	if reaction == nil {
 		reaction = (*Host).onFailed
@@ -242,9 +246,11 @@
 	return limit
 }
 
-// Utilisation implements anvilglade.Admitter. A cold server's ramp and the
-// adaptive limit count as its capacity, so that it looks full to the others
-// while it can bear only little.
+// Utilisation implements anvilglade.Admitter. Requests count by their average
+// over the last seconds, as a host with 4 slots shows only multiples of 250 at
+// one moment; a host that can start nothing now is full. A cold server's ramp
+// and the adaptive limit count as its capacity, so that it looks full to the
+// others while it can bear only little.
 func (h *Host) Utilisation() anvilglade.Utilisation {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -255,17 +261,18 @@
 	if h.closed != anvilglade.RefusalNone {
 		return anvilglade.FullUtilisation
 	}
-	requests := part(len(h.requests), h.limit())
-	flows := part(int(h.flows), int(h.pool.Connections))
+	if len(h.requests) >= h.limit() {
+		return anvilglade.FullUtilisation
+	}
+	h.busy.advance(h.options.Clock.Now(), len(h.requests))
+	requests := part(h.busy.average, h.limit())
+	flows := part(float64(h.flows), int(h.pool.Connections))
 	return max(requests, flows)
 }
 
-func part(used, capacity int) anvilglade.Utilisation {
-	full := int(anvilglade.FullUtilisation)
-	if capacity <= 0 {
-		return anvilglade.FullUtilisation
-	}
-	return anvilglade.Utilisation(min(full, (used*full+capacity/2)/capacity))
+func part(used float64, capacity int) anvilglade.Utilisation {
+	full := float64(anvilglade.FullUtilisation)
+	return anvilglade.Utilisation(math.Round(min(full, used*full/float64(max(1, capacity)))))
 }
 
 // State returns a copy of what the host knows.
--- a/internal/flow/agflow/choice.go
+++ b/internal/flow/agflow/choice.go
@@ -108,3 +108,47 @@
 	}
 	return count
 }
+
+// spillFactor and spillMargin bound how far above the mean a host may be before
+// it offers new requests to others. Both hosts report once a second, so a
+// smaller margin would send requests to and fro.
+const (
+	spillFactor = 1.05
+	spillMargin = 10.0
+)
+
+// Spill returns a host that should get a new request of the own service instead
+// of this one: this host is above the moving threshold, and the other one is the
+// less utilised of two drawn at random among those below the mean. Each call
+// counts as one request there until its next report. It returns false if this
+// host should take the request itself, and always in services whose hosts do not
+// report to each other.
+func (m *Machine) Spill() (anvilglade.ServiceMember, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	known := m.views[m.service]
+	if known == nil {
+		return anvilglade.ServiceMember{}, false
+	}
+	mean := known.meanUtilisation(m)
+	if m.estimate(m.options.Self) <= mean*spillFactor+spillMargin {
+		return anvilglade.ServiceMember{}, false
+	}
+	var below []*anvilglade.ServiceMember
+	for i := range known.members {
+		member := &known.members[i]
+		reported := m.loads[member.AgentAddress]
+		if member.Accepts && reported != nil && member.AgentAddress != m.options.Self && m.estimate(member.AgentAddress) < mean {
+			below = append(below, member)
+		}
+	}
+	if len(below) == 0 {
+		return anvilglade.ServiceMember{}, false
+	}
+	chosen, second := below[m.options.Random.IntN(len(below))], below[m.options.Random.IntN(len(below))]
+	if m.estimate(second.AgentAddress) < m.estimate(chosen.AgentAddress) {
+		chosen = second
+	}
+	m.loads[chosen.AgentAddress].placed++
+	return *chosen, true
+}
--- a/internal/flow/agflow/expire.go
+++ b/internal/flow/agflow/expire.go
@@ -50,13 +50,23 @@
 	return m.options.IdleTimeout
 }
 
+// report sends the utilisation to the arbiter. In small services it goes to all
+// hosts, so that each can tell whether it is above the mean.
 func (m *Machine) report(actions []Action) []Action {
-	arbiter := m.views[m.service].arbiter(m, nil)
-	if arbiter == nil || m.out || arbiter.AgentAddress == m.options.Self {
+	known := m.views[m.service]
+	arbiter := known.arbiter(m, nil)
+	if arbiter == nil || m.out {
 		return actions
 	}
 	header := agheader.Header{Service: m.service, Protocol: anvilglade.ProtocolUDP, Sender: m.options.Self, Utilisation: m.options.Admitter.Utilisation()}
-	return send(actions, arbiter.AgentAddress, agheader.KindUtilisation, &header, nil)
+	for i := range known.members {
+		member := &known.members[i]
+		wanted := member == arbiter || len(known.members) <= listAll && living(member.State) && !member.Former
+		if wanted && member.AgentAddress != m.options.Self {
+			actions = send(actions, member.AgentAddress, agheader.KindUtilisation, &header, nil)
+		}
+	}
+	return actions
 }
 
 func (m *Machine) end(key anvilglade.FlowKey, flow *Flow, detail string, actions []Action) []Action {
--- a/internal/operate/agagent/agent.go
+++ b/internal/operate/agagent/agent.go
@@ -94,10 +94,13 @@
 
 // ServerOptions are what the QUIC server of a service is built from.
 type ServerOptions struct {
-	Service     anvilglade.ServiceID
-	Conn        net.PacketConn
-	Backend     netip.AddrPort
-	Admitter    anvilglade.Admitter
+	Service  anvilglade.ServiceID
+	Conn     net.PacketConn
+	Backend  netip.AddrPort
+	Admitter anvilglade.Admitter
+	// Spill names the host that should get the next new request instead of this
+	// one, see agflow.Machine.Spill.
+	Spill       func() (anvilglade.ServiceMember, bool)
 	Orders      anvilglade.OrdersSource
 	Keys        KeyRing
 	Record      anvilglade.HostRecord
@@ -295,7 +298,7 @@
 		a.cleanup = append(a.cleanup, closeConn)
 		a.conns[service.Number()] = conn
 		server, stop, err := a.parts.NewServer(ServerOptions{
-			Service: service, Conn: conn, Backend: backend, Admitter: a.admitter, Orders: a.reporter, Keys: a.parts.Keys,
+			Service: service, Conn: conn, Backend: backend, Admitter: a.admitter, Spill: a.machine.Spill, Orders: a.reporter, Keys: a.parts.Keys,
 			Record: a.record, JoinSecrets: a.settings.JoinSecrets, Group: a.group, Events: a.events, Admin: a.admin,
 		})
 		if err != nil {
