--- a/internal/config/agconfig/agconfig_test.go
+++ b/internal/config/agconfig/agconfig_test.go
@@ -73,6 +73,31 @@
 		}
 	})
 
+	// Guards against a former fault, found by a newer rule, that keeps operators
+	// from taking a data centre out.
+	It("refuses an edit only for faults that it adds", func() {
+		before := fleet(2, 4)
+		before.Pools[0].Slots = agconfig.MaxSlots + 1
+		after := fleet(2, 4)
+		after.Pools[0].Slots = agconfig.MaxSlots + 1
+		after.DataCentres[0].State = anvilglade.DataCentreOut
+		Expect(agconfig.ValidateEdit(after, agconfig.Options{Before: before})).To(BeEmpty())
+		after.Pools[0].Slots++
+		Expect(agconfig.ValidateEdit(after, agconfig.Options{Before: before})).To(HaveLen(1))
+	})
+
+	// Guards against a row that smuggles in another one.
+	It("reads exactly one row without unknown fields", func() {
+		key, row, err := agconfig.Row(agconfig.TableDataCentres, []byte(`{"Region":"dk","Name":"dk1"}`))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(key).To(Equal("dk1"))
+		Expect(string(row)).To(Equal(`{"Name":"dk1","Region":"dk","State":"In"}`))
+		for _, raw := range []string{``, `{`, `[]`, `{"Name":"a"},{"Name":"b"}`, `{"Name":"a"}],"Hosts":[{"Name":"b"}`, `],"DataCentres":[{"Name":"b"}`, `{"Naam":"a"}`} {
+			_, _, err := agconfig.Row(agconfig.TableDataCentres, []byte(raw))
+			Expect(err).To(HaveOccurred(), raw)
+		}
+	})
+
 	// Guards against an edit that stops a service or the whole fleet unnoticed.
 	It("refuses to leave a service or the fleet without hosts unless forced", func() {
 		before := fleet(2, 4)
--- a/internal/config/agconfig/row.go
+++ b/internal/config/agconfig/row.go
@@ -54,6 +54,9 @@
 
 // decodeStrict decodes a row as the only one of its table.
 func decodeStrict(table string, raw json.RawMessage, tables *anvilglade.Tables) error {
+	if !json.Valid(raw) {
+		return errors.New("not one JSON object")
+	}
 	whole := fmt.Appendf(nil, `{%q:[`, table)
 	whole = append(append(whole, raw...), `]}`...)
 	decoder := json.NewDecoder(bytes.NewReader(whole))
--- a/internal/config/agconfig/validate.go
+++ b/internal/config/agconfig/validate.go
@@ -99,6 +99,18 @@
 	return v.faults
 }
 
+// ValidateEdit returns the faults that an edit adds to the tables in
+// options.Before. Faults that are there already, such as by a rule that came
+// with a newer version, must not keep operators from taking a data centre out.
+func ValidateEdit(tables anvilglade.Tables, options Options) FaultsError {
+	faults := Validate(tables, options)
+	if len(faults) == 0 {
+		return nil
+	}
+	former := Validate(options.Before, Options{Force: true})
+	return slices.DeleteFunc(faults, func(fault Fault) bool { return slices.Contains(former, fault) })
+}
+
 type validation struct {
 	faults FaultsError
 }
--- a/internal/config/agedit/submit.go
+++ b/internal/config/agedit/submit.go
@@ -139,7 +139,7 @@
 		return document, verdict, true
 	}
 	options := agconfig.Options{Before: document.Tables, Force: a.request.Force, Known: a.request.Known}
-	if faults := agconfig.Validate(tables, options); len(faults) > 0 {
+	if faults := agconfig.ValidateEdit(tables, options); len(faults) > 0 {
 		verdict := a.reject(snapshot, "the result has faults")
 		verdict.Faults = faults
 		return document, verdict, true
--- a/internal/operate/agcommand/snapshot.go
+++ b/internal/operate/agcommand/snapshot.go
@@ -105,9 +105,6 @@
 	if sum != file.Checksum {
 		return file, fmt.Errorf("%s: %w", path, errChecksum)
 	}
-	if faults := agconfig.Validate(file.Tables, agconfig.Options{}); len(faults) > 0 {
-		return file, faults
-	}
 	return file, nil
 }
 
@@ -116,6 +113,9 @@
 	if err != nil {
 		return c.fail(err)
 	}
+	if faults := agconfig.Validate(file.Tables, agconfig.Options{Force: true}); len(faults) > 0 {
+		return c.fail(faults)
+	}
 	fmt.Printf("Sound: revision %d, SHA-256 %s, %d routes, %d pools, %d data centres, %d host overrides.\n",
 		file.Revision, file.Checksum, len(file.Tables.Routes), len(file.Tables.Pools), len(file.Tables.DataCentres), len(file.Tables.Hosts))
 	return ExitDone
--- a/internal/operate/agcommand/tables.go
+++ b/internal/operate/agcommand/tables.go
@@ -179,7 +179,7 @@
 	}
 	var faults agconfig.FaultsError
 	if len(conflicts) == 0 {
-		faults = agconfig.Validate(tables, agconfig.Options{Before: snapshot.Document.Tables, Force: c.force})
+		faults = agconfig.ValidateEdit(tables, agconfig.Options{Before: snapshot.Document.Tables, Force: c.force})
 	}
 	code := ExitDone
 	if len(conflicts) > 0 || len(faults) > 0 {
