--- a/internal/config/agadminapi/server_test.go
+++ b/internal/config/agadminapi/server_test.go
@@ -212,3 +212,23 @@
 		Expect(recorder.Code).To(Equal(http.StatusOK))
 	})
 })
+
+// Guards against an object that crashes every balancer with the API, or that
+// gives a team more than its role says.
+func FuzzDecodeTeams(f *testing.F) {
+	f.Add([]byte(`{"Teams":[{"Name":"a","Role":"Editor","Pools":["a*"],"TokenHashes":[]}]}`))
+	f.Add([]byte(`{"Teams":[{"Name":"a","Role":"King"}]}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		teams, err := agadminapi.DecodeTeams(data)
+		if err != nil {
+			return
+		}
+		for _, team := range teams.Teams {
+			switch team.Role {
+			case agadminapi.RoleViewer, agadminapi.RoleEditor, agadminapi.RoleOperator:
+			default:
+				t.Fatalf("role %q was accepted", team.Role)
+			}
+		}
+	})
+}
--- a/internal/operate/agcommand/apply.go
+++ b/internal/operate/agcommand/apply.go
@@ -13,7 +13,7 @@
 		edits: true,
 		bind: func(c *operatorCommand) {
 			c.positionalValue(&c.file, "FILE", "JSON or YAML with any of Routes, Pools, DataCentres, Hosts; '-' for standard input", true)
-			c.subcommand.Bool(&c.yes, "", "dry-run", "print what would change and write nothing")
+			c.subcommand.Bool(&c.noWrite, "", "dry-run", "print what would change and write nothing")
 		},
 		run: apply,
 	})
@@ -33,7 +33,7 @@
 		}
 		return changesFrom(snapshot, wanted, func(tables anvilglade.Tables) anvilglade.Tables { return tables })
 	}
-	if !c.yes {
+	if !c.noWrite {
 		return c.submit(ctx, build)
 	}
 	snapshot, err := c.read(ctx)
--- a/internal/operate/agcommand/fleet.go
+++ b/internal/operate/agcommand/fleet.go
@@ -195,6 +195,7 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), c.waitTimeout)
 	defer cancel()
 	began := time.Now()
+	var report []string
 	for {
 		var lagging []string
 		balancers := 0
@@ -213,9 +214,13 @@
 			fmt.Fprintf(os.Stderr, "Revision %d is in effect on %d balancers after %s.\n", revision, balancers, time.Since(began).Round(time.Millisecond))
 			return ExitDone
 		}
+		// A round that the time limit cut short says nothing of the processes.
+		if ctx.Err() == nil || report == nil {
+			report = lagging
+		}
 		select {
 		case <-ctx.Done():
-			fmt.Fprintf(os.Stderr, "Revision %d is accepted but not in effect everywhere:\n  %s\n", revision, strings.Join(lagging, "\n  "))
+			fmt.Fprintf(os.Stderr, "Revision %d is accepted but not in effect everywhere:\n  %s\n", revision, strings.Join(report, "\n  "))
 			return ExitFailed
 		case <-time.After(waitInterval):
 		}
--- a/internal/operate/agcommand/operator.go
+++ b/internal/operate/agcommand/operator.go
@@ -53,7 +53,7 @@
 	first, second, third string
 	// Values of flags that several actions share.
 	editID, base, revision, file string
-	yaml, yes                    bool
+	yaml, yes, noWrite           bool
 
 	pool       poolFlags
 	centre     centreFlags
