--- a/internal/operate/agcommand/agent_parts.go
+++ b/internal/operate/agcommand/agent_parts.go
@@ -18,9 +18,11 @@
 		return agagent.Parts{}, err
 	}
 	codec := agconnid.NewCodec(ring)
+	requests := &requestLayer{settings: settings, ring: ring}
 	return agagent.Parts{
 		Keys:        ring,
 		NewReporter: newReporter,
+		NewServer:   requests.newServer,
 		Direct: func(record *anvilglade.HostRecord, service anvilglade.ServiceNumber, packet []byte) bool {
 			return namesHost(codec, record, service, packet)
 		},
