--- a/internal/request/agserve/answer.go
+++ b/internal/request/agserve/answer.go
@@ -25,6 +25,13 @@
 
 const copySize = 32 << 10
 
+// maxHeld bounds an answer that is read whole before it is passed on.
+const maxHeld = 4 << 20
+
+// heldBuffers saves the collector answers of megabytes. Pages that an answer
+// does not reach are never touched.
+var heldBuffers = sync.Pool{New: func() any { return new([maxHeld]byte) }}
+
 // lineSize is the buffer of a line, of which a host has about 2,000 open.
 const lineSize = 2 << 10
 
@@ -44,6 +51,8 @@
 	// head is the first part of the body, all of it if rest is nil.
 	head []byte
 	rest io.ReadCloser
+	// free returns the memory of a held answer; it may be nil.
+	free func()
 	// release ends the admission of the request.
 	release func(anvilglade.Outcome)
 }
@@ -59,39 +68,71 @@
 	return anvilglade.OutcomeAnswered
 }
 
-// readAnswer reads the head of the body. On an error the response is closed.
-func readAnswer(response *http.Response, method string) (*answer, error) {
+// readAnswer reads the head of the body, or all of it if it may be held. On an
+// error the response is closed.
+func (s *Server) readAnswer(response *http.Response, method string) (*answer, error) {
 	a := &answer{status: response.StatusCode, header: response.Header, length: response.ContentLength}
-	removeHopHeaders(a.header)
-	if method == http.MethodHead || response.ContentLength == 0 || !bodyAllowed(response.StatusCode) {
+	whole, err := s.readHead(a, response, method)
+	if err != nil {
+		_ = response.Body.Close()
+		a.giveBack()
+		return nil, fmt.Errorf("read answer: %w", err)
+	}
+	if whole {
 		_ = response.Body.Close()
 		return a, nil
 	}
-	var err error
+	a.rest = response.Body
+	return a, nil
+}
+
+// readHead reports whether the head is the whole body.
+func (s *Server) readHead(a *answer, response *http.Response, method string) (whole bool, err error) {
+	removeHopHeaders(a.header)
+	if method == http.MethodHead || response.ContentLength == 0 || !bodyAllowed(response.StatusCode) {
+		return true, nil
+	}
 	if a.length < 0 {
 		a.head, err = readFirst(response.Body)
-	} else {
-		a.head = make([]byte, min(a.length, headSize))
-		_, err = io.ReadFull(response.Body, a.head)
-		if err == nil && a.length == int64(len(a.head)) {
-			err = endOfBody(response.Body)
+		if errors.Is(err, io.EOF) {
+			a.length = int64(len(a.head))
+			return true, nil
 		}
+		return false, err
 	}
-	if errors.Is(err, io.EOF) && a.length < 0 || errors.Is(err, errWhole) {
-		a.length = int64(len(a.head))
-		_ = response.Body.Close()
-		return a, nil
+	s.makeHead(a)
+	if _, err := io.ReadFull(response.Body, a.head); err != nil {
+		return false, err
 	}
-	if err != nil {
-		_ = response.Body.Close()
-		return nil, fmt.Errorf("read answer: %w", err)
+	if a.length > int64(len(a.head)) {
+		return false, nil
 	}
-	a.rest = response.Body
-	return a, nil
+	return true, endOfBody(response.Body)
 }
 
-// errWhole says that the body ended where it was announced to end.
-var errWhole = errors.New("whole")
+// makeHead takes the memory for the head. An answer up to maxHeld is held whole
+// while there is memory: the backend server is then free at the speed of the
+// loopback and not of the caller's path, and a truncated answer can be repeated.
+func (s *Server) makeHead(a *answer) {
+	if a.length <= headSize {
+		a.head = make([]byte, a.length)
+		return
+	}
+	if a.length > maxHeld || s.held.Add(a.length) > s.options.MaxBuffered {
+		if a.length <= maxHeld {
+			s.held.Add(-a.length)
+		}
+		a.head = make([]byte, headSize)
+		return
+	}
+	buffer := heldBuffers.Get().(*[maxHeld]byte)
+	length := a.length
+	a.head = buffer[:length]
+	a.free = func() {
+		s.held.Add(-length)
+		heldBuffers.Put(buffer)
+	}
+}
 
 // readFirst returns what is there, so that the first line of a stream is not
 // held back.
@@ -112,7 +153,7 @@
 	var one [1]byte
 	n, err := io.ReadFull(body, one[:])
 	if n == 0 && err == io.EOF {
-		return errWhole
+		return nil
 	}
 	if err == nil {
 		return errFraming
@@ -124,6 +165,15 @@
 	if a.rest != nil {
 		_ = a.rest.Close()
 	}
+	a.giveBack()
+}
+
+// giveBack returns the memory of a held answer.
+func (a *answer) giveBack() {
+	if a.free != nil {
+		a.free()
+		a.free, a.head = nil, nil
+	}
 }
 
 // pass writes the answer to the caller. After an error the stream must be
--- a/internal/request/agserve/options.go
+++ b/internal/request/agserve/options.go
@@ -21,7 +21,8 @@
 	MaxTimeout = 10 * time.Minute
 	// DefaultMaxBody bounds the body of a request in bytes.
 	DefaultMaxBody = 8 << 20
-	// DefaultMaxBuffered bounds the request bodies in memory in bytes.
+	// DefaultMaxBuffered bounds the request bodies in memory, and likewise the
+	// answers, in bytes.
 	DefaultMaxBuffered = 64 << 20
 	// DefaultMaxAttempts bounds the hosts on which a GET or HEAD is sent.
 	DefaultMaxAttempts = 2
--- a/internal/request/agserve/report.go
+++ b/internal/request/agserve/report.go
@@ -4,6 +4,7 @@
 // attempt from the outcome; other agents only pass attempts to the issuer.
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -165,8 +166,12 @@
 // end, so that the server is not cut off, but not kept.
 func (s *Server) keepAnswer(ctx context.Context, life *aglife.Life, a *answer) agticket.Outcome {
 	defer a.close()
-	body, dropped := a.head, false
-	if a.rest != nil {
+	// The head may be memory that is used again.
+	body, dropped := bytes.Clone(a.head), false
+	if len(body) > maxOutcomeBody {
+		body, dropped = nil, true
+	}
+	if a.rest != nil && !dropped {
 		rest, err := io.ReadAll(io.LimitReader(a.rest, maxOutcomeBody-int64(len(a.head))+1))
 		body = append(body, rest...)
 		if err == nil && len(body) > maxOutcomeBody {
@@ -251,7 +256,7 @@
 	response, reached, err := s.options.Peers.send(ctx, ticket.Issuer, s.options.Service, forwardTicket, c)
 	var a *answer
 	if err == nil {
-		a, err = readAnswer(response, c.method)
+		a, err = s.readAnswer(response, c.method)
 	}
 	if err != nil {
 		if r.Context().Err() != nil {
--- a/internal/request/agserve/run.go
+++ b/internal/request/agserve/run.go
@@ -103,7 +103,7 @@
 	}
 	var a *answer
 	if err == nil {
-		a, err = readAnswer(response, c.method)
+		a, err = s.readAnswer(response, c.method)
 	}
 	if err != nil {
 		release(failure(ctx))
@@ -196,7 +196,7 @@
 	}
 	var a *answer
 	if err == nil {
-		a, err = readAnswer(response, c.method)
+		a, err = s.readAnswer(response, c.method)
 	}
 	if err != nil {
 		return s.lose(ctx, err)
--- a/internal/request/agserve/serve_test.go
+++ b/internal/request/agserve/serve_test.go
@@ -61,6 +61,23 @@
 		Expect(a.admitter.ended()).To(Equal([]anvilglade.Outcome{anvilglade.OutcomeAnswered, anvilglade.OutcomeAnswered}))
 	})
 
+	// Guards against memory that is taken for bodies that do not come: over
+	// HTTP/3 a GET without a body has no announced length.
+	It("takes no memory for a request without a body", func() {
+		a := f.add(startBackend(GinkgoTB(), echo), func(o *agserve.Options) { o.MaxBuffered = 4 })
+		request, err := http.NewRequest(http.MethodGet, "https://"+a.address.String()+"/", nil)
+		Expect(err).NotTo(HaveOccurred())
+		response, err := client.Do(request)
+		Expect(err).NotTo(HaveOccurred())
+		defer response.Body.Close()
+		Expect(response.StatusCode).To(Equal(http.StatusOK))
+		got := call(context.Background(), client, a, http.MethodPost, "/", []byte("12345"))
+		Expect(got.problem.Type).To(Equal(agproblem.NotRun))
+		for range 3 {
+			Expect(call(context.Background(), client, a, http.MethodPost, "/", []byte("1234")).status).To(Equal(http.StatusOK))
+		}
+	})
+
 	// Guards against a refusal that is not one, and against one without reason.
 	It("refuses without running when the host has no capacity", func() {
 		ran := false
--- a/internal/request/agserve/server.go
+++ b/internal/request/agserve/server.go
@@ -40,6 +40,8 @@
 	durations *durations
 	counters  *expvar.Map
 	buffered  atomic.Int64
+	// held is the memory of answers that are held whole, in bytes.
+	held atomic.Int64
 	// peerActive counts requests in progress that came from other agents.
 	peerActive atomic.Int64
 	log        *aglog.Logger
