Reset QUIC connections whose data centre is out of service

Cause: after 'datacentres out' the packets of a caller's connection were dropped in silence, so callers waited for their idle timeout (5 s) before they reconnected, and then sent their backlog at once, which the other hosts had to refuse. Change: all agents share a reset key derived from the join secret; balancers answer packets for a host of such a data centre with a stateless reset, and a restarted agent resets the connections of its former process.

--- a/internal/operate/agbalancer/balancer.go
+++ b/internal/operate/agbalancer/balancer.go
@@ -29,6 +29,8 @@
 	"sync"
 	"time"
 
+	"github.com/quic-go/quic-go"
+
 	"github.com/anvilglade/anvilglade"
 	"github.com/anvilglade/anvilglade/internal/observe/agevent"
 	"github.com/anvilglade/anvilglade/internal/observe/aglog"
@@ -82,10 +84,13 @@
 
 // Parts are the other parts of the process.
 type Parts struct {
-	Keys    anvilglade.KeyRing
-	Replica anvilglade.Replica
-	Events  anvilglade.Recorder
-	Clock   anvilglade.Clock
+	Keys anvilglade.KeyRing
+	// ResetKey ends QUIC connections whose data centre is out; nil sends no
+	// resets.
+	ResetKey *quic.StatelessResetKey
+	Replica  anvilglade.Replica
+	Events   anvilglade.Recorder
+	Clock    anvilglade.Clock
 	// Decode returns the configuration in a record of the replica, and the
 	// match of hosts to pools in it.
 	Decode func(anvilglade.Record) (*anvilglade.Configuration, agtable.ServiceOf, error)
--- a/internal/operate/agbalancer/counters.go
+++ b/internal/operate/agbalancer/counters.go
@@ -17,7 +17,7 @@
 // counters count datagrams. The map of drops is not changed after creation.
 type counters struct {
 	forwarded, direct, replies, heartbeats, sendErrors atomic.Uint64
-	tables, cut, bindErrors                            atomic.Uint64
+	tables, cut, bindErrors, resets                    atomic.Uint64
 	drops                                              map[anvilglade.Drop]*atomic.Uint64
 }
 
@@ -40,7 +40,7 @@
 	values := map[string]uint64{
 		"Forwarded": c.forwarded.Load(), "Direct": c.direct.Load(), "Replies": c.replies.Load(),
 		"Heartbeats": c.heartbeats.Load(), "SendErrors": c.sendErrors.Load(), "Tables": c.tables.Load(),
-		"CutLists": c.cut.Load(), "BindErrors": c.bindErrors.Load(),
+		"CutLists": c.cut.Load(), "BindErrors": c.bindErrors.Load(), "Resets": c.resets.Load(),
 	}
 	for reason, counter := range c.drops {
 		values["Drop"+string(reason)] = counter.Load() + opened[reason]
--- a/internal/operate/agbalancer/ingress.go
+++ b/internal/operate/agbalancer/ingress.go
@@ -15,6 +15,7 @@
 
 	"github.com/anvilglade/anvilglade"
 	"github.com/anvilglade/anvilglade/internal/operate/agtask"
+	"github.com/anvilglade/anvilglade/internal/packet/agconnid"
 	"github.com/anvilglade/anvilglade/internal/packet/agheader"
 	"github.com/anvilglade/anvilglade/internal/packet/agsocket"
 	"github.com/anvilglade/anvilglade/internal/routing/agtable"
@@ -155,12 +156,12 @@
 			b.warn(err, "Cannot read from a service address.")
 			continue
 		}
-		f.forward(in.address, packets)
+		f.forward(in, packets)
 	}
 }
 
 // forward sends a batch of packets to the agents.
-func (f *forwarder) forward(address netip.AddrPort, packets []agsocket.Packet) {
+func (f *forwarder) forward(in *ingress, packets []agsocket.Packet) {
 	b := f.balancer
 	var forwarded, direct uint64
 	for i := range packets {
@@ -168,10 +169,11 @@
 			b.counters.drop(anvilglade.DropOversized)
 			continue
 		}
-		f.packet = anvilglade.IngressPacket{Caller: packets[i].From, ServiceAddress: address, Payload: packets[i].Data}
+		f.packet = anvilglade.IngressPacket{Caller: packets[i].From, ServiceAddress: in.address, Payload: packets[i].Data}
 		b.router.Route(&f.packet, &f.decision)
 		if f.decision.Drop != anvilglade.DropNone {
 			b.counters.drop(f.decision.Drop)
+			f.reset(in)
 			continue
 		}
 		if f.send() {
@@ -188,6 +190,24 @@
 	b.counters.sendErrors.Add(f.writer.Errors() - failed)
 }
 
+// reset tells a caller at once that its QUIC connection ended with its data
+// centre; otherwise the caller would wait for its idle timeout before it
+// reconnects. The router gives this reason only for ids that it could decrypt.
+func (f *forwarder) reset(in *ingress) {
+	if f.decision.Drop != anvilglade.DropDataCentreOut || f.balancer.parts.ResetKey == nil {
+		return
+	}
+	answer, ok := agconnid.AppendReset(f.plaintext[:0], f.balancer.parts.ResetKey, f.packet.Payload)
+	if !ok {
+		return
+	}
+	if err := in.socket.WriteTo(answer, f.packet.Caller); err != nil {
+		f.balancer.counters.sendErrors.Add(1)
+		return
+	}
+	f.balancer.counters.resets.Add(1)
+}
+
 // send seals the packet for the first host of the decision.
 func (f *forwarder) send() bool {
 	b, decision := f.balancer, &f.decision
--- a/internal/operate/agcommand/agent_parts.go
+++ b/internal/operate/agcommand/agent_parts.go
@@ -34,13 +34,14 @@
 }
 
 // namesHost reports whether the connection id of a packet was issued by this
-// incarnation of the host for the service.
+// host for the service. The id of a former incarnation counts as well: quic-go
+// does not know it and answers with a stateless reset, so that the caller
+// reconnects at once.
 func namesHost(codec *agconnid.Codec, record *anvilglade.HostRecord, service anvilglade.ServiceNumber, packet []byte) bool {
 	id, _, ok := agconnid.ParseDestination(packet)
 	if !ok {
 		return false
 	}
 	target, ok := codec.Decode(id)
-	return ok && target.Agent == record.AgentAddress &&
-		target.Incarnation == record.Incarnation.Tag() && target.Service == service.Tag()
+	return ok && target.Agent == record.AgentAddress && target.Service == service.Tag()
 }
--- a/internal/operate/agcommand/balancer_parts.go
+++ b/internal/operate/agcommand/balancer_parts.go
@@ -10,12 +10,15 @@
 	"fmt"
 	"sync/atomic"
 
+	"github.com/quic-go/quic-go"
+
 	"github.com/anvilglade/anvilglade"
 	"github.com/anvilglade/anvilglade/internal/config/agconfig"
 	"github.com/anvilglade/anvilglade/internal/membership/agmember"
 	"github.com/anvilglade/anvilglade/internal/observe/agevent"
 	"github.com/anvilglade/anvilglade/internal/operate/agbalancer"
 	"github.com/anvilglade/anvilglade/internal/operate/agtask"
+	"github.com/anvilglade/anvilglade/internal/packet/agconnid"
 	"github.com/anvilglade/anvilglade/internal/platform/agstore"
 	"github.com/anvilglade/anvilglade/internal/routing/agtable"
 	"github.com/anvilglade/anvilglade/internal/state/agkeys"
@@ -28,6 +31,7 @@
 	events   *agevent.Ring
 	clock    anvilglade.Clock
 	ring     *agkeys.Ring
+	resetKey quic.StatelessResetKey
 	keys     atomic.Pointer[anvilglade.KeyBundle]
 	current  atomic.Pointer[adopted]
 	replica  *agreplica.Replica
@@ -58,6 +62,7 @@
 	}
 	parts := agbalancer.Parts{
 		Keys:          b.ring,
+		ResetKey:      &b.resetKey,
 		Replica:       b.replica,
 		Events:        events,
 		Clock:         clock,
@@ -92,6 +97,9 @@
 		return err
 	}
 	b.ring = ring
+	if b.resetKey, err = agconnid.ResetKey(b.settings.joinSecrets[0]); err != nil {
+		return err
+	}
 	b.keys.Store(&anvilglade.KeyBundle{})
 	return nil
 }
