--- a/internal/operate/agbalancer/bench_test.go
+++ b/internal/operate/agbalancer/bench_test.go
@@ -56,7 +56,7 @@
 	load.Go(func() { drain(&ended, r.agent) })
 
 	reader, relay, forwarder := ingressSocket.NewReader(ingressBatch, maxIngress), r.balancer.datagrams.NewWriter(ingressBatch), r.balancer.newForwarder()
-	forwarder.forward(address, nil)
+	forwarder.forward(&ingress{address: address}, nil)
 	spent := [2]time.Duration{}
 	read := func(handle func([]agsocket.Packet)) time.Duration {
 		began := time.Now()
