Restart the ramp when a host opens again

Servers became cold while their data centre was out, and their agents still had the limit of before.

Change: a host that was closed for new work starts its ramp anew.

Conclusion: a return is a cold start.

--- a/internal/admission/agadmit/host.go
+++ b/internal/admission/agadmit/host.go
@@ -142,10 +142,14 @@
 }
 
 // SetClosed refuses all new work with a reason, or opens the host again with
-// RefusalNone. Flows and requests in progress go on.
+// RefusalNone. Flows and requests in progress go on. A server that was out of
+// service for a while may have become cold, so its ramp restarts.
 func (h *Host) SetClosed(reason anvilglade.Refusal) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.closed != anvilglade.RefusalNone && reason == anvilglade.RefusalNone && h.service != "" {
+		h.turnCold("out of service before")
+	}
 	h.closed = reason
 }
 
