Announce the stop of a balancer and measure the mesh

Cause: a balancer that was stopped gracefully stayed in the records until its peers noticed the lost connection (3 s), so agents kept sending heartbeats and answers to it. Change: Shutdown publishes the stop; the life of a balancer is a state chart; the mesh counts its datagrams with headers.

--- a/internal/membership/agmember/monitor.go
+++ b/internal/membership/agmember/monitor.go
@@ -41,6 +41,7 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/looplab/fsm"
 
 	"github.com/anvilglade/anvilglade"
 	"github.com/anvilglade/anvilglade/internal/observe/agevent"
@@ -52,6 +53,18 @@
 //go:embed host.yaml
 var hostChart []byte
 
+//go:embed balancer.yaml
+var balancerChart []byte
+
+// Events and states of balancer.yaml that the code names.
+const (
+	balancerLiving = "Living"
+	balancerLost   = "Lost"
+	eventLose      = "Lose"
+	eventRefute    = "Refute"
+	eventStop      = "Stop"
+)
+
 const (
 	refreshPause = 20 * time.Millisecond
 	tickInterval = 200 * time.Millisecond
@@ -91,8 +104,11 @@
 type Monitor struct {
 	options MonitorOptions
 	log     *aglog.Logger
-	chart   *agchart.Chart
-	view    atomic.Pointer[view]
+	hosts   *agchart.Chart
+	// balancers is the chart of other balancers, life this one's own.
+	balancers *agchart.Chart
+	life      *fsm.FSM
+	view      atomic.Pointer[view]
 
 	mu        sync.Mutex
 	self      anvilglade.BalancerRecord
@@ -114,14 +130,20 @@
 
 // NewMonitor returns a monitor and publishes the record of this balancer.
 func NewMonitor(options MonitorOptions) (*Monitor, error) {
-	chart, err := agchart.Load(hostChart)
+	hosts, err := agchart.Load(hostChart)
+	if err != nil {
+		return nil, err
+	}
+	balancers, err := agchart.Load(balancerChart)
 	if err != nil {
 		return nil, err
 	}
 	m := &Monitor{
 		options:   options,
 		log:       aglog.New("member"),
-		chart:     chart,
+		hosts:     hosts,
+		balancers: balancers,
+		life:      balancers.NewMachine(),
 		self:      options.Self,
 		heard:     make(map[anvilglade.HostID]time.Time),
 		suspected: make(map[anvilglade.HostID]suspicion),
@@ -188,6 +210,9 @@
 func (m *Monitor) Leave() error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if err := m.life.Event(context.Background(), eventStop); err != nil {
+		return fmt.Errorf("stop balancer: %w", err)
+	}
 	m.self.Living = false
 	return m.publishSelf()
 }
@@ -200,7 +225,7 @@
 		return
 	}
 	balancer, err := recordToBalancer(record)
-	if err != nil || !balancer.Living {
+	if err != nil || !m.balancers.Allows(balancerState(&balancer), eventLose) {
 		return
 	}
 	balancer.Living = false
@@ -358,7 +383,7 @@
 // claim publishes a claim of this balancer about a host. Suspect begins a new
 // claim; Refute and Die settle the one that is there.
 func (m *Monitor) claim(host anvilglade.HostRecord, event string, state anvilglade.HostState) {
-	if !m.chart.Allows(string(host.State), event) {
+	if !m.hosts.Allows(string(host.State), event) {
 		return
 	}
 	if state == anvilglade.HostSuspect {
@@ -403,13 +428,20 @@
 // refuteSelf raises the sequence of this balancer when another one claimed that
 // it is dead.
 func (m *Monitor) refuteSelf(current *view) error {
-	if !m.self.Living || current.selfLiving {
+	if current.selfLiving || !m.balancers.Allows(balancerLost, eventRefute) || m.life.Current() != balancerLiving {
 		return nil
 	}
 	m.self.Sequence++
 	return m.publishSelf()
 }
 
+func balancerState(balancer *anvilglade.BalancerRecord) string {
+	if balancer.Living {
+		return balancerLiving
+	}
+	return balancerLost
+}
+
 func (m *Monitor) publishSelf() error {
 	record, err := balancerToRecord(&m.self)
 	if err != nil {
--- a/internal/membership/agmember/monitor_test.go
+++ b/internal/membership/agmember/monitor_test.go
@@ -203,6 +203,29 @@
 		Expect(monitor.serviceMembers(monitor.view.Load(), &tables, "alerts")).To(BeEmpty())
 	})
 
+	// Guards against a living balancer that stays dead after a lost connection,
+	// and against one that comes back after it has stopped.
+	ginkgo.It("refutes a claim about itself until it stops", func() {
+		world := newTestWorld()
+		living := func(id anvilglade.BalancerID) bool {
+			world.refresh()
+			world.refresh()
+			for _, balancer := range world.monitors["c"].Members().Balancers {
+				if balancer.Balancer == id {
+					return balancer.Living
+				}
+			}
+			return false
+		}
+		Expect(living("a")).To(BeTrue())
+		world.monitors["b"].PeerLost("a")
+		Expect(living("a")).To(BeTrue())
+		Expect(world.monitors["a"].Leave()).To(Succeed())
+		Expect(living("a")).To(BeFalse())
+		Expect(world.monitors["a"].Leave()).NotTo(Succeed())
+		Expect(living("a")).To(BeFalse())
+	})
+
 	// Guards against a lower revision that an agent takes from a balancer that
 	// lags behind.
 	ginkgo.It("keeps orders of a higher revision", func() {
--- a/internal/operate/agbalancer/balancer.go
+++ b/internal/operate/agbalancer/balancer.go
@@ -98,6 +98,9 @@
 	AdoptKeys func(anvilglade.Record) error
 	// NewHeartbeats creates the monitor, which answers through send.
 	NewHeartbeats func(send SendFunc) (Heartbeats, error)
+	// Leave tells the other balancers that this one stops, so that agents and
+	// operators do not count on it. It may be nil.
+	Leave func() error
 	// Ready returns an error while a part has not learned enough to serve.
 	Ready func() error
 	// Tasks are further tasks of the process by name.
@@ -268,6 +271,11 @@
 	}
 	b.parts.Events.Record(anvilglade.Event{Type: agevent.ProcessStopping})
 	b.log.Info("Stops after its drain time.")
+	if b.parts.Leave != nil {
+		if err := b.parts.Leave(); err != nil {
+			b.log.WithError(err).Warn("Cannot tell the others of the stop.")
+		}
+	}
 	sleep(ctx, b.options.DrainTime)
 	b.ingresses.close()
 	sleep(ctx, replyTime)
--- a/internal/operate/agcommand/balancer_parts.go
+++ b/internal/operate/agcommand/balancer_parts.go
@@ -69,6 +69,7 @@
 		Decode:        b.decode,
 		AdoptKeys:     b.adoptKeys,
 		NewHeartbeats: b.newMonitor,
+		Leave:         func() error { return b.monitor.Load().Leave() },
 		Ready:         b.ready,
 		Tasks:         map[string]func(context.Context) error{"mesh": b.mesh.Run},
 	}
--- a/internal/state/agreplica/counting.go
+++ b/internal/state/agreplica/counting.go
@@ -1,19 +1,46 @@
 package agreplica
 
 import (
-	"io"
+	"net"
 	"sync/atomic"
 )
 
-// countingReader counts the bytes that are read.
-type countingReader struct {
-	reader io.Reader
-	count  *atomic.Uint64
+// headerBytes is the size of the UDP and IPv4 headers of a datagram.
+const headerBytes = 28
+
+// countingConn counts the bytes of the datagrams with their headers, so that
+// the control traffic of a process can be compared with its budget.
+type countingConn struct {
+	net.PacketConn
+	socket   *net.UDPConn
+	sent     atomic.Uint64
+	received atomic.Uint64
+}
+
+// ReadFrom reads a datagram.
+func (c *countingConn) ReadFrom(p []byte) (int, net.Addr, error) {
+	n, from, err := c.PacketConn.ReadFrom(p)
+	if err == nil {
+		c.received.Add(uint64(n + headerBytes))
+	}
+	return n, from, err
 }
 
-// Read reads from the underlying reader.
-func (r *countingReader) Read(p []byte) (int, error) {
-	n, err := r.reader.Read(p)
-	r.count.Add(uint64(n))
+// WriteTo writes a datagram.
+func (c *countingConn) WriteTo(p []byte, to net.Addr) (int, error) {
+	n, err := c.PacketConn.WriteTo(p, to)
+	if err == nil {
+		c.sent.Add(uint64(n + headerBytes))
+	}
 	return n, err
 }
+
+// SetReadBuffer sets the receive buffer of the socket in bytes.
+func (c *countingConn) SetReadBuffer(bytes int) error {
+	return c.socket.SetReadBuffer(bytes)
+}
+
+// SetWriteBuffer sets the send buffer of the socket in bytes.
+func (c *countingConn) SetWriteBuffer(bytes int) error {
+	return c.socket.SetWriteBuffer(bytes)
+}
--- a/internal/state/agreplica/mesh.go
+++ b/internal/state/agreplica/mesh.go
@@ -67,7 +67,7 @@
 	Group     *agtask.Group
 }
 
-// MeshStatistics are counters since the start.
+// MeshStatistics are counters since the start. Bytes include UDP and IP headers.
 type MeshStatistics struct {
 	Connections      int
 	BytesSent        uint64
@@ -83,6 +83,7 @@
 	replica   *Replica
 	options   MeshOptions
 	log       *aglog.Logger
+	socket    *countingConn
 	transport *quic.Transport
 	listener  *quic.Listener
 	quic      *quic.Config
@@ -92,8 +93,6 @@
 	dialing map[netip.AddrPort]struct{}
 
 	synced           atomic.Bool
-	bytesSent        atomic.Uint64
-	bytesReceived    atomic.Uint64
 	recordsSent      atomic.Uint64
 	recordsReceived  atomic.Uint64
 	recordsDropped   atomic.Uint64
@@ -115,11 +114,13 @@
 	if err != nil {
 		return nil, nil, fmt.Errorf("listen on peer address %s: %w", options.Address, err)
 	}
+	counted := &countingConn{PacketConn: socket, socket: socket}
 	m := &Mesh{
 		replica:   replica,
 		options:   options,
 		log:       aglog.New("mesh"),
-		transport: &quic.Transport{Conn: socket},
+		socket:    counted,
+		transport: &quic.Transport{Conn: counted},
 		quic: &quic.Config{
 			MaxIdleTimeout:       peerIdleTimeout,
 			KeepAlivePeriod:      keepAlive,
@@ -155,8 +156,8 @@
 	m.mu.Unlock()
 	return MeshStatistics{
 		Connections:      connections,
-		BytesSent:        m.bytesSent.Load(),
-		BytesReceived:    m.bytesReceived.Load(),
+		BytesSent:        m.socket.sent.Load(),
+		BytesReceived:    m.socket.received.Load(),
 		RecordsSent:      m.recordsSent.Load(),
 		RecordsReceived:  m.recordsReceived.Load(),
 		RecordsDropped:   m.recordsDropped.Load(),
@@ -368,18 +369,15 @@
 
 func (m *Mesh) write(c *connection, msg *message) {
 	msg.Time = m.options.Events.Now()
-	n, err := writeMessage(c.stream, msg)
-	m.bytesSent.Add(uint64(n))
 	m.recordsSent.Add(uint64(len(msg.Records)))
-	if err != nil {
+	if err := writeMessage(c.stream, msg); err != nil {
 		_ = c.conn.CloseWithError(meshClosing, "write failed")
 	}
 }
 
 func (m *Mesh) receiveLoop(c *connection) {
-	counted := &countingReader{reader: c.stream, count: &m.bytesReceived}
 	for {
-		msg, err := readMessage(counted)
+		msg, err := readMessage(c.stream)
 		if err != nil {
 			return
 		}
--- a/internal/state/agreplica/messages.go
+++ b/internal/state/agreplica/messages.go
@@ -63,20 +63,18 @@
 	return mode
 }
 
-// writeMessage writes a message with a length of four bytes in front of it and
-// returns the number of bytes written.
-func writeMessage(w io.Writer, msg *message) (int, error) {
+// writeMessage writes a message with a length of four bytes in front of it.
+func writeMessage(w io.Writer, msg *message) error {
 	body, err := cbor.Marshal(msg)
 	if err != nil {
-		return 0, fmt.Errorf("encode message: %w", err)
+		return fmt.Errorf("encode message: %w", err)
 	}
 	frame := make([]byte, 4, 4+len(body))
 	binary.BigEndian.PutUint32(frame, uint32(len(body)))
-	n, err := w.Write(append(frame, body...))
-	if err != nil {
-		return n, fmt.Errorf("write message: %w", err)
+	if _, err := w.Write(append(frame, body...)); err != nil {
+		return fmt.Errorf("write message: %w", err)
 	}
-	return n, nil
+	return nil
 }
 
 // readMessage reads one message. It returns an error for one that is too long
