Pin the rows that an edit relies on

Cause: an edit whose row looked as wanted in a stale read had no change left and was accepted without effect, so 'datacentres out' could answer Accepted for a data centre that another operator had brought back. A rollback or restore could wipe an edit that came after its read. Change: edits name every row that they rely on, unchanged ones too; edits of whole tables are accepted only on the revision that they were made for. The model checks the rows of each accepted edit. Conclusion: a verdict no longer rests on a stale read.

--- a/internal/config/agadminapi/operations.go
+++ b/internal/config/agadminapi/operations.go
@@ -99,7 +99,7 @@
 	if len(change.Before) == 0 && len(change.After) == 0 {
 		return answer{}, problemOf(typeNotFound, fmt.Sprintf("no row %q at revision %d", change.Row, base))
 	}
-	return s.submit(r, team, base, []agconfig.Change{change})
+	return s.submit(r, team, base, []agconfig.Change{change}, false)
 }
 
 // seen returns the configuration and the revision that the client has seen.
@@ -150,7 +150,7 @@
 // submit checks what the team may do, submits and records the verdict. The
 // rights hold for the rows as written: a row that differs from Before is a
 // conflict.
-func (s *Server) submit(r *http.Request, team Team, base anvilglade.Revision, changes []agconfig.Change) (answer, error) {
+func (s *Server) submit(r *http.Request, team Team, base anvilglade.Revision, changes []agconfig.Change, exact bool) (answer, error) {
 	for _, change := range changes {
 		if err := team.mayChange(change); err != nil {
 			s.audit(APIAccessRefused, 0, fmt.Sprintf("team %s, %s %s: %v", team.Name, change.Table, change.Row, err))
@@ -158,7 +158,7 @@
 		}
 	}
 	request := agedit.Request{
-		ID: anvilglade.EditID(r.Header.Get("Edit-Id")), Base: base, Changes: changes,
+		ID: anvilglade.EditID(r.Header.Get("Edit-Id")), Base: base, Changes: changes, Exact: exact,
 		Comment: r.Header.Get("Edit-Comment"), Force: r.URL.Query().Get("force") == "true" && team.Role == RoleOperator,
 	}
 	if request.ID != "" && !validEditID(request.ID) {
@@ -233,7 +233,7 @@
 	if err != nil {
 		return answer{}, problemOf(typeNotFound, err.Error())
 	}
-	return s.submit(r, team, snapshot.Revision, changes)
+	return s.submit(r, team, snapshot.Revision, changes, wanted.EditID == "")
 }
 
 // resolve tells what became of an edit whose outcome was unknown. It may write
--- a/internal/config/agadminapi/problem.go
+++ b/internal/config/agadminapi/problem.go
@@ -67,7 +67,7 @@
 	switch {
 	case verdict.Outcome == agedit.Unknown:
 		kind = typeUnknown
-	case len(verdict.Conflicts) > 0:
+	case len(verdict.Conflicts) > 0 || verdict.Outdated:
 		kind = typeConflict
 	case len(verdict.Faults) > 0:
 		kind = typeFaults
--- a/internal/config/agedit/editor.go
+++ b/internal/config/agedit/editor.go
@@ -141,7 +141,12 @@
 	// Base is the revision at which the operator saw the rows.
 	Base    anvilglade.Revision
 	Comment string
+	// Changes lists every row that the edit relies on; see agconfig.Pin.
 	Changes []agconfig.Change
+	// Exact rejects the edit unless Base is the newest revision. Edits of whole
+	// tables need it, because their changes do not name the rows that others
+	// add in the meantime.
+	Exact bool
 	// Force and Known are passed to the validation.
 	Force bool
 	Known []anvilglade.HostRecord
@@ -160,5 +165,7 @@
 	Changes   []agconfig.Change    `json:",omitempty"`
 	Faults    agconfig.FaultsError `json:",omitempty"`
 	Conflicts []agconfig.Conflict  `json:",omitempty"`
-	Reason    string               `json:",omitempty"`
+	// Outdated is set if an Exact edit was not made for the newest revision.
+	Outdated bool   `json:",omitempty"`
+	Reason   string `json:",omitempty"`
 }
--- a/internal/config/agedit/model_test.go
+++ b/internal/config/agedit/model_test.go
@@ -81,6 +81,8 @@
 	done    chan struct{}
 	verdict *agedit.Verdict
 	open    *agedit.Verdict
+	// wanted are the rows that the last edit asked for.
+	wanted []anvilglade.DataCentre
 }
 
 type world struct {
@@ -233,9 +235,11 @@
 	if err != nil {
 		return nil
 	}
+	o.wanted = nil
 	wanted := anvilglade.Tables{DataCentres: slices.Clone(snapshot.Document.Tables.DataCentres)}
 	for i, name := range names {
 		row := anvilglade.DataCentre{Name: anvilglade.DataCentreID(name), Region: "dk", State: states[i]}
+		o.wanted = append(o.wanted, row)
 		index := slices.IndexFunc(wanted.DataCentres, func(d anvilglade.DataCentre) bool { return d.Name == row.Name })
 		if index < 0 {
 			wanted.DataCentres = append(wanted.DataCentres, row)
@@ -247,6 +251,11 @@
 	if err != nil {
 		panic(err)
 	}
+	for _, name := range names {
+		if changes, err = agconfig.Pin(changes, snapshot.Document.Tables, agconfig.TableDataCentres, name); err != nil {
+			panic(err)
+		}
+	}
 	verdict := o.editor.Submit(context.Background(), agedit.Request{Base: snapshot.Revision, Changes: changes})
 	return &verdict
 }
@@ -261,6 +270,9 @@
 			if o.verdict.Outcome == agedit.Unknown {
 				o.open = o.verdict
 			}
+			if o.verdict.Outcome == agedit.Accepted {
+				w.checkWanted(t, o)
+			}
 			o.verdict = nil
 		}
 	}
@@ -275,6 +287,18 @@
 	}
 }
 
+// checkWanted checks that the rows are as the operator asked, at the revision
+// that it was told. An edit that found nothing to change must not be accepted on
+// the ground of a stale read.
+func (w *world) checkWanted(t *rapid.T, o *operator) {
+	tables := w.documents[o.verdict.Revision].Tables
+	for _, row := range o.wanted {
+		if !slices.Contains(tables.DataCentres, row) {
+			t.Fatalf("edit %s was called accepted at revision %d, which has %v instead of %v", o.verdict.EditID, o.verdict.Revision, tables.DataCentres, row)
+		}
+	}
+}
+
 // watch lets a balancer adopt what a read shows; only higher revisions count.
 func (w *world) watch(t *rapid.T) {
 	i := rapid.IntRange(0, len(w.balancers)-1).Draw(t, "balancer")
--- a/internal/config/agedit/submit.go
+++ b/internal/config/agedit/submit.go
@@ -126,6 +126,11 @@
 // build applies the changes and validates the result.
 func (a *attempt) build(snapshot Snapshot) (agconfig.Document, Verdict, bool) {
 	document := snapshot.Document
+	if a.request.Exact && snapshot.Revision != a.request.Base {
+		verdict := a.reject(snapshot, fmt.Sprintf("the edit was made for revision %d; look at the newer edits first", a.request.Base))
+		verdict.Outdated = true
+		return document, verdict, true
+	}
 	tables, applied, conflicts, err := agconfig.Apply(document.Tables, a.request.Changes)
 	if err != nil {
 		return document, a.reject(snapshot, err.Error()), true
--- a/internal/operate/agcommand/apply.go
+++ b/internal/operate/agcommand/apply.go
@@ -20,7 +20,8 @@
 }
 
 // apply replaces the tables that the file names. If the file names a Revision,
-// edits made after it conflict or stay; else the file replaces what is there.
+// edits made after it conflict or stay; else the file replaces the tables as they
+// are when it is applied.
 func apply(ctx context.Context, c *operatorCommand) int {
 	file, err := readTables(c.file)
 	if err != nil {
@@ -34,7 +35,7 @@
 		return changesFrom(snapshot, wanted, func(tables anvilglade.Tables) anvilglade.Tables { return tables })
 	}
 	if !c.noWrite {
-		return c.submit(ctx, build)
+		return c.submit(ctx, file.Revision == 0, build)
 	}
 	snapshot, err := c.read(ctx)
 	if err != nil {
--- a/internal/operate/agcommand/datacentres.go
+++ b/internal/operate/agcommand/datacentres.go
@@ -64,7 +64,7 @@
 // setDataCentre changes a row, and adds a missing one if create is set.
 func setDataCentre(ctx context.Context, c *operatorCommand, create bool) int {
 	name := anvilglade.DataCentreID(c.first)
-	return c.submitTables(ctx, func(tables *tablesCopy) error {
+	return c.submitRow(ctx, agconfig.TableDataCentres, c.first, func(tables *tablesCopy) error {
 		index := slices.IndexFunc(tables.DataCentres, func(centre anvilglade.DataCentre) bool { return centre.Name == name })
 		if index < 0 && !create {
 			return fmt.Errorf("table %s has no row %q; add it with 'anvilglade datacentres set'", agconfig.TableDataCentres, name)
--- a/internal/operate/agcommand/hosts.go
+++ b/internal/operate/agcommand/hosts.go
@@ -32,7 +32,7 @@
 // be drained: it may be away just now.
 func setDraining(ctx context.Context, c *operatorCommand, draining bool) int {
 	name := anvilglade.HostID(c.first)
-	return c.submitTables(ctx, func(tables *tablesCopy) error {
+	return c.submitRow(ctx, agconfig.TableHosts, c.first, func(tables *tablesCopy) error {
 		tables.Hosts = slices.DeleteFunc(tables.Hosts, func(host anvilglade.HostOverride) bool { return host.Name == name })
 		if draining {
 			tables.Hosts = append(tables.Hosts, anvilglade.HostOverride{Name: name, Draining: true})
--- a/internal/operate/agcommand/operator.go
+++ b/internal/operate/agcommand/operator.go
@@ -163,8 +163,9 @@
 // change is an edit from what the operator saw.
 type change func(snapshot agedit.Snapshot) ([]agconfig.Change, error)
 
-// submit reads the configuration, builds the changes and submits them.
-func (c *operatorCommand) submit(ctx context.Context, build change) int {
+// submit reads the configuration, builds the changes and submits them. Exact is
+// for edits of whole tables; see agedit.Request.
+func (c *operatorCommand) submit(ctx context.Context, exact bool, build change) int {
 	editor, stop, err := c.editor()
 	if err != nil {
 		return c.fail(err)
@@ -179,7 +180,7 @@
 		return c.fail(err)
 	}
 	verdict := editor.Submit(ctx, agedit.Request{
-		Base: snapshot.Revision, Comment: c.comment, Changes: changes, Force: c.force, Known: c.knownHosts(ctx),
+		Base: snapshot.Revision, Comment: c.comment, Changes: changes, Exact: exact, Force: c.force, Known: c.knownHosts(ctx),
 	})
 	code := c.printVerdict(verdict)
 	if code != ExitDone || !c.wait {
@@ -188,15 +189,19 @@
 	return c.awaitRevision(ctx, verdict.Revision)
 }
 
-// submitTables submits the difference between the tables that were read and
-// those that edit makes of them.
-func (c *operatorCommand) submitTables(ctx context.Context, edit func(tables *tablesCopy) error) int {
-	return c.submit(ctx, func(snapshot agedit.Snapshot) ([]agconfig.Change, error) {
+// submitRow submits an edit of one row, which edit makes in a copy of the
+// tables.
+func (c *operatorCommand) submitRow(ctx context.Context, table, key string, edit func(tables *tablesCopy) error) int {
+	return c.submit(ctx, false, func(snapshot agedit.Snapshot) ([]agconfig.Change, error) {
 		wanted := copyTables(snapshot.Document.Tables)
 		if err := edit(wanted); err != nil {
 			return nil, err
 		}
-		return agconfig.Diff(snapshot.Document.Tables, agconfig.WithDefaults(wanted.Tables))
+		changes, err := agconfig.Diff(snapshot.Document.Tables, agconfig.WithDefaults(wanted.Tables))
+		if err != nil {
+			return nil, err
+		}
+		return agconfig.Pin(changes, snapshot.Document.Tables, table, key)
 	})
 }
 
--- a/internal/operate/agcommand/output.go
+++ b/internal/operate/agcommand/output.go
@@ -72,7 +72,7 @@
 		return ExitDone
 	case verdict.Outcome == agedit.Unknown:
 		return ExitUnknown
-	case len(verdict.Faults) > 0 || len(verdict.Conflicts) > 0:
+	case len(verdict.Faults) > 0 || len(verdict.Conflicts) > 0 || verdict.Outdated:
 		return ExitRejected
 	default:
 		return ExitFailed
--- a/internal/operate/agcommand/pools.go
+++ b/internal/operate/agcommand/pools.go
@@ -58,7 +58,7 @@
 
 func setPool(ctx context.Context, c *operatorCommand) int {
 	service := anvilglade.ServiceID(c.first)
-	return c.submitTables(ctx, func(tables *tablesCopy) error {
+	return c.submitRow(ctx, agconfig.TablePools, c.first, func(tables *tablesCopy) error {
 		index := slices.IndexFunc(tables.Pools, func(pool anvilglade.Pool) bool { return pool.Service == service })
 		if index < 0 {
 			index = len(tables.Pools)
--- a/internal/operate/agcommand/routes.go
+++ b/internal/operate/agcommand/routes.go
@@ -42,8 +42,8 @@
 		return c.fail(fmt.Errorf("%w: %w", errUsage, err))
 	}
 	route := anvilglade.Route{Address: address, Protocol: anvilglade.Protocol(c.second), Service: anvilglade.ServiceID(c.third)}
-	return c.submitTables(ctx, func(tables *tablesCopy) error {
-		key := agconfig.RouteKey(route)
+	key := agconfig.RouteKey(route)
+	return c.submitRow(ctx, agconfig.TableRoutes, key, func(tables *tablesCopy) error {
 		tables.Routes = slices.DeleteFunc(tables.Routes, func(other anvilglade.Route) bool { return agconfig.RouteKey(other) == key })
 		tables.Routes = append(tables.Routes, route)
 		return nil
--- a/internal/operate/agcommand/snapshot.go
+++ b/internal/operate/agcommand/snapshot.go
@@ -130,7 +130,7 @@
 		return agconfig.Diff(snapshot.Document.Tables, file.Tables)
 	}
 	if c.yes {
-		return c.submit(ctx, build)
+		return c.submit(ctx, true, build)
 	}
 	snapshot, err := c.read(ctx)
 	if err != nil {
--- a/internal/operate/agcommand/tables.go
+++ b/internal/operate/agcommand/tables.go
@@ -59,7 +59,7 @@
 			bind: func(c *operatorCommand) {
 				c.positionalValue(&c.file, "FILE", "JSON or YAML as printed by 'get', '-' for standard input", true)
 			},
-			run: func(ctx context.Context, c *operatorCommand) int { return c.submit(ctx, v.fromFile(c)) },
+			run: func(ctx context.Context, c *operatorCommand) int { return c.submit(ctx, false, v.fromFile(c)) },
 		},
 		{
 			name: "diff", summary: "print what 'edit' would change", example: example + "diff rows.yaml",
@@ -199,7 +199,7 @@
 }
 
 func (v *tableView) remove(ctx context.Context, c *operatorCommand) int {
-	return c.submit(ctx, func(snapshot agedit.Snapshot) ([]agconfig.Change, error) {
+	return c.submit(ctx, false, func(snapshot agedit.Snapshot) ([]agconfig.Change, error) {
 		all, err := agconfig.Diff(v.only(snapshot.Document.Tables), anvilglade.Tables{})
 		if err != nil {
 			return nil, err
@@ -270,7 +270,7 @@
 	if (c.editID == "") == (c.revision == "") {
 		return c.fail(fmt.Errorf("%w: give either --to or --edit", errUsage))
 	}
-	return c.submit(ctx, func(snapshot agedit.Snapshot) ([]agconfig.Change, error) {
+	return c.submit(ctx, c.editID == "", func(snapshot agedit.Snapshot) ([]agconfig.Change, error) {
 		if c.editID != "" {
 			return agedit.RollbackEdit(snapshot, anvilglade.EditID(c.editID), v.table)
 		}
