--- a/internal/stand/agcaller/connection.go
+++ b/internal/stand/agcaller/connection.go
@@ -59,6 +59,11 @@
 func (c *connection) open(ctx context.Context) (*http3.ClientConn, *quic.Conn, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	// Many requests may wait here for one dial; those that are over must not
+	// dial in turn.
+	if err := ctx.Err(); err != nil {
+		return nil, nil, err
+	}
 	if c.quic != nil && c.quic.Context().Err() == nil {
 		return c.client, c.quic, nil
 	}
--- a/internal/stand/agcaller/request.go
+++ b/internal/stand/agcaller/request.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
 
 	"github.com/anvilglade/anvilglade/internal/stand/agbackend"
 )
@@ -88,7 +89,8 @@
 	if o.work > 0 {
 		query.Set("work", o.work.String())
 	}
-	if o.timeout > 0 {
+	// A report is repeated with the same target: the ticket is bound to it.
+	if o.timeout > 0 && o.report == "" {
 		query.Set("deadline", strconv.FormatInt(deadline.UnixMilli(), 10))
 	}
 	address := url.URL{Scheme: "https", Host: target.Service, Path: path, RawQuery: query.Encode()}
@@ -164,6 +166,11 @@
 		result.finish(Canceled, err)
 		return
 	}
+	// RFC 9114: a rejected request was not processed and may be sent again.
+	if fault, ok := errors.AsType[*http3.Error](err); ok && fault.Remote && fault.ErrorCode == http3.ErrCodeRequestRejected {
+		result.finish(NotRun, err)
+		return
+	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		c.drop(conn, "request timed out")
 	}
--- a/internal/stand/agfabric/relay.go
+++ b/internal/stand/agfabric/relay.go
@@ -73,9 +73,9 @@
 	defer r.track(client, server, false)
 	defer context.AfterFunc(ctx, func() { closeBoth(client, server) })()
 	done := make(chan struct{})
-	if err := r.fabric.group.Start("relayed back", func(context.Context) error {
+	if err := r.fabric.group.Start("relayed back", func(ctx context.Context) error {
 		defer close(done)
-		_, _ = io.Copy(client, server)
+		r.copyBack(ctx, client, server)
 		closeBoth(client, server)
 		return nil
 	}); err != nil {
@@ -88,6 +88,29 @@
 	return nil
 }
 
+// copyBack passes answers of the object API on, each chunk after the delay that
+// faults from the API to the party ask for.
+func (r *relay) copyBack(ctx context.Context, client io.Writer, server io.Reader) {
+	path := link{from: r.path().to, to: r.path().from, class: ClassControl}
+	buf := make([]byte, datagramSize)
+	for {
+		n, err := server.Read(buf)
+		if n > 0 {
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(r.fabric.faults.draw(path).delay):
+			}
+			if _, err := client.Write(buf[:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
 func closeBoth(a, b net.Conn) {
 	_ = a.Close()
 	_ = b.Close()
