--- a/internal/flow/agflow/choice_test.go
+++ b/internal/flow/agflow/choice_test.go
@@ -209,3 +209,30 @@
 		t.Fatalf("packet is not delivered: %+v", actions[0])
 	}
 }
+
+// TestSpill guards against requests that stay on a host far above the mean, and
+// against hosts near the mean that send requests to and fro.
+func TestSpill(t *testing.T) {
+	f := newFleet(3)
+	machine := agflow.NewMachine(agflow.Options{Self: f.members[0].AgentAddress, Incarnation: 1, Admitter: arbiterAdmitter{f}})
+	if _, ok := machine.Spill(); ok {
+		t.Fatal("a host without orders offers requests to others")
+	}
+	machine.SetOrders(f.now, &anvilglade.HostOrders{Service: "alerts", DataCentreState: anvilglade.DataCentreIn, Members: f.members, Pool: anvilglade.Pool{Connections: 2000}}, nil)
+	report := func(loads ...float64) {
+		copy(f.load, loads)
+		f.now = f.now.Add(time.Second)
+		machine.Tick(f.now, nil)
+		for i := 1; i < len(loads); i++ {
+			machine.Handle(f.now, agheader.KindUtilisation, &agheader.Header{Sender: f.members[i].AgentAddress, Utilisation: f.utilisation(i)}, nil, nil)
+		}
+	}
+	report(0.50, 0.35, 0.48)
+	if member, ok := machine.Spill(); ok {
+		t.Fatalf("a host near the mean offers a request to %s", member.Host)
+	}
+	report(0.9, 0.63, 0.2)
+	if member, ok := machine.Spill(); !ok || member.Host != "h2" {
+		t.Fatalf("a host above the mean offers its request to %q, want h2", member.Host)
+	}
+}
--- /dev/null
+++ b/internal/operate/agagent/health.go
@@ -0,0 +1,81 @@
+// Reports of the backend server about itself, for AdmissionBaseline.
+
+package agagent
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/anvilglade/anvilglade"
+	"github.com/anvilglade/anvilglade/internal/admission/agadmit"
+)
+
+const (
+	healthInterval = time.Second
+	healthTimeout  = time.Second
+)
+
+// reportedLoad is the answer of a backend server to GET /load.
+type reportedLoad struct {
+	Slots, InUse int
+}
+
+// followHealth asks the backend server of the own service for its health and
+// load each second and believes what it says.
+func (a *Agent) followHealth(ctx context.Context, baseline *agadmit.Baseline) error {
+	client := &http.Client{Timeout: healthTimeout}
+	defer client.CloseIdleConnections()
+	ticker := time.NewTicker(healthInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		orders, ok := a.reporter.Orders()
+		if !ok {
+			continue
+		}
+		if backend, ok := a.settings.Backends[orders.Service]; ok {
+			healthy, utilisation := askHealth(ctx, client, backend)
+			baseline.Report(healthy, utilisation)
+		}
+	}
+}
+
+// askHealth takes a server that does not answer as unhealthy.
+func askHealth(ctx context.Context, client *http.Client, backend netip.AddrPort) (bool, anvilglade.Utilisation) {
+	if err := get(ctx, client, fmt.Sprintf("http://%s/health", backend), nil); err != nil {
+		return false, anvilglade.FullUtilisation
+	}
+	var load reportedLoad
+	if err := get(ctx, client, fmt.Sprintf("http://%s/load", backend), &load); err != nil {
+		return true, 0
+	}
+	full := int(anvilglade.FullUtilisation)
+	return true, anvilglade.Utilisation(min(full, max(0, load.InUse)*full/max(1, load.Slots)))
+}
+
+func get(ctx context.Context, client *http.Client, url string, target any) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return err
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s answers %s", url, response.Status)
+	}
+	if target == nil {
+		return nil
+	}
+	return json.NewDecoder(response.Body).Decode(target)
+}
--- a/internal/operate/agagent/run.go
+++ b/internal/operate/agagent/run.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/anvilglade/anvilglade"
+	"github.com/anvilglade/anvilglade/internal/admission/agadmit"
 	"github.com/anvilglade/anvilglade/internal/flow/agflow"
 	"github.com/anvilglade/anvilglade/internal/observe/agevent"
 	"github.com/anvilglade/anvilglade/internal/observe/aglog"
@@ -35,21 +36,26 @@
 // had ended.
 var ErrStoppedAtOnce = errors.New("stopped at once by a second signal")
 
+type agentTask struct {
+	name string
+	run  func(context.Context) error
+}
+
 // Run starts all tasks and returns when the agent has stopped. The first signal
 // begins a graceful stop, the second one ends it at once. The end of ctx stops
 // at once as well.
 func (a *Agent) Run(ctx context.Context, signals <-chan os.Signal) error {
 	a.events.Record(anvilglade.Event{Type: agevent.ProcessStarted, Host: a.settings.Host})
-	tasks := []struct {
-		name string
-		run  func(context.Context) error
-	}{
+	tasks := []agentTask{
 		{"datagrams", a.receive},
 		{"orders", a.followOrders},
 		{"tick", a.tick},
 		{"reporter", a.reporter.Run},
 		{"admin", a.admin.Run},
 	}
+	if baseline, ok := a.admitter.(*agadmit.Baseline); ok {
+		tasks = append(tasks, agentTask{"health", func(ctx context.Context) error { return a.followHealth(ctx, baseline) }})
+	}
 	for _, task := range tasks {
 		if err := a.group.Start(task.name, task.run); err != nil {
 			return err
