--- a/internal/operate/agbalancer/balancer.go
+++ b/internal/operate/agbalancer/balancer.go
@@ -29,6 +29,8 @@
 	"sync"
 	"time"
 
+	"github.com/quic-go/quic-go"
+
 	"github.com/anvilglade/anvilglade"
 	"github.com/anvilglade/anvilglade/internal/observe/agevent"
 	"github.com/anvilglade/anvilglade/internal/observe/aglog"
@@ -82,10 +84,13 @@
 
 // Parts are the other parts of the process.
 type Parts struct {
-	Keys    anvilglade.KeyRing
-	Replica anvilglade.Replica
-	Events  anvilglade.Recorder
-	Clock   anvilglade.Clock
+	Keys anvilglade.KeyRing
+	// ResetKey ends QUIC connections whose data centre is out; nil sends no
+	// resets.
+	ResetKey *quic.StatelessResetKey
+	Replica  anvilglade.Replica
+	Events   anvilglade.Recorder
+	Clock    anvilglade.Clock
 	// Decode returns the configuration in a record of the replica, and the
 	// match of hosts to pools in it.
 	Decode func(anvilglade.Record) (*anvilglade.Configuration, agtable.ServiceOf, error)
@@ -93,6 +98,9 @@
 	AdoptKeys func(anvilglade.Record) error
 	// NewHeartbeats creates the monitor, which answers through send.
 	NewHeartbeats func(send SendFunc) (Heartbeats, error)
+	// Leave tells the other balancers that this one stops, so that agents and
+	// operators do not count on it. It may be nil.
+	Leave func() error
 	// Ready returns an error while a part has not learned enough to serve.
 	Ready func() error
 	// Tasks are further tasks of the process by name.
@@ -228,6 +236,11 @@
 	return status
 }
 
+// Members returns the hosts and balancers that the balancer knows.
+func (b *Balancer) Members() *anvilglade.Members {
+	return b.heartbeats.Members()
+}
+
 // Vars returns the counters.
 func (b *Balancer) Vars() expvar.Var {
 	return expvar.Func(func() any { return b.counters.snapshot(b.opener.Drops()) })
@@ -258,6 +271,11 @@
 	}
 	b.parts.Events.Record(anvilglade.Event{Type: agevent.ProcessStopping})
 	b.log.Info("Stops after its drain time.")
+	if b.parts.Leave != nil {
+		if err := b.parts.Leave(); err != nil {
+			b.log.WithError(err).Warn("Cannot tell the others of the stop.")
+		}
+	}
 	sleep(ctx, b.options.DrainTime)
 	b.ingresses.close()
 	sleep(ctx, replyTime)
--- a/internal/operate/agcommand/balancer.go
+++ b/internal/operate/agcommand/balancer.go
@@ -6,9 +6,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"expvar"
 	"fmt"
+	"net/http"
 	"net/netip"
 	"net/url"
 	"os"
@@ -36,6 +38,7 @@
 	peer          netip.AddrPort
 	advertisePeer netip.AddrPort
 	admin         netip.AddrPort
+	api           netip.AddrPort
 	platform      string
 	platformToken string
 	seeds         []netip.AddrPort
@@ -68,6 +71,7 @@
 	set.Addr(&s.peer, "peer-address", "address for replication between balancers", agsettings.Required)
 	set.Addr(&s.advertisePeer, "advertise-peer", "peer address as other balancers see it", "")
 	set.Addr(&s.admin, "admin-address", "admin listener", "127.0.0.1:7900")
+	set.Addr(&s.api, "api-address", "listener of the administration API over HTTPS, off if empty", "")
 	set.Add("platform", "URL of the object API", agsettings.Required, "http://HOST:PORT or https://HOST:PORT", func(text string) error {
 		parsed, err := url.Parse(text)
 		if err != nil {
@@ -131,9 +135,21 @@
 		Address: settings.admin,
 		Events:  events,
 		Ready:   func() error { return balancer.Ready() },
-		Status:  func() any { return balancer.Status() },
+		Status: func() any {
+			status, _ := balancer.Status().(agbalancer.Status)
+			return balancerStatus{Status: status, KeysVersion: keysVersion(parts.Keys)}
+		},
 	})
+	admin.Handle("GET /members", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(balancer.Members())
+	}))
 	parts.Tasks["admin"] = admin.Run
+	closeAPI, err := addAdminAPI(settings, &parts, events, func() *anvilglade.Members { return balancer.Members() })
+	if err != nil {
+		return err
+	}
+	defer closeAPI()
 	parts.Tasks["signals"] = func(ctx context.Context) error {
 		return followSignals(ctx, signals, func() { balancer.Shutdown() }, cancel)
 	}
@@ -147,6 +163,22 @@
 	return balancer.Run(ctx)
 }
 
+// balancerStatus is the status page of a balancer. The operators' commands read
+// Revision and KeysVersion; see processStatus.
+type balancerStatus struct {
+	agbalancer.Status
+	KeysVersion anvilglade.Version
+}
+
+// keysVersion returns the version of the bundle in effect, 0 for key rings that
+// have none.
+func keysVersion(ring anvilglade.KeyRing) anvilglade.Version {
+	if versioned, ok := ring.(interface{ Version() anvilglade.Version }); ok {
+		return versioned.Version()
+	}
+	return 0
+}
+
 // advertiseDefaults fills in advertised addresses that are not set.
 func (s *balancerSettings) advertiseDefaults() {
 	if !s.options.AdvertiseDatagram.IsValid() {
--- a/internal/operate/agcommand/fleet.go
+++ b/internal/operate/agcommand/fleet.go
@@ -1,7 +1,7 @@
 package agcommand
 
 // Learns the fleet from admin addresses. The given addresses are asked first;
-// the /status of a balancer lists the records of all balancers and hosts with
+// the /members of a balancer lists the records of all balancers and hosts with
 // their admin addresses, which are asked next.
 
 import (
@@ -37,17 +37,17 @@
 	DataCentre  anvilglade.DataCentreID
 	Revision    anvilglade.Revision
 	KeysVersion anvilglade.Version
-	Members     anvilglade.Members
 }
 
 // processAnswer is what a process said, or why it did not.
 type processAnswer struct {
 	Address netip.AddrPort
 	// Name is set for processes whose record is known.
-	Name   string
-	Status processStatus
-	Ready  string
-	Err    error
+	Name    string
+	Status  processStatus
+	Members anvilglade.Members
+	Ready   string
+	Err     error
 }
 
 func (a *processAnswer) name() string {
@@ -123,6 +123,10 @@
 		answer.Err = err
 		return
 	}
+	// Agents have no /members, so the lack of it is not a failure.
+	if body, code, err := fetch(ctx, answer.Address, "/members"); err == nil && code == http.StatusOK {
+		answer.Err = json.Unmarshal(body, &answer.Members)
+	}
 	ready, code, err := fetch(ctx, answer.Address, "/ready")
 	switch {
 	case err != nil:
@@ -155,7 +159,7 @@
 	ask(0)
 	given := len(answers)
 	for i := range given {
-		members := answers[i].Status.Members
+		members := answers[i].Members
 		for _, balancer := range members.Balancers {
 			if balancer.Living {
 				add(balancer.AdminAddress, "balancer/"+string(balancer.Balancer))
@@ -168,18 +172,42 @@
 		}
 	}
 	ask(given)
+	answers = slices.DeleteFunc(answers, func(a processAnswer) bool { return a.Err != nil && replaced(&a, answers) })
 	slices.SortStableFunc(answers, func(a, b processAnswer) int { return strings.Compare(a.name(), b.name()) })
 	return answers
 }
 
+// replaced reports whether a process that does not answer is known to be gone:
+// some balancer answers and none lists a living balancer or host with its
+// address. Without it a list of admin addresses that names a replaced balancer
+// would make --wait fail.
+func replaced(silent *processAnswer, answers []processAnswer) bool {
+	asked := false
+	for i := range answers {
+		members := &answers[i].Members
+		for _, balancer := range members.Balancers {
+			asked = true
+			if balancer.Living && balancer.AdminAddress == silent.Address {
+				return false
+			}
+		}
+		for _, host := range members.Hosts {
+			if host.State != anvilglade.HostDead && host.State != anvilglade.HostLeft && host.AdminAddress == silent.Address {
+				return false
+			}
+		}
+	}
+	return asked
+}
+
 // knownHosts returns the hosts that the given balancers know, nil if none
 // answers.
 func (c *operatorCommand) knownHosts(ctx context.Context) []anvilglade.HostRecord {
 	for _, address := range c.admin {
 		answer := processAnswer{Address: address}
 		askStatus(ctx, &answer)
-		if answer.Err == nil && len(answer.Status.Members.Hosts) > 0 {
-			return answer.Status.Members.Hosts
+		if answer.Err == nil && len(answer.Members.Hosts) > 0 {
+			return answer.Members.Hosts
 		}
 	}
 	return nil
@@ -191,6 +219,7 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), c.waitTimeout)
 	defer cancel()
 	began := time.Now()
+	var report []string
 	for {
 		var lagging []string
 		balancers := 0
@@ -209,9 +238,13 @@
 			fmt.Fprintf(os.Stderr, "Revision %d is in effect on %d balancers after %s.\n", revision, balancers, time.Since(began).Round(time.Millisecond))
 			return ExitDone
 		}
+		// A round that the time limit cut short says nothing of the processes.
+		if ctx.Err() == nil || report == nil {
+			report = lagging
+		}
 		select {
 		case <-ctx.Done():
-			fmt.Fprintf(os.Stderr, "Revision %d is accepted but not in effect everywhere:\n  %s\n", revision, strings.Join(lagging, "\n  "))
+			fmt.Fprintf(os.Stderr, "Revision %d is accepted but not in effect everywhere:\n  %s\n", revision, strings.Join(report, "\n  "))
 			return ExitFailed
 		case <-time.After(waitInterval):
 		}
