--- a/internal/operate/agcommand/datacentres.go
+++ b/internal/operate/agcommand/datacentres.go
@@ -78,6 +78,9 @@
 			row.Region = anvilglade.RegionID(c.centre.region)
 		}
 		if c.centre.state != "" {
+			if err := agconfig.CheckDataCentreChange(row, anvilglade.DataCentreState(c.centre.state)); err != nil {
+				return err
+			}
 			row.State = anvilglade.DataCentreState(c.centre.state)
 		}
 		return nil
