--- a/internal/state/agchart/chart_test.go
+++ b/internal/state/agchart/chart_test.go
@@ -33,7 +33,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		fmt.Fprintf(&b, "\n## %s\n\nFile `%s`.\n\n```mermaid\n%s```\n", c.heading, strings.TrimPrefix(c.path, "../../"), chart.Mermaid())
+		fmt.Fprintf(&b, "\n## %s\n\nFile `%s`.\n\n```mermaid\n%s```\n", c.heading, strings.Replace(c.path, "../..", "internal", 1), chart.Mermaid())
 	}
 	if os.Getenv("AGCHART_WRITE") != "" {
 		if err := os.WriteFile(page, []byte(b.String()), 0o600); err != nil {
