Open a circuit breaker at servers that answer with errors

Change: an error answer (5xx) leaves the limits alone; at 90% errors in the last 32 results the host refuses all but probes at doubled intervals, and looks full.

--- a/admission.go
+++ b/admission.go
@@ -13,14 +13,17 @@
 	RefusalDraining    Refusal = "Draining"
 	RefusalOut         Refusal = "Out"
 	RefusalDeadline    Refusal = "Deadline"
+	RefusalFailing     Refusal = "Failing"
 )
 
 // Outcome is how a request ended at the backend server.
 type Outcome string
 
-// Outcomes of a request.
+// Outcomes of a request. Error is a whole answer that says that the server
+// failed; Failed means that there was no whole answer.
 const (
 	OutcomeAnswered Outcome = "Answered"
+	OutcomeError    Outcome = "Error"
 	OutcomeFailed   Outcome = "Failed"
 	OutcomeTimedOut Outcome = "TimedOut"
 	OutcomeShed     Outcome = "Shed"
--- a/internal/admission/agadmit/host.go
+++ b/internal/admission/agadmit/host.go
@@ -35,6 +35,7 @@
 	"time"
 
 	"github.com/anvilglade/anvilglade"
+	"github.com/anvilglade/anvilglade/internal/observe/agevent"
 )
 
 // Limits of a pool that sets none.
@@ -68,6 +69,7 @@
 	adaptive adaptive
 	ramp     ramp
 	latency  latency
+	breaker  breaker
 	counts   Counts
 }
 
@@ -99,6 +101,8 @@
 	// phase is the ramp phase in which the request started. Completions of an
 	// earlier phase say nothing about the present one.
 	phase uint64
+	// probe is set for requests that an open circuit breaker let through.
+	probe bool
 }
 
 // NewHost returns a host that refuses all work until SetPool is called. The
@@ -118,6 +122,7 @@
 	fresh := h.service != service
 	h.service, h.pool = service, pool
 	if fresh {
+		h.breaker = breaker{}
 		h.adaptive.restart(pool.Slots)
 		h.latency = latency{}
 		h.ramp.restart(pool.ColdStart.InitialConcurrency)
@@ -186,7 +191,7 @@
 	if refusal := h.full(now); refusal != anvilglade.RefusalNone {
 		return h.refuse(refusal), nil
 	}
-	entry := &request{started: now, phase: h.ramp.phase}
+	entry := &request{started: now, phase: h.ramp.phase, probe: h.breaker.open}
 	h.busy.advance(now, len(h.requests))
 	h.requests[entry] = struct{}{}
 	h.counts.RequestsStarted++
@@ -208,6 +213,8 @@
 		return anvilglade.RefusalCold
 	case inProgress >= h.adaptive.whole():
 		return anvilglade.RefusalLimit
+	case !h.breaker.allows(now):
+		return anvilglade.RefusalFailing
 	}
 	return anvilglade.RefusalNone
 }
@@ -234,6 +241,7 @@
 	now := h.options.Clock.Now()
 	h.busy.advance(now, inProgress)
 	delete(h.requests, entry)
+	h.judge(now, entry, outcome)
 	reaction := reactions[outcome]
 	if reaction == nil {
 		reaction = (*Host).onFailed
@@ -241,6 +249,19 @@
 	reaction(h, now, entry, inProgress)
 }
 
+// judge gives the outcome to the circuit breaker.
+func (h *Host) judge(now time.Time, entry *request, outcome anvilglade.Outcome) {
+	switch outcome {
+	case anvilglade.OutcomeShed, anvilglade.OutcomeCanceled:
+		h.breaker.release(entry.probe)
+	default:
+		failed := outcome != anvilglade.OutcomeAnswered
+		if h.breaker.observe(now, entry.probe, failed) {
+			h.record(agevent.ServerFailing, "")
+		}
+	}
+}
+
 // limit returns the number of requests that may be in progress now.
 func (h *Host) limit() int {
 	limit := min(int(h.pool.Slots), h.adaptive.whole())
@@ -265,7 +286,7 @@
 	if h.closed != anvilglade.RefusalNone {
 		return anvilglade.FullUtilisation
 	}
-	if len(h.requests) >= h.limit() {
+	if len(h.requests) >= h.limit() || h.breaker.open {
 		return anvilglade.FullUtilisation
 	}
 	h.busy.advance(h.options.Clock.Now(), len(h.requests))
--- a/internal/admission/agadmit/ramp.go
+++ b/internal/admission/agadmit/ramp.go
@@ -158,6 +158,7 @@
 // reactions says what each outcome of a request changes.
 var reactions = map[anvilglade.Outcome]reaction{
 	anvilglade.OutcomeAnswered: (*Host).onAnswered,
+	anvilglade.OutcomeError:    (*Host).onError,
 	anvilglade.OutcomeFailed:   (*Host).onFailed,
 	anvilglade.OutcomeTimedOut: (*Host).onFailed,
 	anvilglade.OutcomeShed:     (*Host).onShed,
@@ -187,6 +188,12 @@
 	}
 }
 
+// onError changes no limit: the server answered, so it can bear the load. The
+// circuit breaker counts it.
+func (h *Host) onError(time.Time, *request, int) {
+	h.latency.failures = 0
+}
+
 func (h *Host) onFailed(now time.Time, entry *request, _ int) {
 	if entry.phase != h.ramp.phase {
 		return
--- a/internal/observe/agevent/ring.go
+++ b/internal/observe/agevent/ring.go
@@ -35,6 +35,7 @@
 	FlowRefused         anvilglade.EventType = "FlowRefused"
 	FlowEnded           anvilglade.EventType = "FlowEnded"
 	ServerTurnedCold    anvilglade.EventType = "ServerTurnedCold"
+	ServerFailing       anvilglade.EventType = "ServerFailing"
 	ServerWarm          anvilglade.EventType = "ServerWarm"
 	RequestForwarded    anvilglade.EventType = "RequestForwarded"
 	RequestRefused      anvilglade.EventType = "RequestRefused"
--- a/internal/request/agserve/answer.go
+++ b/internal/request/agserve/answer.go
@@ -63,7 +63,7 @@
 
 func (a *answer) outcome() anvilglade.Outcome {
 	if a.status >= http.StatusInternalServerError {
-		return anvilglade.OutcomeFailed
+		return anvilglade.OutcomeError
 	}
 	return anvilglade.OutcomeAnswered
 }
