--- a/internal/config/agedit/submit.go
+++ b/internal/config/agedit/submit.go
@@ -126,6 +126,11 @@
 // build applies the changes and validates the result.
 func (a *attempt) build(snapshot Snapshot) (agconfig.Document, Verdict, bool) {
 	document := snapshot.Document
+	if a.request.Exact && snapshot.Revision != a.request.Base {
+		verdict := a.reject(snapshot, fmt.Sprintf("the edit was made for revision %d; look at the newer edits first", a.request.Base))
+		verdict.Outdated = true
+		return document, verdict, true
+	}
 	tables, applied, conflicts, err := agconfig.Apply(document.Tables, a.request.Changes)
 	if err != nil {
 		return document, a.reject(snapshot, err.Error()), true
@@ -139,7 +144,7 @@
 		return document, verdict, true
 	}
 	options := agconfig.Options{Before: document.Tables, Force: a.request.Force, Known: a.request.Known}
-	if faults := agconfig.Validate(tables, options); len(faults) > 0 {
+	if faults := agconfig.ValidateEdit(tables, options); len(faults) > 0 {
 		verdict := a.reject(snapshot, "the result has faults")
 		verdict.Faults = faults
 		return document, verdict, true
--- a/internal/operate/agcommand/apply.go
+++ b/internal/operate/agcommand/apply.go
@@ -13,14 +13,15 @@
 		edits: true,
 		bind: func(c *operatorCommand) {
 			c.positionalValue(&c.file, "FILE", "JSON or YAML with any of Routes, Pools, DataCentres, Hosts; '-' for standard input", true)
-			c.subcommand.Bool(&c.yes, "", "dry-run", "print what would change and write nothing")
+			c.subcommand.Bool(&c.noWrite, "", "dry-run", "print what would change and write nothing")
 		},
 		run: apply,
 	})
 }
 
 // apply replaces the tables that the file names. If the file names a Revision,
-// edits made after it conflict or stay; else the file replaces what is there.
+// edits made after it conflict or stay; else the file replaces the tables as they
+// are when it is applied.
 func apply(ctx context.Context, c *operatorCommand) int {
 	file, err := readTables(c.file)
 	if err != nil {
@@ -33,8 +34,8 @@
 		}
 		return changesFrom(snapshot, wanted, func(tables anvilglade.Tables) anvilglade.Tables { return tables })
 	}
-	if !c.yes {
-		return c.submit(ctx, build)
+	if !c.noWrite {
+		return c.submit(ctx, file.Revision == 0, build)
 	}
 	snapshot, err := c.read(ctx)
 	if err != nil {
--- a/internal/stand/agscenario/verbs_fleet.go
+++ b/internal/stand/agscenario/verbs_fleet.go
@@ -228,7 +228,7 @@
 	if _, err := s.fleet.host(step.value("name")); err != nil {
 		return err
 	}
-	return s.fleet.mustOperate(ctx, "hosts", action, step.value("name"))
+	return s.fleet.mustOperate(ctx, s.fleet.edits("hosts", action, step.value("name"))...)
 }
 
 // dataCentre changes the state of a data centre through the operator command.
@@ -243,16 +243,20 @@
 		return err
 	}
 	start := time.Now()
-	if err := s.fleet.mustOperate(ctx, "datacentres", action, name, "--wait"); err != nil {
+	// The flows may end from the moment of the command on, not only once it
+	// has seen the change in effect on every balancer.
+	if state == anvilglade.DataCentreOut {
+		for _, item := range hosts {
+			s.hostGone(item.name)
+		}
+	}
+	if err := s.fleet.mustOperate(ctx, s.fleet.edits("datacentres", action, name, "--wait", "--force")...); err != nil {
 		return err
 	}
 	accepted := time.Now()
 	s.note("data centre %s %s, in effect after %s", name, state, accepted.Sub(start).Round(time.Millisecond))
-	for _, item := range hosts {
-		if state == anvilglade.DataCentreOut {
-			s.hostGone(item.name)
-		}
-		if state == anvilglade.DataCentreIn {
+	if state == anvilglade.DataCentreIn {
+		for _, item := range hosts {
 			s.hostBack(item.name)
 		}
 	}
@@ -276,11 +280,11 @@
 	for i := range tables.Pools {
 		tables.Pools[i].Hosts = s.poolMembers(string(tables.Pools[i].Service))
 	}
-	path, err := s.fleet.writeTables("moved.json", tables)
+	path, err := s.fleet.writeTables("moved.json", map[string]any{"Pools": tables.Pools})
 	if err != nil {
 		return err
 	}
-	return s.fleet.mustOperate(ctx, "apply", path)
+	return s.fleet.mustOperate(ctx, s.fleet.edits("apply", path)...)
 }
 
 func (s *scene) poolMembers(service string) []string {
