--- a/internal/admission/agadmit/breaker.go
+++ b/internal/admission/agadmit/breaker.go
@@ -6,6 +6,8 @@
 import (
 	"math/bits"
 	"time"
+
+	"github.com/anvilglade/anvilglade"
 )
 
 const (
@@ -17,39 +19,44 @@
 	breakerLeast  = 8
 	breakerShare  = 0.9
 	// Probes start after breakerFirst and then at doubled intervals up to
-	// breakerLongest. breakerProbes answered in a row close the breaker.
-	breakerFirst   = 200 * time.Millisecond
+	// breakerLongest. A server that fails at once would otherwise take a large
+	// part of the requests, since its slot is free again and again.
+	breakerFirst   = 100 * time.Millisecond
 	breakerLongest = 2 * time.Second
-	breakerProbes  = 2
 )
 
 type breaker struct {
 	// results has a bit for each of the last results, set for errors.
 	results uint32
 	count   int
+	// lost counts the requests in a row without any answer.
+	lost    int
 	open    bool
 	probing bool
-	passed  int
 	wait    time.Duration
 	next    time.Time
 }
 
-// allows reports whether a request may start. While the breaker is open the
-// request that it allows is a probe.
+// allows reports whether a request may start.
 func (b *breaker) allows(now time.Time) bool {
 	if !b.open {
 		return true
 	}
-	if b.probing || now.Before(b.next) {
-		return false
-	}
-	b.probing = true
-	return true
+	return !b.probing && !now.Before(b.next)
+}
+
+// start counts a request that allows let through and reports whether it is a
+// probe.
+func (b *breaker) start() bool {
+	b.probing = b.open
+	return b.open
 }
 
-// observe counts a result. It returns true when the breaker opens. Requests
-// that started before it opened say nothing about the server now.
-func (b *breaker) observe(now time.Time, probe, failed bool) bool {
+// observe counts a result. It returns true when the breaker opens: after
+// failuresInRow requests in a row without an answer, or by the share of errors.
+// Requests that started before it opened say nothing about the server now.
+func (b *breaker) observe(now time.Time, probe bool, outcome anvilglade.Outcome) bool {
+	failed := outcome != anvilglade.OutcomeAnswered
 	if b.open {
 		if probe {
 			b.finishProbe(now, failed)
@@ -61,7 +68,12 @@
 		b.results |= 1
 	}
 	b.count = min(b.count+1, breakerWindow)
-	if b.count < breakerLeast || float64(b.errors()) < breakerShare*float64(b.count) {
+	b.lost++
+	if !failed || outcome == anvilglade.OutcomeError {
+		b.lost = 0
+	}
+	erroneous := b.count >= breakerLeast && float64(b.errors()) >= breakerShare*float64(b.count)
+	if b.lost < failuresInRow && !erroneous {
 		return false
 	}
 	*b = breaker{open: true, wait: breakerFirst, next: now.Add(breakerFirst)}
@@ -81,14 +93,10 @@
 
 func (b *breaker) finishProbe(now time.Time, failed bool) {
 	b.probing = false
-	if failed {
-		b.passed = 0
-		b.wait = min(2*b.wait, breakerLongest)
-		b.next = now.Add(b.wait)
-		return
-	}
-	b.passed++
-	if b.passed >= breakerProbes {
+	if !failed {
 		*b = breaker{}
+		return
 	}
+	b.wait = min(2*b.wait, breakerLongest)
+	b.next = now.Add(b.wait)
 }
--- a/internal/admission/agadmit/host.go
+++ b/internal/admission/agadmit/host.go
@@ -191,7 +191,7 @@
 	if refusal := h.full(now); refusal != anvilglade.RefusalNone {
 		return h.refuse(refusal), nil
 	}
-	entry := &request{started: now, phase: h.ramp.phase, probe: h.breaker.open}
+	entry := &request{started: now, phase: h.ramp.phase, probe: h.breaker.start()}
 	h.busy.advance(now, len(h.requests))
 	h.requests[entry] = struct{}{}
 	h.counts.RequestsStarted++
@@ -205,6 +205,8 @@
 func (h *Host) full(now time.Time) anvilglade.Refusal {
 	inProgress := len(h.requests)
 	switch {
+	case !h.breaker.allows(now):
+		return anvilglade.RefusalFailing
 	case inProgress >= int(h.pool.Slots):
 		return anvilglade.RefusalSlots
 	case h.ramp.cold && inProgress >= h.ramp.limit:
@@ -213,8 +215,6 @@
 		return anvilglade.RefusalCold
 	case inProgress >= h.adaptive.whole():
 		return anvilglade.RefusalLimit
-	case !h.breaker.allows(now):
-		return anvilglade.RefusalFailing
 	}
 	return anvilglade.RefusalNone
 }
@@ -255,8 +255,7 @@
 	case anvilglade.OutcomeShed, anvilglade.OutcomeCanceled:
 		h.breaker.release(entry.probe)
 	default:
-		failed := outcome != anvilglade.OutcomeAnswered
-		if h.breaker.observe(now, entry.probe, failed) {
+		if h.breaker.observe(now, entry.probe, outcome) {
 			h.record(agevent.ServerFailing, "")
 		}
 	}
