--- a/internal/stand/agscenario/measures.go
+++ b/internal/stand/agscenario/measures.go
@@ -366,8 +366,21 @@
 // left when a share of the work fails.
 func measureGoodputOfSurviving(ctx context.Context, s *scene, of string) value {
 	got := measureGoodput(ctx, s, of)
-	got.value /= 1 - s.failShare
-	got.of *= 1 - s.failShare
+	service, err := s.fleet.service(s.loadService[of])
+	if err != nil {
+		return got
+	}
+	selected, err := s.fleet.selectHosts(service.spec.name)
+	if err != nil || len(selected) == 0 {
+		return got
+	}
+	surviving := 0.0
+	for _, item := range selected {
+		surviving += 1 - s.failing[item.name]
+	}
+	surviving /= float64(len(selected))
+	got.value /= surviving
+	got.of *= surviving
 	return got
 }
 
--- a/internal/stand/agscenario/scene.go
+++ b/internal/stand/agscenario/scene.go
@@ -58,8 +58,8 @@
 	speeds map[string]float64
 	// balance is the utilisation of the hosts of each service at one time.
 	balance map[string]map[string]float64
-	// failShare is the share of the work that fails on all hosts.
-	failShare float64
+	// failing is the share of the work that fails at a host.
+	failing map[string]float64
 }
 
 type dcChange struct {
@@ -83,6 +83,7 @@
 		loadService: map[string]string{},
 		moved:       map[string]string{},
 		speeds:      map[string]float64{},
+		failing:     map[string]float64{},
 		violations:  map[string][]string{},
 	}
 	return s, func() {
--- a/internal/stand/agscenario/verbs.go
+++ b/internal/stand/agscenario/verbs.go
@@ -170,9 +170,6 @@
 	if step.has("turncold") {
 		change["TurnCold"] = true
 	}
-	if step.value("name") == "all" && step.has("fail") {
-		s.failShare = step.share("fail")
-	}
 	selected, err := s.fleet.selectHosts(step.value("name"))
 	if err != nil {
 		return err
@@ -181,6 +178,9 @@
 		if step.has("speed") {
 			s.speeds[item.name] = step.number("speed")
 		}
+		if step.has("fail") {
+			s.failing[item.name] = step.share("fail")
+		}
 		if err := post(ctx, s.fleet.backendURL(item, "/control"), change); err != nil {
 			return err
 		}
