--- a/internal/stand/agcaller/lines.go
+++ b/internal/stand/agcaller/lines.go
@@ -47,7 +47,9 @@
 }
 
 const (
-	linesPause = 200 * time.Millisecond
+	// linesPause is the wait before a line that was refused or ended is opened
+	// again. Thousands of lines that wait must not take the machine.
+	linesPause = 2 * time.Second
 	openLimit  = 5 * time.Second
 )
 
--- a/internal/stand/agscenario/measures_reports.go
+++ b/internal/stand/agscenario/measures_reports.go
@@ -90,7 +90,7 @@
 // measureUnknownNotListed counts reports that callers were told to be unknown
 // and whose ticket is not on the operator's list.
 func measureUnknownNotListed(ctx context.Context, s *scene, of string) value {
-	result, err := s.fleet.operate(ctx, "requests", "unknown", "--json", "--agents", s.fleet.agentAdmins())
+	result, err := s.fleet.operate(ctx, "requests", "unknown", "--json", "--admin", s.fleet.agentAdmins())
 	if err != nil || result.code != 0 {
 		return missing("anvilglade requests unknown: exit code %d, %w: %s", result.code, err, result.errors)
 	}
