End the decisions of an arbiter that announced a later stamp

Change: it decides nothing until its orders have the stamp, and a placement stands only under the stamp with which it was made.

--- a/internal/flow/agflow/arbiter.go
+++ b/internal/flow/agflow/arbiter.go
@@ -22,9 +22,11 @@
 	host        netip.AddrPort
 	incarnation anvilglade.Incarnation
 	service     anvilglade.ServiceNumber
-	attempt     uint8
-	tried       []netip.AddrPort
-	used        int64
+	// stamp is the one that this host announced when it decided.
+	stamp   anvilglade.JoinStamp
+	attempt uint8
+	tried   []netip.AddrPort
+	used    int64
 	// refusedUntil is set when every host refused the flow.
 	refusedUntil int64
 }
@@ -33,7 +35,7 @@
 func (m *Machine) arbitrate(now int64, header *agheader.Header, payload []byte, actions []Action) []Action {
 	known := m.views[header.Service]
 	if entry := m.placements[header.Flow]; entry != nil {
-		if m.decides(known) {
+		if m.stands(entry) {
 			return m.follow(now, entry, settled(header), payload, actions)
 		}
 		if next := m.handOver(entry, header); next >= 0 {
@@ -52,15 +54,29 @@
 		header.Step = uint8(next)
 		return send(actions, header.Candidates[next].Address, agheader.KindLookup, header, payload)
 	}
-	entry := &placement{service: header.Service, used: now}
+	entry := &placement{service: header.Service, stamp: m.stamp(), used: now}
+	// Hosts that refused a former decision refuse its attempt numbers for a while.
+	if former := m.placements[header.Flow]; former != nil {
+		entry.attempt = former.attempt
+	}
 	m.placements[header.Flow] = entry
 	m.statistics.Decided++
 	return m.place(now, entry, settled(header), payload, actions)
 }
 
-// decides reports whether this agent may still decide on flows of a service.
-func (m *Machine) decides(known *view) bool {
-	return known != nil && !known.former && !m.left
+// stands reports whether this agent may still act on its decision. It may not
+// once it has left, works for another service or has announced a later stamp:
+// another host may have decided since.
+func (m *Machine) stands(entry *placement) bool {
+	known := m.views[entry.service]
+	return known != nil && !known.former && !m.left && entry.stamp == m.stamp()
+}
+
+func (m *Machine) stamp() anvilglade.JoinStamp {
+	if m.options.Stamp == nil {
+		return 0
+	}
+	return m.options.Stamp()
 }
 
 // handOver inserts the host of a former decision, which may own the flow by now,
@@ -244,7 +260,7 @@
 		return drop(actions, anvilglade.DropMalformed)
 	case entry == nil:
 		return drop(actions, anvilglade.DropRefused)
-	case !m.decides(m.views[header.Service]):
+	case !m.stands(entry):
 		delete(m.placements, header.Flow)
 		return m.arbitrate(now, header, payload, actions)
 	case entry.attempt != header.Step || entry.host != refuser || entry.refusedUntil != 0:
--- a/internal/flow/agflow/machine.go
+++ b/internal/flow/agflow/machine.go
@@ -89,7 +89,8 @@
 	Admitter    anvilglade.Admitter
 	// Stamp returns the stamp by which this host is ranked by age, as the agent
 	// itself announces it. It is ahead of the orders when the agent has just drawn
-	// a later one. Nil takes the one in the orders.
+	// a later one; until they have it this host decides on no flow. Nil takes the
+	// one in the orders.
 	Stamp func() anvilglade.JoinStamp
 	// Serves reports whether this host has a backend address for a service.
 	// Nil means every service.
--- a/internal/flow/agflow/orders.go
+++ b/internal/flow/agflow/orders.go
@@ -93,42 +93,35 @@
 }
 
 // arbiter returns the oldest living host, or nil. Hosts that told the packet
-// that they have left are none. An agent that has left, or that restarted under
-// a former record, is none itself, whatever the orders say: the entries of its
-// former life are gone.
+// that they have left are none. An agent is none itself, whatever the orders
+// say, if it has left, if it restarted under a former record (the entries of its
+// former life are gone), or if it announces a later stamp than the orders have:
+// then older hosts may exist that these orders do not know.
 func (v *view) arbiter(m *Machine, declined []anvilglade.Candidate) *anvilglade.ServiceMember {
 	if v == nil {
 		return nil
 	}
-	var self *anvilglade.ServiceMember
 	for i := range v.members {
 		member := &v.members[i]
 		if !living(member.State) || member.Former {
 			continue
 		}
 		if member.AgentAddress == m.options.Self {
-			if !m.left && !v.former && member.Incarnation == m.options.Incarnation {
-				self = member
+			if m.left || v.former || member.Incarnation != m.options.Incarnation || m.announcesLater(member) {
+				continue
 			}
-			continue
-		}
-		if self != nil && m.stamp(self) <= member.JoinStamp {
-			return self
+			return member
 		}
 		left := func(c anvilglade.Candidate) bool { return c.Accepts && c.Address == member.AgentAddress }
 		if !slices.ContainsFunc(declined, left) {
 			return member
 		}
 	}
-	return self
+	return nil
 }
 
-// stamp returns the age of this host as it announces it itself.
-func (m *Machine) stamp(self *anvilglade.ServiceMember) anvilglade.JoinStamp {
-	if m.options.Stamp == nil {
-		return self.JoinStamp
-	}
-	return max(self.JoinStamp, m.options.Stamp())
+func (m *Machine) announcesLater(self *anvilglade.ServiceMember) bool {
+	return m.stamp() > self.JoinStamp
 }
 
 // mayBeMissing reports whether a balancer's list of possible holders may lack
