--- a/internal/stand/agbackend/handlers.go
+++ b/internal/stand/agbackend/handlers.go
@@ -163,7 +163,7 @@
 	// answer may send the next request at once.
 	now := time.Now()
 	s.journal.finish(item.index, outcome)
-	s.load.end(now, now.Sub(item.started), outcome == OutcomeAnswered)
+	s.load.end(item.started, now, outcome == OutcomeAnswered)
 	s.respond(w, r, item, outcome, write)
 }
 
--- a/internal/stand/agbackend/load.go
+++ b/internal/stand/agbackend/load.go
@@ -42,7 +42,8 @@
 	fellOver      []time.Time
 	turnedCold    []time.Time
 	// noticedAt is when an agent can know that the server turned cold; unnoticed
-	// until an answer has left it.
+	// until the answer to a request that began on the cold server has left it.
+	// Requests that it had begun before end at their former speed.
 	noticedAt time.Time
 	busy      time.Duration
 	// history holds past loads, so that /load can lag.
@@ -119,12 +120,12 @@
 }
 
 // end removes a request from the model.
-func (l *load) end(now time.Time, worked time.Duration, completed bool) {
+func (l *load) end(started, now time.Time, completed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.inUse--
-	l.busy += worked
-	if l.noticedAt.Equal(unnoticed) {
+	l.busy += now.Sub(started)
+	if l.noticedAt.Equal(unnoticed) && started.After(l.turnedCold[len(l.turnedCold)-1]) {
 		l.noticedAt = now.Add(noticeDelay)
 	}
 	if completed {
--- a/internal/stand/agscenario/verbs_fleet.go
+++ b/internal/stand/agscenario/verbs_fleet.go
@@ -152,11 +152,13 @@
 	if err != nil {
 		return err
 	}
+	item.agent.kill()
+	// No answer leaves the host any more, so the journal has every request that
+	// a caller can have an answer to.
 	if err := s.fleet.keepJournal(ctx, item); err != nil {
 		return err
 	}
 	s.fleet.setEnded(item)
-	item.agent.kill()
 	item.backend.kill()
 	s.hostGone(item.name)
 	return nil
