Make no claims while isolated; keep the arbiter until its agent knows of a move

Cause: (1) balancers whose control links were 10 s late heard nobody for that time and declared nearly every host dead; (2) a host that operators had moved to another pool stopped being arbiter in the lists before its agent knew, so two hosts decided; (3) requests stayed on hosts far above the mean. Change: a balancer that hears less than a quarter of its hosts makes no claims, and refutes claims about hosts that it hears before they get into its view; the host that announces the service goes on deciding; agserve asks Spill first.

--- a/internal/membership/agmember/monitor.go
+++ b/internal/membership/agmember/monitor.go
@@ -81,6 +81,10 @@
 	// the next claim. Without it a balancer that is cut off from one living
 	// host publishes a claim with every tick.
 	maxDoublings = 5
+	// A balancer that hears less than one in isolatedPart of its hosts, of which
+	// there are at least leastMonitored, makes no claims.
+	isolatedPart   = 4
+	leastMonitored = 3
 )
 
 // MonitorOptions are the settings of a Monitor.
@@ -286,7 +290,7 @@
 	}
 	switch known.State {
 	case anvilglade.HostSuspect:
-		m.claim(known, "Refute", known.OwnState)
+		m.claim(known, eventRefute, known.OwnState)
 	case anvilglade.HostDead:
 		ack.Claimed = &known.Sequence
 	default:
@@ -312,6 +316,26 @@
 	return nil
 }
 
+// isolated reports whether this balancer hears so few of the hosts that it
+// monitors that it is more likely cut off itself. Balancers whose control links
+// were 10 s late had declared nearly every host dead.
+func (m *Monitor) isolated(current *view, now time.Time, limit time.Duration) bool {
+	monitored, heard := 0, 0
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for i := range current.members.Hosts {
+		host := &current.members.Hosts[i]
+		if !current.monitors(host.Host) || host.State != anvilglade.HostActive && host.State != anvilglade.HostDraining {
+			continue
+		}
+		monitored++
+		if last, ok := m.heard[host.Host]; ok && now.Sub(last) <= limit {
+			heard++
+		}
+	}
+	return monitored >= leastMonitored && heard*isolatedPart < monitored
+}
+
 // Tick claims hosts that have been silent for too long, and refutes or
 // completes the claims of others.
 func (m *Monitor) Tick() {
@@ -326,11 +350,12 @@
 	m.lastTick = now
 	limit := heartbeatTargets*current.interval + suspectSlack
 	m.mu.Unlock()
+	isolated := m.isolated(current, now, limit)
 	for i := range current.members.Hosts {
 		host := &current.members.Hosts[i]
 		switch host.State {
 		case anvilglade.HostActive, anvilglade.HostDraining:
-			if current.monitors(host.Host) && m.silentTooLong(host.Host, now, limit) {
+			if !isolated && current.monitors(host.Host) && m.silentTooLong(host.Host, now, limit) {
 				m.claim(*host, "Suspect", anvilglade.HostSuspect)
 			}
 		case anvilglade.HostSuspect:
@@ -372,7 +397,7 @@
 	}
 	m.mu.Unlock()
 	if ok && now.Sub(last) < recentlyHeard {
-		m.claim(host, "Refute", host.OwnState)
+		m.claim(host, eventRefute, host.OwnState)
 		return
 	}
 	if now.Sub(seen.since) >= deadAfter {
@@ -409,6 +434,7 @@
 
 // refresh rebuilds the view from the replica and tells the subscribers.
 func (m *Monitor) refresh() {
+	m.refuteHeard()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	next := newView(m.options.Replica, m.view.Load(), m.options.Self.Balancer)
@@ -425,6 +451,24 @@
 	}
 }
 
+// refuteHeard refutes claims about hosts that this balancer has just heard,
+// before they get into its view and so into the candidate lists.
+func (m *Monitor) refuteHeard() {
+	now := m.options.Clock.Now()
+	for _, record := range m.options.Replica.List(anvilglade.RecordHost) {
+		m.mu.Lock()
+		last, ok := m.heard[anvilglade.HostID(record.Name)]
+		m.mu.Unlock()
+		if !ok || now.Sub(last) >= recentlyHeard {
+			continue
+		}
+		host, err := recordToHost(record)
+		if err == nil && (host.State == anvilglade.HostSuspect || host.State == anvilglade.HostDead) {
+			m.claim(host, eventRefute, host.OwnState)
+		}
+	}
+}
+
 // refuteSelf raises the sequence of this balancer when another one claimed that
 // it is dead.
 func (m *Monitor) refuteSelf(current *view) error {
--- a/internal/membership/agmember/monitor_test.go
+++ b/internal/membership/agmember/monitor_test.go
@@ -124,6 +124,15 @@
 	case step == "leave":
 		w.reporter.SetState(anvilglade.HostLeft)
 		w.hear(w.reporter, "a")
+	case step == "dead":
+		host, _ := w.monitors["a"].view.Load().host("dk1-h01")
+		host.Claim, host.State = host.Claim+1, anvilglade.HostDead
+		record, err := hostToRecord(&host)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(w.replica.Put(record)).To(BeTrue())
+		// The second refresh stands for the signal of the refutation.
+		w.refresh()
+		w.refresh()
 	case step == "restart":
 		w.clock.now = w.clock.now.Add(time.Second / 2)
 		w.old, w.reporter = w.reporter, w.newReporter()
@@ -203,6 +212,49 @@
 		Expect(monitor.serviceMembers(monitor.view.Load(), &tables, "alerts")).To(BeEmpty())
 	})
 
+	// Guards against a balancer that is cut off from everybody and takes its own
+	// silence for that of the hosts; balancers whose control links were 10 s late
+	// had declared nearly every host dead.
+	ginkgo.It("claims nothing while it hears nobody", func() {
+		world := newTestWorld()
+		for i := range 8 {
+			id := anvilglade.HostID(fmt.Sprintf("dk1-h%02d", i))
+			host := anvilglade.HostRecord{
+				Host: id, DataCentre: "dk1", Incarnation: 1, JoinStamp: 1, State: anvilglade.HostActive, OwnState: anvilglade.HostActive,
+			}
+			record, err := hostToRecord(&host)
+			Expect(err).NotTo(HaveOccurred())
+			world.replica.Put(record)
+		}
+		world.refresh()
+		monitor := world.monitors["a"]
+		hear := func(count int) {
+			for i := range count {
+				monitor.heard[anvilglade.HostID(fmt.Sprintf("dk1-h%02d", i))] = world.clock.now
+			}
+		}
+		suspects := func() int {
+			found := 0
+			for _, host := range monitor.Members().Hosts {
+				if host.State == anvilglade.HostSuspect || host.State == anvilglade.HostDead {
+					found++
+				}
+			}
+			return found
+		}
+		hear(8)
+		world.monitors = map[string]*Monitor{"a": monitor}
+		world.wait(20 * time.Second)
+		Expect(suspects()).To(BeZero())
+		for range 100 {
+			world.clock.now = world.clock.now.Add(tickInterval)
+			hear(4)
+			monitor.Tick()
+			monitor.refresh()
+		}
+		Expect(suspects()).To(Equal(4))
+	})
+
 	// Guards against a living balancer that stays dead after a lost connection,
 	// and against one that comes back after it has stopped.
 	ginkgo.It("refutes a claim about itself until it stops", func() {
--- a/internal/membership/agmember/orders.go
+++ b/internal/membership/agmember/orders.go
@@ -124,7 +124,7 @@
 		if !wanted && !slices.Contains(host.Services[:], service) {
 			continue
 		}
-		former := !wanted || !confirmed(host, service)
+		present := worksFor(host, service, wanted)
 		members = append(members, anvilglade.ServiceMember{
 			Host:           host.Host,
 			Incarnation:    host.Incarnation,
@@ -133,8 +133,8 @@
 			AgentAddress:   host.AgentAddress,
 			ControlAddress: host.ControlAddress,
 			JoinStamp:      host.Age(),
-			Accepts:        host.State == anvilglade.HostActive && !draining(tables, host) && !former,
-			Former:         former,
+			Accepts:        host.State == anvilglade.HostActive && !draining(tables, host) && wanted && present,
+			Former:         !present,
 		})
 	}
 	slices.SortFunc(members, func(a, b anvilglade.ServiceMember) int {
@@ -143,10 +143,14 @@
 	return members[:min(len(members), ordersMembers)]
 }
 
-// confirmed reports whether the agent of a host knows that it serves the
-// service.
-func confirmed(host *anvilglade.HostRecord, service anvilglade.ServiceID) bool {
-	return host.Services[0] == "" || host.Services[0] == service
+// worksFor reports whether the agent of a host decides for the service: it is
+// the one that the agent announces, whatever the pools say now. Until the agent
+// has learned that its host moved it goes on deciding, and no other host may.
+func worksFor(host *anvilglade.HostRecord, service anvilglade.ServiceID, wanted bool) bool {
+	if host.Services[0] == "" {
+		return wanted
+	}
+	return host.Services[0] == service
 }
 
 // stateOf returns the state of a data centre; one that is not in the table is
--- a/internal/request/agserve/options.go
+++ b/internal/request/agserve/options.go
@@ -42,6 +42,9 @@
 	// Backend is the loopback address of the backend server.
 	Backend  netip.AddrPort
 	Admitter anvilglade.Admitter
+	// Spill names a host that should get the next call of a caller instead of
+	// this one, because it is used much less. It may be nil.
+	Spill func() (anvilglade.ServiceMember, bool)
 	// AdmitConnections asks the Admitter for each QUIC connection. Leave it
 	// off if the flow layer below Conn counts connections already.
 	AdmitConnections bool
--- a/internal/request/agserve/run.go
+++ b/internal/request/agserve/run.go
@@ -45,6 +45,9 @@
 func (s *Server) run(ctx context.Context, c *call, life *aglife.Life) result {
 	s.budget.earn()
 	tried := make(map[netip.AddrPort]bool, maxPlacements)
+	if r, ok := s.spill(ctx, c, life, tried); ok {
+		return r
+	}
 	r := s.runLocal(ctx, c, life)
 	if c.peer {
 		return r
@@ -69,6 +72,25 @@
 	return r
 }
 
+// spill offers a call of a caller to a host that is used much less, before this
+// host takes it. It returns false if there is none or it refused.
+func (s *Server) spill(ctx context.Context, c *call, life *aglife.Life, tried map[netip.AddrPort]bool) (result, bool) {
+	if c.peer || s.options.Spill == nil || s.options.Peers == nil {
+		return result{}, false
+	}
+	member, ok := s.options.Spill()
+	if !ok {
+		return result{}, false
+	}
+	tried[member.ControlAddress] = true
+	if err := life.Do(aglife.Send); err != nil {
+		return result{kind: lost, err: err}, true
+	}
+	s.counters.Add("Spilled", 1)
+	r := s.runPeer(ctx, c, life, member.ControlAddress)
+	return r, r.kind != refused
+}
+
 // runLocal admits the call on this host and sends it to the backend server.
 func (s *Server) runLocal(ctx context.Context, c *call, life *aglife.Life) result {
 	refusal, done := s.options.Admitter.StartRequest(s.options.Service)
--- a/internal/routing/agbalance/router_test.go
+++ b/internal/routing/agbalance/router_test.go
@@ -234,12 +234,15 @@
 		count, accepts := candidates("service-000")
 		Expect(count).To(Equal(agtable.Buckets), "the oldest host is excluded by none")
 		Expect(accepts).To(BeFalse())
-		Expect(table.Service("service-000").Arbiter()).To(Equal(f.members.Hosts[2].Host))
+		// Its agent decides until it knows of the move; a second arbiter meanwhile
+		// could place a flow twice.
+		Expect(table.Service("service-000").Arbiter()).To(Equal(moved.Host))
 		_, accepts = candidates("service-001")
 		Expect(accepts).To(BeFalse(), "the agent does not know of its new pool yet")
 		moved.Services = [anvilglade.MaxHostServices]anvilglade.ServiceID{"service-001"}
 		moved.AcceptStamp = f.members.Hosts[79].JoinStamp + 1
 		table, _ = builder.Build(&f.configuration, serviceOf, &f.members)
+		Expect(table.Service("service-000").Arbiter()).To(Equal(f.members.Hosts[2].Host))
 		count, _ = candidates("service-000")
 		Expect(count).To(BeZero())
 		_, accepts = candidates("service-001")
--- a/internal/routing/agtable/builder.go
+++ b/internal/routing/agtable/builder.go
@@ -146,14 +146,17 @@
 		}
 		wanted, found := b.pool(serviceOf, record.Host)
 		if found {
-			groups[wanted] = append(groups[wanted], role.member(record, record.Services[0] == "" || record.Services[0] == wanted))
+			confirmed := record.Services[0] == "" || record.Services[0] == wanted
+			groups[wanted] = append(groups[wanted], role.member(record, confirmed, confirmed))
 		}
 		// A host that left a pool stays listed without new flows until it
 		// reports that it holds none of the service's flows any more.
 		for j, service := range record.Services {
 			listed := found && service == wanted || slices.Contains(record.Services[:j], service)
 			if service != "" && !listed {
-				groups[service] = append(groups[service], role.member(record, false))
+				// Until the agent has learned of the move it goes on deciding
+				// for the service, and no other host may.
+				groups[service] = append(groups[service], role.member(record, false, j == 0))
 			}
 		}
 	}
@@ -218,8 +221,9 @@
 }
 
 // member returns the host's part in a service. A host that has not confirmed
-// the service takes no new flows and no part in decisions.
-func (r *role) member(record *anvilglade.HostRecord, confirmed bool) member {
+// the service takes no new flows; one that does not work for it takes no part in
+// decisions.
+func (r *role) member(record *anvilglade.HostRecord, confirmed, works bool) member {
 	m := member{
 		host:      record.Host,
 		hash:      xxhash.Sum64String(string(record.Host)),
@@ -231,7 +235,7 @@
 	if r.blocks && confirmed {
 		m.since = r.stamp
 	}
-	if r.arbitrates && confirmed {
+	if r.arbitrates && works {
 		m.age = r.stamp
 	}
 	return m
--- a/internal/routing/agtable/model_test.go
+++ b/internal/routing/agtable/model_test.go
@@ -315,7 +315,7 @@
 			record := testRecord(created, clock.stamp())
 			created++
 			r := role{listed: true, accepts: true, blocks: true, arbitrates: true, stamp: clock.stamp()}
-			group = append(group, r.member(&record, true))
+			group = append(group, r.member(&record, true, true))
 		}
 		for range rapid.IntRange(40, 120).Draw(t, "hosts") {
 			add()
