Probe a silent host before claiming it

The balancer without delays lost its connections to the two delayed ones (10 s is above their idle timeout) and took over the monitoring of their hosts, which went on reporting to the others; it declared them dead after 4 s. The delayed balancers did the same. Ruled out: the candidate lists (no other state changes in the logs) and missing refutations (they came, 10 s late). Change: a monitor sends four probes to a silent host and claims it only if no heartbeat comes back.

--- a/internal/membership/agmember/messages.go
+++ b/internal/membership/agmember/messages.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"hash"
+	"net/netip"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
@@ -29,6 +30,9 @@
 	OrdersHash uint64
 	// Orders are set when the agent's hash differs.
 	Orders *anvilglade.HostOrders `cbor:",omitempty"`
+	// ReplyTo is set in a probe: an acknowledgement without a heartbeat, which
+	// asks a silent host for a heartbeat to this address.
+	ReplyTo netip.AddrPort
 	// SendRecord asks for the whole record.
 	SendRecord bool `cbor:",omitempty"`
 	// Claimed is the sequence of the host that a balancer claims to be Suspect
--- a/internal/membership/agmember/monitor.go
+++ b/internal/membership/agmember/monitor.go
@@ -81,6 +81,10 @@
 	// the next claim. Without it a balancer that is cut off from one living
 	// host publishes a claim with every tick.
 	maxDoublings = 5
+	// probesBeforeClaim are sent to a silent host, one each tick. A balancer that
+	// has lost its peers believes itself to be the monitor of hosts that report
+	// to others; without probes it declared them dead.
+	probesBeforeClaim = 4
 	// A balancer that hears less than one in isolatedPart of its hosts, of which
 	// there are at least leastMonitored, makes no claims.
 	isolatedPart   = 4
@@ -120,7 +124,9 @@
 	suspected map[anvilglade.HostID]suspicion
 	// refuted counts the claims of this balancer that others refuted since it
 	// heard the host itself.
-	refuted  map[anvilglade.HostID]int
+	refuted map[anvilglade.HostID]int
+	// probes counts the probes of a silent host.
+	probes   map[anvilglade.HostID]int
 	lastTick time.Time
 	orders   ordersCache
 	signals  map[chan struct{}]struct{}
@@ -152,6 +158,7 @@
 		heard:     make(map[anvilglade.HostID]time.Time),
 		suspected: make(map[anvilglade.HostID]suspicion),
 		refuted:   make(map[anvilglade.HostID]int),
+		probes:    make(map[anvilglade.HostID]int),
 		lastTick:  options.Clock.Now(),
 		signals:   make(map[chan struct{}]struct{}),
 	}
@@ -259,6 +266,7 @@
 	m.mu.Lock()
 	m.heard[heartbeat.Host] = m.options.Clock.Now()
 	delete(m.refuted, heartbeat.Host)
+	delete(m.probes, heartbeat.Host)
 	m.mu.Unlock()
 	ack := HeartbeatAck{Time: m.options.Events.Now(), Balancer: m.options.Self.Balancer}
 	if err := m.takeRecord(heartbeat, known, exists, &ack); err != nil {
@@ -356,7 +364,7 @@
 		switch host.State {
 		case anvilglade.HostActive, anvilglade.HostDraining:
 			if !isolated && current.monitors(host.Host) && m.silentTooLong(host.Host, now, limit) {
-				m.claim(*host, "Suspect", anvilglade.HostSuspect)
+				m.suspect(host)
 			}
 		case anvilglade.HostSuspect:
 			m.followClaim(*host, now)
@@ -366,8 +374,7 @@
 }
 
 // silentTooLong reports whether a host has been silent for longer than the
-// limit. The first call for a host starts its grace period. A claim that is
-// made now counts as refuted until a heartbeat comes.
+// limit. The first call for a host starts its grace period.
 func (m *Monitor) silentTooLong(host anvilglade.HostID, now time.Time, limit time.Duration) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -379,11 +386,35 @@
 	if now.Sub(last) <= limit<<min(m.refuted[host], maxDoublings) {
 		return false
 	}
-	m.heard[host] = now.Add(-recentlyHeard)
-	m.refuted[host]++
 	return true
 }
 
+// suspect probes a silent host and claims it after the last probe.
+func (m *Monitor) suspect(host *anvilglade.HostRecord) {
+	m.mu.Lock()
+	probe := m.probes[host.Host] < probesBeforeClaim
+	m.probes[host.Host]++
+	if !probe {
+		delete(m.probes, host.Host)
+		m.heard[host.Host] = m.options.Clock.Now().Add(-recentlyHeard)
+		m.refuted[host.Host]++
+	}
+	m.mu.Unlock()
+	if !probe {
+		m.claim(*host, "Suspect", anvilglade.HostSuspect)
+		return
+	}
+	ack := HeartbeatAck{Time: m.options.Events.Now(), Balancer: m.options.Self.Balancer, ReplyTo: m.options.Self.DatagramAddress}
+	payload, err := cbor.Marshal(&ack)
+	if err != nil {
+		m.log.WithError(err).Error("Probe was not encoded.")
+		return
+	}
+	if err := m.options.Send(host.AgentAddress, agheader.KindHeartbeatAck, payload); err != nil {
+		m.log.WithError(err).WithField("Host", host.Host).Debug("Probe was not sent.")
+	}
+}
+
 // followClaim refutes a claim on a host that this balancer hears, or makes the
 // host Dead after the time for refutations.
 func (m *Monitor) followClaim(host anvilglade.HostRecord, now time.Time) {
--- a/internal/membership/agmember/monitor_test.go
+++ b/internal/membership/agmember/monitor_test.go
@@ -36,6 +36,9 @@
 	reporter *Reporter
 	old      *Reporter
 	sent     map[*Reporter][]byte
+	// reachable is set if probes reach the host; probed counts them.
+	reachable bool
+	probed    int
 }
 
 func newTestWorld() *testWorld {
@@ -49,7 +52,9 @@
 	configuration := &anvilglade.Configuration{Revision: 1}
 	for _, name := range []string{"a", "b", "c"} {
 		monitor, err := NewMonitor(MonitorOptions{
-			Self:          anvilglade.BalancerRecord{Balancer: anvilglade.BalancerID(name), DataCentre: "dk1"},
+			Self: anvilglade.BalancerRecord{
+				Balancer: anvilglade.BalancerID(name), DataCentre: "dk1", DatagramAddress: netip.MustParseAddrPort("127.0.0.1:2"),
+			},
 			Replica:       w.replica,
 			Clock:         w.clock,
 			Events:        agevent.NewRing("test", 16, w.clock),
@@ -57,6 +62,9 @@
 			Service:       func(anvilglade.HostID) (anvilglade.ServiceID, bool) { return "alerts", true },
 			Keys:          func() (anvilglade.KeyBundle, anvilglade.Version) { return anvilglade.KeyBundle{}, 1 },
 			Send: func(_ netip.AddrPort, _ agheader.Kind, payload []byte) error {
+				if ack, err := parseHeartbeatAck(payload); err == nil && ack.ReplyTo.IsValid() {
+					return w.probe(name, payload)
+				}
 				return w.reporter.HandleAck(payload)
 			},
 		})
@@ -66,6 +74,18 @@
 	return w
 }
 
+// probe delivers a probe if the host can be reached.
+func (w *testWorld) probe(balancer string, payload []byte) error {
+	w.probed++
+	if !w.reachable {
+		return nil
+	}
+	if err := w.reporter.HandleAck(payload); err != nil {
+		return err
+	}
+	return w.monitors[balancer].HandleHeartbeat(netip.AddrPort{}, w.sent[w.reporter])
+}
+
 func (w *testWorld) newReporter() *Reporter {
 	var reporter *Reporter
 	reporter = NewReporter(ReporterOptions{
@@ -133,6 +153,10 @@
 		// The second refresh stands for the signal of the refutation.
 		w.refresh()
 		w.refresh()
+	case step == "reachable":
+		w.reachable = true
+	case step == "probed":
+		Expect(w.probed).To(BeNumerically(">", 0))
 	case step == "restart":
 		w.clock.now = w.clock.now.Add(time.Second / 2)
 		w.old, w.reporter = w.reporter, w.newReporter()
--- a/internal/membership/agmember/reporter.go
+++ b/internal/membership/agmember/reporter.go
@@ -211,6 +211,9 @@
 		return err
 	}
 	r.options.Events.Observe(ack.Time)
+	if ack.ReplyTo.IsValid() {
+		return r.answerProbe(ack.ReplyTo)
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.lastAck = r.options.Clock.Now()
@@ -232,6 +235,22 @@
 	return nil
 }
 
+// answerProbe sends a heartbeat to a balancer that hears nothing of this host,
+// such as one that took over from others that it has lost.
+func (r *Reporter) answerProbe(balancer netip.AddrPort) error {
+	r.mu.Lock()
+	record := r.record
+	heartbeat := Heartbeat{
+		Time:          r.options.Events.Now(),
+		Host:          record.Host,
+		RecordVersion: hostVersion(&record),
+		Record:        &record,
+		OrdersHash:    r.ordersHash,
+	}
+	r.mu.Unlock()
+	return r.send(balancer, &heartbeat)
+}
+
 // handleClaim refutes a claim that this host is Suspect or Dead.
 func (r *Reporter) handleClaim(ack *HeartbeatAck) bool {
 	if ack.Claimed == nil || *ack.Claimed < r.record.Sequence || r.record.OwnState == anvilglade.HostLeft {
