List suspected hosts behind all but the arbiter

Change: a suspected host is visited last before the arbiter. If it lives it still gets the packets of its own flows.

--- a/internal/routing/agbalance/router_test.go
+++ b/internal/routing/agbalance/router_test.go
@@ -203,6 +203,28 @@
 		}
 	})
 
+	// Guards against packets of other hosts' flows that end at a dead host until
+	// its death is certain.
+	It("lists a suspected host behind all but the arbiter", func() {
+		suspected := &f.members.Hosts[4]
+		builder := newBuilder(false)
+		f.build(builder)
+		suspected.State = anvilglade.HostSuspect
+		table, _ := builder.Build(&f.configuration, f.serviceOf, &f.members)
+		service := table.Service("service-000")
+		found := 0
+		for bucket := range agtable.Buckets {
+			order := service.Order(bucket)
+			for position, i := range order[:len(order)-1] {
+				if service.HostAt(i) == suspected.Host {
+					Expect(position).To(Equal(len(order)-2), "bucket %d", bucket)
+					found++
+				}
+			}
+		}
+		Expect(found).To(BeNumerically(">", 0))
+	})
+
 	// Guards against flows that are lost, and against an arbiter that changes,
 	// when operators move a host to another pool.
 	It("lists a host that changed its pool until it has let go", func() {
--- a/internal/routing/agtable/builder.go
+++ b/internal/routing/agtable/builder.go
@@ -231,6 +231,7 @@
 		since:     never,
 		age:       never,
 		candidate: anvilglade.Candidate{Address: record.AgentAddress, Accepts: r.accepts && confirmed},
+		suspect:   record.State == anvilglade.HostSuspect,
 	}
 	if r.blocks && confirmed {
 		m.since = r.stamp
--- a/internal/routing/agtable/rows.go
+++ b/internal/routing/agtable/rows.go
@@ -29,11 +29,15 @@
 	// age orders the hosts for the choice of the arbiter.
 	age       anvilglade.JoinStamp
 	candidate anvilglade.Candidate
+	// suspect puts the host behind all others but the arbiter. If it is dead,
+	// packets of flows of other hosts do not end at it; if it lives, it still
+	// gets its own.
+	suspect bool
 }
 
 // sameRank reports whether two states of a host lead to the same lists.
 func (m *member) sameRank(other *member) bool {
-	return m.host == other.host && m.join == other.join && m.since == other.since
+	return m.host == other.host && m.join == other.join && m.since == other.since && m.suspect == other.suspect
 }
 
 // score is the rendezvous score of a host in a bucket: a mix of 64 bits with
@@ -150,6 +154,9 @@
 	}
 	r.row = r.row[:0]
 	for _, slot := range before[:len(before)-1] {
+		if r.members[slot].suspect {
+			return nil // the list before is not in the order of the scores
+		}
 		r.row = append(r.row, ranked{score: score(r.members[slot].hash, bucket), slot: slot})
 	}
 	for _, slot := range added {
--- a/internal/routing/agtable/service.go
+++ b/internal/routing/agtable/service.go
@@ -84,9 +84,15 @@
 	s.offsets = append(s.offsets, uint32(len(s.orders)))
 }
 
+// appendRanked adds a list: the hosts by score, suspected ones behind the
+// others, the arbiter last.
 func (s *Service) appendRanked(row []ranked, arbiter int) {
-	for _, host := range row {
-		s.orders = append(s.orders, host.slot)
+	for _, suspect := range []bool{false, true} {
+		for _, host := range row {
+			if s.members[int(host.slot)%len(s.members)].suspect == suspect {
+				s.orders = append(s.orders, host.slot)
+			}
+		}
 	}
 	s.orders = append(s.orders, uint16(arbiter))
 	s.endRow()
@@ -129,15 +135,13 @@
 			listed[host.slot] = true
 			accepting = accepting || members[host.slot].candidate.Accepts
 		}
-		for _, host := range all.rank(bucket) {
-			slot := host.slot
-			if accepting && !listed[slot] {
-				slot += uint16(n)
+		row := all.rank(bucket)
+		for i := range row {
+			if accepting && !listed[row[i].slot] {
+				row[i].slot += uint16(n)
 			}
-			s.orders = append(s.orders, slot)
 		}
-		s.orders = append(s.orders, uint16(arbiter))
-		s.endRow()
+		s.appendRanked(row, arbiter)
 	}
 	return s
 }
