--- a/internal/membership/agmember/monitor_test.go
+++ b/internal/membership/agmember/monitor_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
-	"gopkg.in/yaml.v3"
+	"go.yaml.in/yaml/v3"
 
 	"github.com/anvilglade/anvilglade"
 	"github.com/anvilglade/anvilglade/internal/observe/agevent"
--- a/internal/request/aglife/life.go
+++ b/internal/request/aglife/life.go
@@ -27,7 +27,8 @@
 	"sync"
 
 	"github.com/looplab/fsm"
-	"go.yaml.in/yaml/v3"
+
+	"github.com/anvilglade/anvilglade/internal/state/agchart"
 )
 
 // State is the place of a request in its life.
@@ -70,22 +71,11 @@
 //go:embed life.yaml
 var lifeYAML []byte
 
-type description struct {
-	Initial string       `yaml:"Initial"`
-	Events  []transition `yaml:"Events"`
-}
-
-type transition struct {
-	Name string   `yaml:"Name"`
-	From []string `yaml:"From"`
-	To   string   `yaml:"To"`
-}
-
-var table = mustParse(lifeYAML)
+var chart = mustLoad(lifeYAML)
 
 // pool keeps machines, because looplab/fsm builds its transition map anew for
 // each machine.
-var pool = sync.Pool{New: func() any { return &Life{machine: newMachine()} }}
+var pool = sync.Pool{New: func() any { return &Life{machine: chart.NewMachine()} }}
 
 // Life is the state of one request. It is safe for concurrent use.
 type Life struct {
@@ -95,7 +85,7 @@
 // New returns a request in the state Received.
 func New() *Life {
 	life := pool.Get().(*Life)
-	life.machine.SetState(table.Initial)
+	life.machine.SetState(chart.Initial)
 	return life
 }
 
@@ -125,20 +115,12 @@
 	return !l.machine.Can(string(Refuse)) && l.State() != NotRun
 }
 
-func newMachine() *fsm.FSM {
-	events := make([]fsm.EventDesc, 0, len(table.Events))
-	for _, item := range table.Events {
-		events = append(events, fsm.EventDesc{Name: item.Name, Src: item.From, Dst: item.To})
-	}
-	return fsm.NewFSM(table.Initial, events, nil)
-}
-
-// mustParse panics on a bad file: the file is part of the binary, so only a
+// mustLoad panics on a bad file: the file is part of the binary, so only a
 // developer can see the failure.
-func mustParse(data []byte) description {
-	var parsed description
-	if err := yaml.Unmarshal(data, &parsed); err != nil {
+func mustLoad(data []byte) *agchart.Chart {
+	loaded, err := agchart.Load(data)
+	if err != nil {
 		panic(fmt.Sprintf("life.yaml: %v", err))
 	}
-	return parsed
+	return loaded
 }
--- a/internal/stand/agstand/table.go
+++ b/internal/stand/agstand/table.go
@@ -10,43 +10,30 @@
 
 import (
 	"context"
-	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
 
-	"github.com/integrii/flaggy"
+	"github.com/anvilglade/anvilglade/internal/operate/agverb"
 )
 
 // Exit codes of the command.
 const (
-	ExitDone   = 0
-	ExitFailed = 1
-	ExitUsage  = 2
+	ExitDone   = agverb.ExitDone
+	ExitFailed = agverb.ExitFailed
+	ExitUsage  = agverb.ExitUsage
 )
 
 // Verb is one subcommand.
-type Verb interface {
-	// Bind adds flags and positional values.
-	Bind(subcommand *flaggy.Subcommand)
-	// Run does the work until ctx ends and returns the exit code.
-	Run(ctx context.Context) int
-}
-
-type entry struct {
-	name    string
-	summary string
-	example string
-	create  func() Verb
-}
+type Verb = agverb.Verb
 
 // table names the subcommands in the order of the help text.
-var table = []entry{
-	{name: "api", summary: "stand-in of the platform's object API", example: "agstand api --address 127.0.0.1:7000", create: newAPIVerb},
-	{name: "fabric", summary: "network between the processes, with fault injection", example: "agstand fabric --config fabric.json --control 127.0.0.1:7000", create: newFabricVerb},
-	{name: "backend", summary: "backend server", example: "agstand backend --host dk1-alerts-01 --services alerts=127.0.0.1:9001 --slots 4", create: newBackendVerb},
-	{name: "measure", summary: "run the cases and print one JSON line per measure", example: "agstand measure --anvilglade bin/anvilglade --cases test/cases --case ColdStart", create: newMeasureVerb},
-	{name: "demo", summary: "show a data centre leaving and returning, within 60 s", example: "agstand demo --anvilglade bin/anvilglade", create: newDemoVerb},
+var table = []agverb.Entry{
+	{Name: "api", Summary: "stand-in of the platform's object API", Example: "agstand api --address 127.0.0.1:7000", Create: newAPIVerb},
+	{Name: "fabric", Summary: "network between the processes, with fault injection", Example: "agstand fabric --config fabric.json --control 127.0.0.1:7000", Create: newFabricVerb},
+	{Name: "backend", Summary: "backend server", Example: "agstand backend --host dk1-alerts-01 --services alerts=127.0.0.1:9001 --slots 4", Create: newBackendVerb},
+	{Name: "measure", Summary: "run the cases and print one JSON line per measure", Example: "agstand measure --anvilglade bin/anvilglade --cases test/cases --case ColdStart", Create: newMeasureVerb},
+	{Name: "demo", Summary: "show a data centre leaving and returning, within 60 s", Example: "agstand demo --anvilglade bin/anvilglade", Create: newDemoVerb},
 }
 
 // Run parses the arguments, runs the chosen subcommand until it ends or the
@@ -54,28 +41,6 @@
 func Run(args []string) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	parser := flaggy.NewParser("agstand")
-	parser.Description = "stand-ins for tests and measures of anvilglade"
-	parser.ShowVersionWithVersionFlag = false
-	verbs := make(map[*flaggy.Subcommand]Verb, len(table))
-	for _, item := range table {
-		subcommand := flaggy.NewSubcommand(item.name)
-		subcommand.Description = item.summary
-		subcommand.AdditionalHelpAppend = "\nExample:\n  " + item.example
-		verb := item.create()
-		verb.Bind(subcommand)
-		parser.AttachSubcommand(subcommand, 1)
-		verbs[subcommand] = verb
-	}
-	if err := parser.ParseArgs(args); err != nil {
-		fmt.Fprintln(os.Stderr, "agstand:", err)
-		return ExitUsage
-	}
-	for subcommand, verb := range verbs {
-		if subcommand.Used {
-			return verb.Run(ctx)
-		}
-	}
-	parser.ShowHelp()
-	return ExitUsage
+	program := agverb.Program{Name: "agstand", Description: "stand-ins for tests and measures of anvilglade", Table: table}
+	return program.Run(ctx, args)
 }
--- a/internal/state/agchart/chart.go
+++ b/internal/state/agchart/chart.go
@@ -28,7 +28,7 @@
 	"strings"
 
 	"github.com/looplab/fsm"
-	"gopkg.in/yaml.v3"
+	"go.yaml.in/yaml/v3"
 )
 
 // Chart is a state machine as its data file describes it.
--- a/internal/state/agchart/chart_test.go
+++ b/internal/state/agchart/chart_test.go
@@ -14,6 +14,7 @@
 var charts = []struct{ heading, path string }{
 	{heading: "Host", path: "../../membership/agmember/host.yaml"},
 	{heading: "Balancer", path: "../../membership/agmember/balancer.yaml"},
+	{heading: "Request", path: "../../request/aglife/life.yaml"},
 	{heading: "Data centre", path: "../../config/agconfig/datacentre.yaml"},
 }
 
