--- a/internal/operate/agagent/agent.go
+++ b/internal/operate/agagent/agent.go
@@ -115,6 +115,9 @@
 	// Drain tells the callers to go elsewhere with new requests. Requests in
 	// progress go on.
 	Drain()
+	// ConnectionKeys returns the number of open connections by the key of their
+	// first connection ids.
+	ConnectionKeys() map[anvilglade.KeyID]int
 }
 
 // Parts are the parts that other packages bring.
--- a/internal/operate/agagent/counters.go
+++ b/internal/operate/agagent/counters.go
@@ -60,6 +60,8 @@
 	RelayFailures   uint64
 	Drops           map[anvilglade.Drop]uint64
 	Flow            agflow.Statistics
+	// ConnectionKeys counts open QUIC connections by the key of their first ids.
+	ConnectionKeys map[anvilglade.KeyID]int
 	// Admission is nil under AdmissionBaseline.
 	Admission *agadmit.State
 }
@@ -75,6 +77,12 @@
 		s.KeysVersion = orders.KeysAt
 		s.Service, s.Revision, s.DataCentreState, s.Draining = orders.Service, orders.Revision, orders.DataCentreState, orders.Draining
 	}
+	s.ConnectionKeys = make(map[anvilglade.KeyID]int)
+	for _, server := range a.servers {
+		for id, count := range server.ConnectionKeys() {
+			s.ConnectionKeys[id] += count
+		}
+	}
 	if a.limits != nil {
 		state := a.limits.State()
 		s.Admission = &state
--- a/internal/operate/agcommand/agent_requests.go
+++ b/internal/operate/agcommand/agent_requests.go
@@ -62,6 +62,7 @@
 		Admitter:      options.Admitter,
 		Spill:         options.Spill,
 		ConnectionIDs: agconnid.NewGenerator(agconnid.NewCodec(l.ring), target),
+		ConnectionKey: l.connectionKey,
 		ResetKey:      l.resetKey,
 		Tickets:       l.tickets,
 		Journal:       l.journal,
@@ -87,6 +88,11 @@
 	}, nil
 }
 
+func (l *requestLayer) connectionKey() anvilglade.KeyID {
+	key, _ := l.ring.CurrentConnectionID()
+	return key.ID
+}
+
 // share creates the parts that all services use, with the first server.
 func (l *requestLayer) share(options agagent.ServerOptions) (func(), error) {
 	key, err := agconnid.ResetKey(l.settings.JoinSecrets[0])
@@ -192,6 +198,11 @@
 	orders anvilglade.OrdersSource
 }
 
+// ConnectionKeys returns the number of open connections by key.
+func (d *drainedServer) ConnectionKeys() map[anvilglade.KeyID]int {
+	return d.server.ConnectionKeys()
+}
+
 // Drain starts the graceful stop and does not wait for its end.
 func (d *drainedServer) Drain() {
 	limit := agagent.DefaultDrainLimit
--- a/internal/operate/agcommand/fleet.go
+++ b/internal/operate/agcommand/fleet.go
@@ -37,6 +37,8 @@
 	DataCentre  anvilglade.DataCentreID
 	Revision    anvilglade.Revision
 	KeysVersion anvilglade.Version
+	// ConnectionKeys counts the open connections of an agent by key.
+	ConnectionKeys map[anvilglade.KeyID]int
 }
 
 // processAnswer is what a process said, or why it did not.
--- a/internal/operate/agcommand/keys.go
+++ b/internal/operate/agcommand/keys.go
@@ -41,7 +41,7 @@
 			example: "anvilglade keys rotate --admin 10.0.0.1:7900", bind: set, run: rotateKeys,
 		},
 		action{
-			name: "retire", summary: "accept Previous keys no longer", edits: true,
+			name: "retire", summary: "accept Previous keys no longer, once no connection uses them", edits: true,
 			example: "anvilglade keys retire --set Datagram --admin 10.0.0.1:7900", bind: set, run: retireKeys,
 		},
 		action{name: "list", summary: "print ids and states of the keys, never the secrets", example: "anvilglade keys list", run: listKeys},
@@ -183,10 +183,24 @@
 	})
 }
 
+// retireKeys retires datagram keys at once, and connection-id keys once no open
+// connection uses them, or with --force.
 func retireKeys(ctx context.Context, c *operatorCommand) int {
 	return c.changeKeys(ctx, func(bundle anvilglade.KeyBundle) (anvilglade.KeyBundle, string, bool, error) {
-		changed, err := agkeys.Retire(bundle, agkeys.Set(c.keys.set))
-		return changed, "Previous keys are retired.", true, err
+		inUse := make(map[anvilglade.KeyID]int)
+		if !c.force {
+			for _, answer := range c.processes(ctx, true) {
+				for id, count := range answer.Status.ConnectionKeys {
+					inUse[id] += count
+				}
+			}
+		}
+		changed, kept, err := agkeys.RetireUnused(bundle, agkeys.Set(c.keys.set), inUse)
+		text := "Previous keys are retired."
+		for _, id := range kept {
+			text += fmt.Sprintf("\nConnection-id key %d stays: %d open connections use it. Retire it later, or with --force.", id, inUse[id])
+		}
+		return changed, text, true, err
 	})
 }
 
--- a/internal/request/agserve/connection.go
+++ b/internal/request/agserve/connection.go
@@ -21,6 +21,21 @@
 	active atomic.Int64
 	// idleSince is in nanoseconds of the clock; 0 while requests run.
 	idleSince atomic.Int64
+	// key issued the first connection ids, which the caller may use as long as
+	// the connection lasts.
+	key anvilglade.KeyID
+}
+
+// ConnectionKeys returns the number of open connections by the key that issued
+// their first ids.
+func (s *Server) ConnectionKeys() map[anvilglade.KeyID]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	counts := make(map[anvilglade.KeyID]int)
+	for _, c := range s.open {
+		counts[c.key]++
+	}
+	return counts
 }
 
 // admitConnection refuses a connection before its handshake costs anything.
@@ -43,6 +58,9 @@
 
 func (s *Server) trackConnection(ctx context.Context, conn *quic.Conn) context.Context {
 	c := &connection{ctx: conn.Context()}
+	if s.options.ConnectionKey != nil {
+		c.key = s.options.ConnectionKey()
+	}
 	c.idleSince.Store(s.options.Clock.Now().UnixNano())
 	s.mu.Lock()
 	s.open[conn] = c
--- a/internal/request/agserve/options.go
+++ b/internal/request/agserve/options.go
@@ -50,6 +50,9 @@
 	AdmitConnections bool
 	// ConnectionIDs may be nil; quic-go then draws random ids.
 	ConnectionIDs quic.ConnectionIDGenerator
+	// ConnectionKey returns the key under which connection ids are issued now.
+	// It may be nil.
+	ConnectionKey func() anvilglade.KeyID
 	// ResetKey may be nil; no stateless resets are then sent.
 	ResetKey *quic.StatelessResetKey
 	// Tickets may be nil; reports then get one attempt each.
--- a/internal/state/agkeys/bundle.go
+++ b/internal/state/agkeys/bundle.go
@@ -137,14 +137,18 @@
 	SetConnectionID Set = "ConnectionID"
 )
 
+// maxPrevious bounds the Previous keys of a set. Connection-id keys stay while
+// connections use them, so several can be there.
+var maxPrevious = map[Set]int{SetDatagram: 1, SetConnectionID: 8}
+
 // AddNext is the first step of a rotation: it draws a Next key in each set. It
 // must be in force at every process before Promote.
 func AddNext(bundle anvilglade.KeyBundle, set Set) (anvilglade.KeyBundle, error) {
-	return eachSet(bundle, set, func(keys []anvilglade.Key) ([]anvilglade.Key, error) {
+	return eachSet(bundle, set, func(of Set, keys []anvilglade.Key) ([]anvilglade.Key, error) {
 		if has(keys, anvilglade.KeyNext) {
 			return nil, ErrNextExists
 		}
-		if has(keys, anvilglade.KeyPrevious) {
+		if number(keys, anvilglade.KeyPrevious) >= maxPrevious[of] {
 			return nil, ErrPrevious
 		}
 		id, err := freeID(keys)
@@ -158,7 +162,7 @@
 // Promote is the second step: Next becomes Current and Current becomes
 // Previous, which stays accepted.
 func Promote(bundle anvilglade.KeyBundle, set Set) (anvilglade.KeyBundle, error) {
-	return eachSet(bundle, set, func(keys []anvilglade.Key) ([]anvilglade.Key, error) {
+	return eachSet(bundle, set, func(_ Set, keys []anvilglade.Key) ([]anvilglade.Key, error) {
 		if !has(keys, anvilglade.KeyNext) {
 			return nil, ErrNoNext
 		}
@@ -172,7 +176,7 @@
 // Retire is the last step: Previous keys are no longer accepted and their
 // secrets are erased.
 func Retire(bundle anvilglade.KeyBundle, set Set) (anvilglade.KeyBundle, error) {
-	return eachSet(bundle, set, func(keys []anvilglade.Key) ([]anvilglade.Key, error) {
+	return eachSet(bundle, set, func(_ Set, keys []anvilglade.Key) ([]anvilglade.Key, error) {
 		if !has(keys, anvilglade.KeyPrevious) {
 			return nil, ErrNoPrevious
 		}
@@ -181,22 +185,56 @@
 	})
 }
 
-func eachSet(bundle anvilglade.KeyBundle, set Set, change func([]anvilglade.Key) ([]anvilglade.Key, error)) (anvilglade.KeyBundle, error) {
+// RetireUnused is Retire for keys that no open connection uses. A connection
+// keeps the ids that it was given for hours, and packets under a retired key are
+// dropped. It returns the connection-id keys that stay Previous.
+func RetireUnused(bundle anvilglade.KeyBundle, set Set, inUse map[anvilglade.KeyID]int) (anvilglade.KeyBundle, []anvilglade.KeyID, error) {
+	changed, err := Retire(bundle, set)
+	if err != nil || set == SetDatagram {
+		return changed, nil, err
+	}
+	var kept []anvilglade.KeyID
+	keys := slices.Clone(bundle.ConnectionID)
+	for i, key := range keys {
+		if key.State != anvilglade.KeyPrevious {
+			continue
+		}
+		if inUse[key.ID] > 0 {
+			kept = append(kept, key.ID)
+			continue
+		}
+		keys[i] = moved(keys[i:i+1], map[anvilglade.KeyState]anvilglade.KeyState{anvilglade.KeyPrevious: anvilglade.KeyRetired})[0]
+	}
+	changed.ConnectionID = withoutOldRetired(keys)
+	return changed, kept, nil
+}
+
+func eachSet(bundle anvilglade.KeyBundle, set Set, change func(Set, []anvilglade.Key) ([]anvilglade.Key, error)) (anvilglade.KeyBundle, error) {
 	changed := bundle
 	var err error
 	if set != SetConnectionID {
-		if changed.Datagram, err = change(bundle.Datagram); err != nil {
+		if changed.Datagram, err = change(SetDatagram, bundle.Datagram); err != nil {
 			return bundle, fmt.Errorf("datagram keys: %w", err)
 		}
 	}
 	if set != SetDatagram {
-		if changed.ConnectionID, err = change(bundle.ConnectionID); err != nil {
+		if changed.ConnectionID, err = change(SetConnectionID, bundle.ConnectionID); err != nil {
 			return bundle, fmt.Errorf("connection-id keys: %w", err)
 		}
 	}
 	return changed, nil
 }
 
+func number(keys []anvilglade.Key, state anvilglade.KeyState) int {
+	count := 0
+	for _, key := range keys {
+		if key.State == state {
+			count++
+		}
+	}
+	return count
+}
+
 func has(keys []anvilglade.Key, state anvilglade.KeyState) bool {
 	return slices.ContainsFunc(keys, func(key anvilglade.Key) bool { return key.State == state })
 }
