--- a/internal/operate/agcommand/agent_requests.go
+++ b/internal/operate/agcommand/agent_requests.go
@@ -155,6 +155,9 @@
 		if !ok {
 			continue
 		}
+		if orders.DataCentreState == anvilglade.DataCentreOut {
+			l.peers.DropAll()
+		}
 		for i := range orders.Members {
 			known[orders.Members[i].ControlAddress] = orders.Members[i].DataCentre
 		}
--- a/internal/request/agserve/peers.go
+++ b/internal/request/agserve/peers.go
@@ -163,6 +163,18 @@
 	}
 }
 
+// DropAll closes the connections that this agent opened to others. The others
+// close theirs to it by Drop.
+func (p *Peers) DropAll() {
+	p.mu.Lock()
+	conns := p.dialed
+	p.dialed = make(map[netip.AddrPort]*quic.Conn)
+	p.mu.Unlock()
+	for _, conn := range conns {
+		_ = conn.CloseWithError(noErrorCode, "data centre is out of service")
+	}
+}
+
 func (p *Peers) register(service anvilglade.ServiceID, server *Server) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
