--- a/doc.go
+++ b/doc.go
@@ -1,8 +1,8 @@
 // Package anvilglade holds the ids, units, data types and interfaces that the
 // parts of the load balancer share.
 //
-// anvilglade is a layer-4 load balancer for services whose callers leave when
-// a queue shows. Balancers run on entry VMs and forward datagrams of callers
+// anvilglade is a layer-4 load balancer that keeps flows on their backend server
+// and refuses excess load instead of queueing it. Balancers run on entry VMs and forward datagrams of callers
 // to agents. An agent runs beside each backend server, owns the flows and
 // requests of its host and decides what the host can bear. The platform's
 // object API keeps the configuration.
--- a/internal/operate/agcommand/table.go
+++ b/internal/operate/agcommand/table.go
@@ -55,6 +55,6 @@
 // Run parses the arguments, runs the chosen subcommand and returns the exit
 // code of the process.
 func Run(args []string) int {
-	program := agverb.Program{Name: "anvilglade", Description: "layer-4 load balancer for services whose callers leave when a queue shows", Table: table}
+	program := agverb.Program{Name: "anvilglade", Description: "layer-4 load balancer that keeps flows on their backend server and refuses excess load instead of queueing it", Table: table}
 	return program.Run(context.Background(), args)
 }
