Name what an agent gets from a balancer its assignment

Cause: 'orders' is a word of our own, and the lists of the routing table are called orders as well; newcomers would mix them up.

--- a/internal/flow/agflow/arbiter.go
+++ b/internal/flow/agflow/arbiter.go
@@ -124,14 +124,14 @@
 	return header.Candidates[firstDeclined(header) : len(header.Candidates)-1]
 }
 
-// redirect passes the packet to the host that is the arbiter by the orders.
+// redirect passes the packet to the host that is the arbiter by the assignment.
 //
 // Agents learn of leaves and restarts at different times. An agent that has left
 // sends the packet to the next oldest host, and that one could send it back. So
 // each agent that declines is listed before the arbiter, with Accepts set if it
 // has left. Two agents that each take the other one for the arbiter, because one
 // has restarted and the other does not know it yet, decide nothing: the packet
-// is dropped, and a repeated one is decided after the next orders.
+// is dropped, and a repeated one is decided after the next assignment.
 func (m *Machine) redirect(known *view, arbiter *anvilglade.ServiceMember, header *agheader.Header, payload []byte, actions []Action) []Action {
 	m.statistics.Redirected++
 	left := m.left || known.former
--- a/internal/flow/agflow/orders.go
+++ b/internal/flow/agflow/assignment.go
@@ -1,4 +1,4 @@
-// The orders of an agent as the flow decisions use them.
+// The assignment of an agent as the flow decisions use them.
 
 package agflow
 
@@ -51,13 +51,13 @@
 }
 
 // gone reports whether a host is known to be dead or to have left. A host that
-// is not known at all may be newer than the orders.
+// is not known at all may be newer than the assignment.
 func (v *view) gone(address netip.AddrPort) bool {
 	member := v.member(address)
 	return member != nil && (member.State == anvilglade.HostDead || member.State == anvilglade.HostLeft)
 }
 
-// lives reports whether a placement on this incarnation still stands. Orders
+// lives reports whether a placement on this incarnation still stands. Assignments
 // leave out hosts that are dead or have left. The incarnation is 0 if the host
 // was not known when the flow was placed.
 func (v *view) lives(address netip.AddrPort, incarnation anvilglade.Incarnation) bool {
@@ -82,7 +82,7 @@
 	return ""
 }
 
-// mayAccept trusts the balancer's list for hosts that the orders do not have.
+// mayAccept trusts the balancer's list for hosts that the assignment does not have.
 func (v *view) mayAccept(address netip.AddrPort) bool {
 	member := v.member(address)
 	return member == nil || member.Accepts
@@ -93,10 +93,10 @@
 }
 
 // arbiter returns the oldest living host, or nil. Hosts that told the packet
-// that they have left are none. An agent is none itself, whatever the orders
+// that they have left are none. An agent is none itself, whatever the assignment
 // say, if it has left, if it restarted under a former record (the entries of its
-// former life are gone), or if it announces a later stamp than the orders have:
-// then older hosts may exist that these orders do not know.
+// former life are gone), or if it announces a later stamp than the assignment has:
+// then older hosts may exist that this assignment does not know.
 func (v *view) arbiter(m *Machine, declined []anvilglade.Candidate) *anvilglade.ServiceMember {
 	if v == nil {
 		return nil
@@ -155,26 +155,26 @@
 	return v.mean
 }
 
-// SetOrders adopts orders of a revision that is not lower. When the data centre
+// SetAssignment adopts an assignment of a revision that is not lower. When the data centre
 // goes out, all flows end.
-func (m *Machine) SetOrders(now time.Time, orders *anvilglade.HostOrders, actions []Action) []Action {
+func (m *Machine) SetAssignment(now time.Time, assignment *anvilglade.HostAssignment, actions []Action) []Action {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	service := orders.Service.Number()
+	service := assignment.Service.Number()
 	if m.ordered && service != m.service {
 		m.changeService(service)
 	}
 	m.ordered = true
-	m.service, m.serviceID = service, orders.Service
-	m.draining = orders.Draining || orders.DataCentreState != anvilglade.DataCentreIn
-	m.flowCost = float64(anvilglade.FullUtilisation) / float64(max(1, orders.Pool.Connections))
-	m.views[service] = newView(orders.Members)
+	m.service, m.serviceID = service, assignment.Service
+	m.draining = assignment.Draining || assignment.DataCentreState != anvilglade.DataCentreIn
+	m.flowCost = float64(anvilglade.FullUtilisation) / float64(max(1, assignment.Pool.Connections))
+	m.views[service] = newView(assignment.Members)
 	clear(m.balancers)
-	for i := range orders.Balancers {
-		m.balancers[orders.Balancers[i].DatagramAddress] = orders.Balancers[i].DataCentre
+	for i := range assignment.Balancers {
+		m.balancers[assignment.Balancers[i].DatagramAddress] = assignment.Balancers[i].DataCentre
 	}
 	m.forgetLoads()
-	m.out = orders.DataCentreState == anvilglade.DataCentreOut
+	m.out = assignment.DataCentreState == anvilglade.DataCentreOut
 	if m.out {
 		return m.endAll(now.UnixNano(), actions)
 	}
--- a/internal/flow/agflow/bench_test.go
+++ b/internal/flow/agflow/bench_test.go
@@ -19,18 +19,18 @@
 type benchHost struct{ modelHost }
 
 func benchMachine(hosts int) (*agflow.Machine, []anvilglade.Candidate) {
-	orders := anvilglade.HostOrders{Service: "alerts", DataCentreState: anvilglade.DataCentreIn, Pool: anvilglade.Pool{Connections: 2000}}
+	assignment := anvilglade.HostAssignment{Service: "alerts", DataCentreState: anvilglade.DataCentreIn, Pool: anvilglade.Pool{Connections: 2000}}
 	var candidates []anvilglade.Candidate
 	for i := range hosts {
 		address := modelAddress(hosts - i)
-		orders.Members = append(orders.Members, anvilglade.ServiceMember{
+		assignment.Members = append(assignment.Members, anvilglade.ServiceMember{
 			Host: anvilglade.HostID(fmt.Sprint(i)), Incarnation: 1, State: anvilglade.HostActive, AgentAddress: address,
 			JoinStamp: anvilglade.JoinStamp(hosts - i), Accepts: true,
 		})
 		candidates = append(candidates, anvilglade.Candidate{Address: address, Accepts: true})
 	}
 	machine := agflow.NewMachine(agflow.Options{Self: modelAddress(1), Incarnation: 1, Admitter: &benchHost{}})
-	machine.SetOrders(time.Unix(1, 0), &orders, nil)
+	machine.SetAssignment(time.Unix(1, 0), &assignment, nil)
 	return machine, candidates
 }
 
--- a/internal/flow/agflow/choice.go
+++ b/internal/flow/agflow/choice.go
@@ -84,7 +84,7 @@
 }
 
 // eligible collects the hosts that may get the flow. The list counts as the
-// balancer saw it: hosts that the orders know as not accepting are left out and
+// balancer saw it: hosts that the assignment knows as not accepting are left out and
 // not replaced by a later candidate, as a later one could be missing in the
 // lists of other balancers.
 func (m *Machine) eligible(header *agheader.Header, tried []netip.AddrPort, places *[PlaceChoices + 1]netip.AddrPort) int {
--- a/internal/flow/agflow/choice_test.go
+++ b/internal/flow/agflow/choice_test.go
@@ -142,18 +142,18 @@
 		Self: f.members[0].AgentAddress, Host: "h0", Incarnation: 1, Admitter: arbiterAdmitter{f}, IdleTimeout: time.Second,
 		Random: rand.New(rand.NewPCG(3, 4)),
 	})
-	orders := anvilglade.HostOrders{Service: "alerts", DataCentreState: anvilglade.DataCentreIn, Members: f.members, Pool: anvilglade.Pool{Connections: 2000}}
+	assignment := anvilglade.HostAssignment{Service: "alerts", DataCentreState: anvilglade.DataCentreIn, Members: f.members, Pool: anvilglade.Pool{Connections: 2000}}
 	centres := []anvilglade.DataCentreID{"dc0", "dc0", "dc1", "dc2"}
 	for i, centre := range centres {
-		orders.Balancers = append(orders.Balancers, anvilglade.BalancerRecord{DataCentre: centre, DatagramAddress: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, byte(i)}), 7200)})
+		assignment.Balancers = append(assignment.Balancers, anvilglade.BalancerRecord{DataCentre: centre, DatagramAddress: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, byte(i)}), 7200)})
 	}
-	machine.SetOrders(f.now, &orders, nil)
-	number := orders.Service.Number()
+	machine.SetAssignment(f.now, &assignment, nil)
+	number := assignment.Service.Number()
 	learn := func(host int, kind agheader.Kind) {
 		machine.Handle(f.now, kind, &agheader.Header{Service: number, Sender: f.members[host].AgentAddress, Utilisation: f.utilisation(host)}, nil, nil)
 	}
 	place := func(key anvilglade.FlowKey) int {
-		header := agheader.Header{Service: number, Protocol: anvilglade.ProtocolUDP, Flow: key, Balancer: orders.Balancers[f.random.IntN(len(centres))].DatagramAddress}
+		header := agheader.Header{Service: number, Protocol: anvilglade.ProtocolUDP, Flow: key, Balancer: assignment.Balancers[f.random.IntN(len(centres))].DatagramAddress}
 		for _, i := range f.ranked(key) {
 			if i != 0 {
 				header.Candidates = append(header.Candidates, anvilglade.Candidate{Address: f.members[i].AgentAddress, Accepts: true})
@@ -202,7 +202,7 @@
 func TestBaseline(t *testing.T) {
 	_, candidates := benchMachine(2)
 	machine := agflow.NewMachine(agflow.Options{Self: candidates[0].Address, Ownership: agflow.OwnershipBaseline, Admitter: &benchHost{}})
-	machine.SetOrders(time.Unix(1, 0), &anvilglade.HostOrders{Service: "alerts", DataCentreState: anvilglade.DataCentreIn}, nil)
+	machine.SetAssignment(time.Unix(1, 0), &anvilglade.HostAssignment{Service: "alerts", DataCentreState: anvilglade.DataCentreIn}, nil)
 	header := benchHeader(1, candidates)
 	header.Direct = true
 	if actions := machine.Handle(time.Unix(1, 0), agheader.KindLookup, &header, nil, nil); actions[0].Kind != agflow.ActionDeliver {
@@ -216,9 +216,9 @@
 	f := newFleet(3)
 	machine := agflow.NewMachine(agflow.Options{Self: f.members[0].AgentAddress, Incarnation: 1, Admitter: arbiterAdmitter{f}})
 	if _, ok := machine.Spill(); ok {
-		t.Fatal("a host without orders offers requests to others")
+		t.Fatal("a host without assignment offers requests to others")
 	}
-	machine.SetOrders(f.now, &anvilglade.HostOrders{Service: "alerts", DataCentreState: anvilglade.DataCentreIn, Members: f.members, Pool: anvilglade.Pool{Connections: 2000}}, nil)
+	machine.SetAssignment(f.now, &anvilglade.HostAssignment{Service: "alerts", DataCentreState: anvilglade.DataCentreIn, Members: f.members, Pool: anvilglade.Pool{Connections: 2000}}, nil)
 	report := func(loads ...float64) {
 		copy(f.load, loads)
 		f.now = f.now.Add(time.Second)
--- a/internal/flow/agflow/lookup.go
+++ b/internal/flow/agflow/lookup.go
@@ -49,7 +49,7 @@
 }
 
 // nextCandidate returns the index of the next host to ask, or -1 if this host
-// was the last one. Hosts that the orders know as gone are passed over: a
+// was the last one. Hosts that the assignment knows as gone are passed over: a
 // balancer with older news would let the packet end there.
 func (m *Machine) nextCandidate(header *agheader.Header, from int) int {
 	known := m.views[header.Service]
--- a/internal/flow/agflow/machine.go
+++ b/internal/flow/agflow/machine.go
@@ -16,7 +16,7 @@
 // # Usage
 //
 //	machine := agflow.NewMachine(agflow.Options{Self: address, Host: "dk1-h01", Admitter: admitter})
-//	machine.SetOrders(now, orders, nil)
+//	machine.SetAssignment(now, assignment, nil)
 //	actions = machine.Handle(now, kind, &header, payload, actions[:0])
 //	for i := range actions {
 //		carryOut(&actions[i])
@@ -88,9 +88,9 @@
 	IdleTimeout time.Duration
 	Admitter    anvilglade.Admitter
 	// Stamp returns the stamp by which this host is ranked by age, as the agent
-	// itself announces it. It is ahead of the orders when the agent has just drawn
+	// itself announces it. It is ahead of the assignment when the agent has just drawn
 	// a later one; until they have it this host decides on no flow. Nil takes the
-	// one in the orders.
+	// one in the assignment.
 	Stamp func() anvilglade.JoinStamp
 	// Serves reports whether this host has a backend address for a service.
 	// Nil means every service.
@@ -193,7 +193,7 @@
 	agheader.KindUtilisation: (*Machine).handleUtilisation,
 }
 
-// NewMachine returns a machine that has no orders yet. Until then it passes
+// NewMachine returns a machine that has no assignment yet. Until then it passes
 // packets on and takes no flow.
 func NewMachine(options Options) *Machine {
 	if options.IdleTimeout == 0 {
--- a/internal/flow/agflow/model_test.go
+++ b/internal/flow/agflow/model_test.go
@@ -27,7 +27,7 @@
 	modelFlows     = 6
 	modelBalancers = 3
 	modelHosts     = 9
-	// modelLag bounds how old the view of a balancer or the orders of an agent
+	// modelLag bounds how old the view of a balancer or the assignment of an agent
 	// may be; the measures demand 10 s.
 	modelLag = 10 * time.Second
 )
@@ -172,26 +172,26 @@
 	return true
 }
 
-// refreshHost gives an agent the newest orders. A host that learns of a new pool
+// refreshHost gives an agent the newest assignment. A host that learns of a new pool
 // then says so in its record, and joins the new service as the youngest host. So
 // does one that takes new flows again.
 func (m *model) refreshHost(address netip.AddrPort) {
 	host := m.hosts[address]
-	orders := anvilglade.HostOrders{Revision: anvilglade.Revision(len(m.history)), DataCentreState: anvilglade.DataCentreIn}
+	assignment := anvilglade.HostAssignment{Revision: anvilglade.Revision(len(m.history)), DataCentreState: anvilglade.DataCentreIn}
 	var own record
 	for _, r := range m.latest().hosts {
 		if r.AgentAddress == address {
 			own = r
 		}
 	}
-	orders.Service, orders.Draining = own.pool, own.draining
+	assignment.Service, assignment.Draining = own.pool, own.draining
 	for _, r := range m.latest().hosts {
-		if r.living() && (r.service == orders.Service || slices.Contains(r.former, orders.Service)) {
-			r.Accepts, r.Former = r.accepts() && r.service == orders.Service, r.service != orders.Service
-			orders.Members = append(orders.Members, r.ServiceMember)
+		if r.living() && (r.service == assignment.Service || slices.Contains(r.former, assignment.Service)) {
+			r.Accepts, r.Former = r.accepts() && r.service == assignment.Service, r.service != assignment.Service
+			assignment.Members = append(assignment.Members, r.ServiceMember)
 		}
 	}
-	host.machine.SetOrders(m.now, &orders, nil)
+	host.machine.SetAssignment(m.now, &assignment, nil)
 	accepts := host.drained && !own.draining
 	host.drained = own.draining
 	if own.pool != own.service || accepts {
--- a/internal/membership/agmember/orders.go
+++ b/internal/membership/agmember/assignment.go
@@ -8,34 +8,34 @@
 )
 
 const (
-	// ordersBalancers is the number of balancers in the orders: those that
+	// assignmentBalancers is the number of balancers in the assignment: those that
 	// monitor the host and some more for answers to callers.
-	ordersBalancers = 8
-	// ordersMembers bounds the members in the orders. The oldest come first,
+	assignmentBalancers = 8
+	// assignmentMembers bounds the members in the assignment. The oldest come first,
 	// since one of them is the arbiter.
-	ordersMembers = 64
+	assignmentMembers = 64
 )
 
-// ordersCache keeps the orders of hosts until the view, the configuration or
+// assignmentCache keeps the assignments of hosts until the view, the configuration or
 // the keys change. It is guarded by the mutex of the monitor.
-type ordersCache struct {
+type assignmentCache struct {
 	configuration *anvilglade.Configuration
 	keysAt        anvilglade.Version
-	hosts         map[anvilglade.HostID]cachedOrders
+	hosts         map[anvilglade.HostID]cachedAssignment
 }
 
-type cachedOrders struct {
-	orders *anvilglade.HostOrders
-	hash   uint64
+type cachedAssignment struct {
+	assignment *anvilglade.HostAssignment
+	hash       uint64
 }
 
-func (c *ordersCache) clear() {
-	c.hosts = make(map[anvilglade.HostID]cachedOrders)
+func (c *assignmentCache) clear() {
+	c.hosts = make(map[anvilglade.HostID]cachedAssignment)
 }
 
-// addOrders puts the orders of the host into the answer if the agent has
+// addAssignment puts the assignment of the host into the answer if the agent has
 // others.
-func (m *Monitor) addOrders(heartbeat *Heartbeat, ack *HeartbeatAck) error {
+func (m *Monitor) addAssignment(heartbeat *Heartbeat, ack *HeartbeatAck) error {
 	configuration := m.options.Configuration()
 	if configuration == nil {
 		return nil
@@ -48,61 +48,61 @@
 	keys, keysAt := m.options.Keys()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.orders.hosts == nil || m.orders.configuration != configuration || m.orders.keysAt != keysAt {
-		m.orders = ordersCache{configuration: configuration, keysAt: keysAt}
-		m.orders.clear()
+	if m.assignment.hosts == nil || m.assignment.configuration != configuration || m.assignment.keysAt != keysAt {
+		m.assignment = assignmentCache{configuration: configuration, keysAt: keysAt}
+		m.assignment.clear()
 	}
-	cached, ok := m.orders.hosts[host.Host]
+	cached, ok := m.assignment.hosts[host.Host]
 	if !ok {
-		orders := m.buildOrders(current, &host, configuration, keys)
-		orders.KeysAt = keysAt
-		hash, err := hashOrders(orders)
+		assignment := m.buildAssignment(current, &host, configuration, keys)
+		assignment.KeysAt = keysAt
+		hash, err := hashAssignment(assignment)
 		if err != nil {
 			return err
 		}
-		cached = cachedOrders{orders: orders, hash: hash}
-		m.orders.hosts[host.Host] = cached
+		cached = cachedAssignment{assignment: assignment, hash: hash}
+		m.assignment.hosts[host.Host] = cached
 	}
-	ack.OrdersHash = cached.hash
-	if heartbeat.OrdersHash != cached.hash {
-		ack.Orders = cached.orders
+	ack.AssignmentHash = cached.hash
+	if heartbeat.AssignmentHash != cached.hash {
+		ack.Assignment = cached.assignment
 	}
 	return nil
 }
 
-// buildOrders collects what one agent has to know.
-func (m *Monitor) buildOrders(current *view, host *anvilglade.HostRecord, configuration *anvilglade.Configuration, keys anvilglade.KeyBundle) *anvilglade.HostOrders {
+// buildAssignment collects what one agent has to know.
+func (m *Monitor) buildAssignment(current *view, host *anvilglade.HostRecord, configuration *anvilglade.Configuration, keys anvilglade.KeyBundle) *anvilglade.HostAssignment {
 	tables := &configuration.Tables
-	orders := &anvilglade.HostOrders{
+	assignment := &anvilglade.HostAssignment{
 		Revision:          configuration.Revision,
 		DataCentreState:   stateOf(tables, host.DataCentre),
 		OutDataCentres:    outDataCentres(tables),
 		Draining:          draining(tables, host),
-		Balancers:         current.rankBalancers(host, ordersBalancers),
+		Balancers:         current.rankBalancers(host, assignmentBalancers),
 		HeartbeatInterval: anvilglade.Duration(current.interval),
 		Keys:              keys,
 	}
 	service, ok := m.options.Service(host.Host)
 	if !ok {
-		orders.Keys.Certificates = nil
-		return orders
+		assignment.Keys.Certificates = nil
+		return assignment
 	}
-	orders.Service = service
+	assignment.Service = service
 	for _, pool := range tables.Pools {
 		if pool.Service == service {
-			orders.Pool = pool
+			assignment.Pool = pool
 		}
 	}
 	for _, route := range tables.Routes {
 		if route.Service == service {
-			orders.Routes = append(orders.Routes, route)
+			assignment.Routes = append(assignment.Routes, route)
 		}
 	}
-	orders.Keys.Certificates = slices.DeleteFunc(slices.Clone(keys.Certificates), func(c anvilglade.Certificate) bool {
+	assignment.Keys.Certificates = slices.DeleteFunc(slices.Clone(keys.Certificates), func(c anvilglade.Certificate) bool {
 		return c.Service != service
 	})
-	orders.Members = m.serviceMembers(current, tables, service)
-	return orders
+	assignment.Members = m.serviceMembers(current, tables, service)
+	return assignment
 }
 
 // serviceMembers returns the living hosts of a service in data centres that are
@@ -141,7 +141,7 @@
 	slices.SortFunc(members, func(a, b anvilglade.ServiceMember) int {
 		return cmp.Or(cmp.Compare(a.JoinStamp, b.JoinStamp), cmp.Compare(a.Host, b.Host))
 	})
-	return members[:min(len(members), ordersMembers)]
+	return members[:min(len(members), assignmentMembers)]
 }
 
 // worksFor reports whether the agent of a host decides for the service: it is
--- a/internal/membership/agmember/messages.go
+++ b/internal/membership/agmember/messages.go
@@ -19,17 +19,17 @@
 	Host          anvilglade.HostID
 	RecordVersion anvilglade.Version
 	Record        *anvilglade.HostRecord `cbor:",omitempty"`
-	// OrdersHash is the hash of the orders that the agent has; 0 for none.
-	OrdersHash uint64
+	// AssignmentHash is the hash of the assignment that the agent has; 0 for none.
+	AssignmentHash uint64
 }
 
 // HeartbeatAck is the balancer's answer.
 type HeartbeatAck struct {
-	Time       anvilglade.Timestamp
-	Balancer   anvilglade.BalancerID
-	OrdersHash uint64
-	// Orders are set when the agent's hash differs.
-	Orders *anvilglade.HostOrders `cbor:",omitempty"`
+	Time           anvilglade.Timestamp
+	Balancer       anvilglade.BalancerID
+	AssignmentHash uint64
+	// Assignment is set when the agent's hash differs.
+	Assignment *anvilglade.HostAssignment `cbor:",omitempty"`
 	// ReplyTo is set in a probe: an acknowledgement without a heartbeat, which
 	// asks a silent host for a heartbeat to this address.
 	ReplyTo netip.AddrPort
@@ -65,11 +65,11 @@
 	return ack, nil
 }
 
-// hashOrders returns a hash over all fields of the orders, never 0.
-func hashOrders(orders *anvilglade.HostOrders) (uint64, error) {
+// hashAssignment returns a hash over all fields of the assignment, never 0.
+func hashAssignment(assignment *anvilglade.HostAssignment) (uint64, error) {
 	digest := xxhash.New()
-	if err := cbor.NewEncoder(hash.Hash(digest)).Encode(orders); err != nil {
-		return 0, fmt.Errorf("encode orders: %w", err)
+	if err := cbor.NewEncoder(hash.Hash(digest)).Encode(assignment); err != nil {
+		return 0, fmt.Errorf("encode assignment: %w", err)
 	}
 	return max(1, digest.Sum64()), nil
 }
--- a/internal/membership/agmember/monitor.go
+++ b/internal/membership/agmember/monitor.go
@@ -1,7 +1,7 @@
 // Package agmember keeps the membership of hosts and balancers.
 //
 // An agent announces its host to three balancers of its data centre, one
-// heartbeat in turn to each (Reporter). A balancer answers with the orders of
+// heartbeat in turn to each (Reporter). A balancer answers with the assignment of
 // the host and publishes changes, not heartbeats, as replicated records
 // (Monitor). A host that is silent is claimed to be Suspect; any balancer that
 // still hears it refutes the claim; otherwise the host is Dead after two
@@ -28,7 +28,7 @@
 //	if err := group.Start("heartbeat", reporter.Run); err != nil {
 //		return err
 //	}
-//	orders, ok := reporter.Orders()
+//	assignment, ok := reporter.Assignment()
 package agmember
 
 import (
@@ -126,10 +126,10 @@
 	// heard the host itself.
 	refuted map[anvilglade.HostID]int
 	// probes counts the probes of a silent host.
-	probes   map[anvilglade.HostID]int
-	lastTick time.Time
-	orders   ordersCache
-	signals  map[chan struct{}]struct{}
+	probes     map[anvilglade.HostID]int
+	lastTick   time.Time
+	assignment assignmentCache
+	signals    map[chan struct{}]struct{}
 }
 
 // suspicion is a claim on a host with the time at which this balancer saw it.
@@ -272,10 +272,10 @@
 	if err := m.takeRecord(heartbeat, known, exists, &ack); err != nil {
 		return err
 	}
-	if err := m.addOrders(heartbeat, &ack); err != nil {
+	if err := m.addAssignment(heartbeat, &ack); err != nil {
 		return err
 	}
-	if ack.Orders != nil || ack.Claimed != nil {
+	if ack.Assignment != nil || ack.Claimed != nil {
 		ack.MaxJoinStamp = m.view.Load().maxJoinStamp
 	}
 	answer, err := cbor.Marshal(&ack)
@@ -331,7 +331,7 @@
 	defer m.mu.Unlock()
 	next := newView(m.options.Replica, m.view.Load(), m.options.Self.Balancer)
 	m.view.Store(next)
-	m.orders.clear()
+	m.assignment.clear()
 	if err := m.refuteSelf(next); err != nil {
 		m.log.WithError(err).Error("Claim about this balancer was not refuted.")
 	}
--- a/internal/membership/agmember/monitor_test.go
+++ b/internal/membership/agmember/monitor_test.go
@@ -305,16 +305,16 @@
 
 	// Guards against a lower revision that an agent takes from a balancer that
 	// lags behind.
-	ginkgo.It("keeps orders of a higher revision", func() {
+	ginkgo.It("keeps assignment of a higher revision", func() {
 		world := newTestWorld()
 		world.hear(world.reporter, "a")
 		// The second heartbeat comes after the host is in the view.
 		world.hear(world.reporter, "a")
-		orders, ok := world.reporter.Orders()
+		assignment, ok := world.reporter.Assignment()
 		Expect(ok).To(BeTrue())
-		older := *orders
+		older := *assignment
 		older.Revision = 0
-		Expect(world.reporter.adopt(&HeartbeatAck{Orders: &older})).To(BeFalse())
+		Expect(world.reporter.adopt(&HeartbeatAck{Assignment: &older})).To(BeFalse())
 	})
 })
 
--- a/internal/membership/agmember/reporter.go
+++ b/internal/membership/agmember/reporter.go
@@ -17,7 +17,7 @@
 const (
 	// heartbeatTargets is the number of balancers that monitor a host.
 	heartbeatTargets = 3
-	// startInterval is used until the first orders give an interval.
+	// startInterval is used until the first assignment gives an interval.
 	startInterval = 100 * time.Millisecond
 	// silenceRounds is the number of rounds over all targets without any
 	// acknowledgement after which the agent turns to its seeds.
@@ -43,24 +43,24 @@
 }
 
 // Reporter is the agent's side of membership: it sends heartbeats and keeps the
-// orders that come back. It implements anvilglade.OrdersSource.
+// assignment that comes back. It implements anvilglade.AssignmentSource.
 type Reporter struct {
 	options ReporterOptions
 	log     *aglog.Logger
 	wake    chan struct{}
 
-	mu          sync.Mutex
-	record      anvilglade.HostRecord
-	orders      *anvilglade.HostOrders
-	ordersHash  uint64
-	maxStamp    anvilglade.JoinStamp
-	sendRecord  bool
-	turn        int
-	lastAck     time.Time
-	subscribers map[chan struct{}]struct{}
+	mu             sync.Mutex
+	record         anvilglade.HostRecord
+	assignment     *anvilglade.HostAssignment
+	assignmentHash uint64
+	maxStamp       anvilglade.JoinStamp
+	sendRecord     bool
+	turn           int
+	lastAck        time.Time
+	subscribers    map[chan struct{}]struct{}
 }
 
-var _ anvilglade.OrdersSource = (*Reporter)(nil)
+var _ anvilglade.AssignmentSource = (*Reporter)(nil)
 
 // NewReporter returns a reporter in the state Joining.
 func NewReporter(options ReporterOptions) *Reporter {
@@ -94,11 +94,11 @@
 	}
 }
 
-// Orders returns the newest orders.
-func (r *Reporter) Orders() (*anvilglade.HostOrders, bool) {
+// Assignment returns the newest assignment.
+func (r *Reporter) Assignment() (*anvilglade.HostAssignment, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.orders, r.orders != nil
+	return r.assignment, r.assignment != nil
 }
 
 // Record returns the host as it is announced now.
@@ -108,7 +108,7 @@
 	return r.record
 }
 
-// Subscribe returns a channel that gets a signal after the orders changed.
+// Subscribe returns a channel that gets a signal after the assignment changed.
 func (r *Reporter) Subscribe() (<-chan struct{}, func()) {
 	signal := make(chan struct{}, 1)
 	r.mu.Lock()
@@ -147,8 +147,8 @@
 	r.announceServices(holding)
 	targets := r.targets()
 	interval := startInterval
-	if r.orders != nil {
-		interval = time.Duration(r.orders.HeartbeatInterval)
+	if r.assignment != nil {
+		interval = time.Duration(r.assignment.HeartbeatInterval)
 	}
 	if len(targets) == 0 {
 		r.mu.Unlock()
@@ -157,10 +157,10 @@
 	target := targets[r.turn%len(targets)]
 	r.turn++
 	heartbeat := Heartbeat{
-		Time:          r.options.Events.Now(),
-		Host:          r.record.Host,
-		RecordVersion: hostVersion(&r.record),
-		OrdersHash:    r.ordersHash,
+		Time:           r.options.Events.Now(),
+		Host:           r.record.Host,
+		RecordVersion:  hostVersion(&r.record),
+		AssignmentHash: r.assignmentHash,
 	}
 	if r.sendRecord {
 		record := r.record
@@ -185,19 +185,19 @@
 // targets returns the balancers that monitor this host, or the seeds while no
 // balancer is known or none has answered for some rounds.
 func (r *Reporter) targets() []netip.AddrPort {
-	if r.orders == nil || len(r.orders.Balancers) == 0 {
+	if r.assignment == nil || len(r.assignment.Balancers) == 0 {
 		return r.options.Seeds
 	}
 	var targets []netip.AddrPort
-	for _, balancer := range r.orders.Balancers[:min(heartbeatTargets, len(r.orders.Balancers))] {
+	for _, balancer := range r.assignment.Balancers[:min(heartbeatTargets, len(r.assignment.Balancers))] {
 		targets = append(targets, balancer.DatagramAddress)
 	}
 	silence := r.options.Clock.Now().Sub(r.lastAck)
-	round := time.Duration(r.orders.HeartbeatInterval) * heartbeatTargets
+	round := time.Duration(r.assignment.HeartbeatInterval) * heartbeatTargets
 	if silence <= silenceRounds*round {
 		return targets
 	}
-	for _, balancer := range r.orders.Balancers[len(targets):] {
+	for _, balancer := range r.assignment.Balancers[len(targets):] {
 		targets = append(targets, balancer.DatagramAddress)
 	}
 	return append(targets, r.options.Seeds...)
@@ -226,7 +226,7 @@
 		r.join()
 		changed = true
 	}
-	if ack.Orders != nil && r.adopt(ack) {
+	if ack.Assignment != nil && r.adopt(ack) {
 		changed = true
 	}
 	if changed {
@@ -241,11 +241,11 @@
 	r.mu.Lock()
 	record := r.record
 	heartbeat := Heartbeat{
-		Time:          r.options.Events.Now(),
-		Host:          record.Host,
-		RecordVersion: hostVersion(&record),
-		Record:        &record,
-		OrdersHash:    r.ordersHash,
+		Time:           r.options.Events.Now(),
+		Host:           record.Host,
+		RecordVersion:  hostVersion(&record),
+		Record:         &record,
+		AssignmentHash: r.assignmentHash,
 	}
 	r.mu.Unlock()
 	return r.send(balancer, &heartbeat)
@@ -290,13 +290,13 @@
 // announceServices puts the service that takes new flows and those with
 // established flows into the record.
 func (r *Reporter) announceServices(holding []anvilglade.ServiceID) {
-	if r.orders == nil {
+	if r.assignment == nil {
 		return
 	}
-	services := [anvilglade.MaxHostServices]anvilglade.ServiceID{r.orders.Service}
+	services := [anvilglade.MaxHostServices]anvilglade.ServiceID{r.assignment.Service}
 	next := 1
 	for _, service := range holding {
-		if service != r.orders.Service && next < len(services) {
+		if service != r.assignment.Service && next < len(services) {
 			services[next] = service
 			next++
 		}
@@ -309,18 +309,18 @@
 	r.sendRecord = true
 }
 
-// adopt takes orders unless they rest on a lower revision or on older keys.
+// adopt takes an assignment unless it rests on a lower revision or on older keys.
 func (r *Reporter) adopt(ack *HeartbeatAck) bool {
-	if r.orders != nil && (ack.Orders.Revision < r.orders.Revision || ack.Orders.KeysAt < r.orders.KeysAt) {
+	if r.assignment != nil && (ack.Assignment.Revision < r.assignment.Revision || ack.Assignment.KeysAt < r.assignment.KeysAt) {
 		return false
 	}
-	if r.orders != nil && acceptsAnew(r.orders, ack.Orders) {
+	if r.assignment != nil && acceptsAnew(r.assignment, ack.Assignment) {
 		r.record.AcceptStamp = r.drawStamp()
 		r.record.Sequence++
 		r.sendRecord = true
 	}
-	r.orders = ack.Orders
-	r.ordersHash = ack.OrdersHash
+	r.assignment = ack.Assignment
+	r.assignmentHash = ack.AssignmentHash
 	for signal := range r.subscribers {
 		r.signal(signal)
 	}
@@ -329,12 +329,12 @@
 
 // acceptsAnew reports whether the host begins to take new flows of a service
 // that it did not take before.
-func acceptsAnew(before, after *anvilglade.HostOrders) bool {
+func acceptsAnew(before, after *anvilglade.HostAssignment) bool {
 	return accepting(after) && (!accepting(before) || before.Service != after.Service)
 }
 
-func accepting(orders *anvilglade.HostOrders) bool {
-	return orders.Service != "" && !orders.Draining && orders.DataCentreState == anvilglade.DataCentreIn
+func accepting(assignment *anvilglade.HostAssignment) bool {
+	return assignment.Service != "" && !assignment.Draining && assignment.DataCentreState == anvilglade.DataCentreIn
 }
 
 func (*Reporter) signal(channel chan struct{}) {
--- a/internal/operate/agagent/agent.go
+++ b/internal/operate/agagent/agent.go
@@ -4,7 +4,7 @@
 // on new flows and relays traffic to the backend server over loopback. Its
 // tasks are: the datagram task, which reads sealed datagrams from balancers and
 // agents and carries out the decisions of agflow; one reader for each plain UDP
-// flow; the orders task, which enforces what operators decided; the tick, which
+// flow; the assignment task, which enforces what operators decided; the tick, which
 // ends idle flows; the reporter of the membership; the QUIC servers; and the
 // admin listener.
 //
@@ -78,13 +78,13 @@
 // KeyRing is the part of agkeys.Ring that an agent uses.
 type KeyRing interface {
 	anvilglade.KeyRing
-	// Adopt takes the keys of newer orders.
+	// Adopt takes the keys of a newer assignment.
 	Adopt(bundle anvilglade.KeyBundle, version anvilglade.Version) bool
 }
 
 // Reporter is the part of agmember.Reporter that an agent uses.
 type Reporter interface {
-	anvilglade.OrdersSource
+	anvilglade.AssignmentSource
 	Run(ctx context.Context) error
 	HandleAck(payload []byte) error
 	SetState(state anvilglade.HostState)
@@ -101,7 +101,7 @@
 	// Spill names the host that should get the next new request instead of this
 	// one, see agflow.Machine.Spill.
 	Spill       func() (anvilglade.ServiceMember, bool)
-	Orders      anvilglade.OrdersSource
+	Assignment  anvilglade.AssignmentSource
 	Keys        KeyRing
 	Record      anvilglade.HostRecord
 	JoinSecrets []anvilglade.Secret
@@ -301,7 +301,7 @@
 		a.cleanup = append(a.cleanup, closeConn)
 		a.conns[service.Number()] = conn
 		server, stop, err := a.parts.NewServer(ServerOptions{
-			Service: service, Conn: conn, Backend: backend, Admitter: a.admitter, Spill: a.machine.Spill, Orders: a.reporter, Keys: a.parts.Keys,
+			Service: service, Conn: conn, Backend: backend, Admitter: a.admitter, Spill: a.machine.Spill, Assignment: a.reporter, Keys: a.parts.Keys,
 			Record: a.record, JoinSecrets: a.settings.JoinSecrets, Group: a.group, Events: a.events, Admin: a.admin,
 		})
 		if err != nil {
@@ -325,16 +325,16 @@
 	if a.stopping.Load() {
 		return errors.New("the agent is stopping")
 	}
-	orders, ok := a.reporter.Orders()
+	assignment, ok := a.reporter.Assignment()
 	switch {
 	case !ok:
-		return errors.New("no orders yet: no balancer has answered a heartbeat")
-	case orders.Service == "":
+		return errors.New("no assignment yet: no balancer has answered a heartbeat")
+	case assignment.Service == "":
 		return fmt.Errorf("no pool matches host %s", a.settings.Host)
-	case orders.Draining:
+	case assignment.Draining:
 		return errors.New("the host is draining")
-	case orders.DataCentreState != anvilglade.DataCentreIn:
-		return fmt.Errorf("data centre %s is %s", a.settings.DataCentre, orders.DataCentreState)
+	case assignment.DataCentreState != anvilglade.DataCentreIn:
+		return fmt.Errorf("data centre %s is %s", a.settings.DataCentre, assignment.DataCentreState)
 	}
 	return nil
 }
--- a/internal/operate/agagent/agent_test.go
+++ b/internal/operate/agagent/agent_test.go
@@ -47,23 +47,23 @@
 func (fakeRing) Generation() uint64                                  { return 1 }
 func (fakeRing) Adopt(anvilglade.KeyBundle, anvilglade.Version) bool { return false }
 
-// fakeReporter holds orders that the test sets.
+// fakeReporter holds an assignment that the test sets.
 type fakeReporter struct {
-	mu      sync.Mutex
-	orders  *anvilglade.HostOrders
-	changed chan struct{}
-	states  []anvilglade.HostState
+	mu         sync.Mutex
+	assignment *anvilglade.HostAssignment
+	changed    chan struct{}
+	states     []anvilglade.HostState
 }
 
-func (r *fakeReporter) Orders() (*anvilglade.HostOrders, bool) {
+func (r *fakeReporter) Assignment() (*anvilglade.HostAssignment, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.orders, r.orders != nil
+	return r.assignment, r.assignment != nil
 }
 
-func (r *fakeReporter) set(orders *anvilglade.HostOrders) {
+func (r *fakeReporter) set(assignment *anvilglade.HostAssignment) {
 	r.mu.Lock()
-	r.orders = orders
+	r.assignment = assignment
 	r.mu.Unlock()
 	// The second signal is taken only after the first one has been enforced.
 	r.changed <- struct{}{}
@@ -133,7 +133,7 @@
 		AdminAddress: netip.MustParseAddrPort("127.0.0.1:0"), Linger: 10 * time.Millisecond,
 		Backends: map[anvilglade.ServiceID]netip.AddrPort{"alerts": startBackend(name)},
 	}, agagent.Parts{Keys: fakeRing{}, NewReporter: func(options agmember.ReporterOptions) agagent.Reporter {
-		h.reporter.orders = &anvilglade.HostOrders{Members: []anvilglade.ServiceMember{{Incarnation: options.Record.Incarnation}}}
+		h.reporter.assignment = &anvilglade.HostAssignment{Members: []anvilglade.ServiceMember{{Incarnation: options.Record.Incarnation}}}
 		return h.reporter
 	}})
 	Expect(err).NotTo(HaveOccurred())
@@ -152,12 +152,12 @@
 	for i, name := range names {
 		hosts[i] = startHost(name)
 		members[i] = anvilglade.ServiceMember{
-			Host: anvilglade.HostID(name), Incarnation: hosts[i].reporter.orders.Members[0].Incarnation, State: anvilglade.HostActive,
+			Host: anvilglade.HostID(name), Incarnation: hosts[i].reporter.assignment.Members[0].Incarnation, State: anvilglade.HostActive,
 			DataCentre: "dk1", AgentAddress: hosts[i].address, JoinStamp: anvilglade.JoinStamp(i + 1), Accepts: true,
 		}
 	}
 	for _, h := range hosts {
-		h.reporter.set(&anvilglade.HostOrders{Revision: 1, DataCentreState: anvilglade.DataCentreIn, Service: "alerts", Members: members})
+		h.reporter.set(&anvilglade.HostAssignment{Revision: 1, DataCentreState: anvilglade.DataCentreIn, Service: "alerts", Members: members})
 	}
 	return hosts
 }
@@ -234,8 +234,8 @@
 		b := startBalancer()
 		b.lookup(1000, "one", hosts[0])
 		_, _ = b.reply()
-		orders, _ := hosts[0].reporter.Orders()
-		limited := *orders
+		assignment, _ := hosts[0].reporter.Assignment()
+		limited := *assignment
 		limited.Pool.DrainLimit = anvilglade.Duration(2500 * time.Millisecond)
 		hosts[0].reporter.set(&limited)
 		hosts[0].signals <- os.Interrupt
@@ -268,8 +268,8 @@
 		b := startBalancer()
 		b.lookup(1000, "one", hosts[0])
 		_, _ = b.reply()
-		orders, _ := hosts[0].reporter.Orders()
-		out := *orders
+		assignment, _ := hosts[0].reporter.Assignment()
+		out := *assignment
 		out.DataCentreState = anvilglade.DataCentreOut
 		hosts[0].reporter.set(&out)
 		Eventually(func() bool {
--- a/internal/operate/agagent/counters.go
+++ b/internal/operate/agagent/counters.go
@@ -73,9 +73,9 @@
 		Delivered: a.counters.delivered.Load(), Answers: a.relay.Answers(), SendFailures: a.counters.sendFailures.Load(),
 		RelayFailures: a.relay.Failures(), Drops: a.counters.copyDrops(), Flow: a.machine.Statistics(),
 	}
-	if orders, ok := a.reporter.Orders(); ok {
-		s.KeysVersion = orders.KeysAt
-		s.Service, s.Revision, s.DataCentreState, s.Draining = orders.Service, orders.Revision, orders.DataCentreState, orders.Draining
+	if assignment, ok := a.reporter.Assignment(); ok {
+		s.KeysVersion = assignment.KeysAt
+		s.Service, s.Revision, s.DataCentreState, s.Draining = assignment.Service, assignment.Revision, assignment.DataCentreState, assignment.Draining
 	}
 	s.ConnectionKeys = make(map[anvilglade.KeyID]int)
 	for _, server := range a.servers {
--- a/internal/operate/agagent/health.go
+++ b/internal/operate/agagent/health.go
@@ -37,11 +37,11 @@
 			return nil
 		case <-ticker.C:
 		}
-		orders, ok := a.reporter.Orders()
+		assignment, ok := a.reporter.Assignment()
 		if !ok {
 			continue
 		}
-		if backend, ok := a.settings.Backends[orders.Service]; ok {
+		if backend, ok := a.settings.Backends[assignment.Service]; ok {
 			healthy, utilisation := askHealth(ctx, client, backend)
 			baseline.Report(healthy, utilisation)
 		}
--- a/internal/operate/agagent/run.go
+++ b/internal/operate/agagent/run.go
@@ -1,4 +1,4 @@
-// The life of the agent: its tasks, the enforcement of orders and the graceful
+// The life of the agent: its tasks, the enforcement of the assignment and the graceful
 // stop.
 
 package agagent
@@ -48,7 +48,7 @@
 	a.events.Record(anvilglade.Event{Type: agevent.ProcessStarted, Host: a.settings.Host})
 	tasks := []agentTask{
 		{"datagrams", a.receive},
-		{"orders", a.followOrders},
+		{"assignment", a.followAssignment},
 		{"tick", a.tick},
 		{"reporter", a.reporter.Run},
 		{"admin", a.admin.Run},
@@ -133,8 +133,8 @@
 }
 
 func (a *Agent) drainLimit() time.Duration {
-	if orders, ok := a.reporter.Orders(); ok && orders.Pool.DrainLimit > 0 {
-		return time.Duration(orders.Pool.DrainLimit)
+	if assignment, ok := a.reporter.Assignment(); ok && assignment.Pool.DrainLimit > 0 {
+		return time.Duration(assignment.Pool.DrainLimit)
 	}
 	return DefaultDrainLimit
 }
@@ -178,13 +178,13 @@
 	return services
 }
 
-// followOrders enforces each change of the orders.
-func (a *Agent) followOrders(ctx context.Context) error {
+// followAssignment enforces each change of the assignment.
+func (a *Agent) followAssignment(ctx context.Context) error {
 	changed, end := a.reporter.Subscribe()
 	defer end()
 	for {
-		if orders, ok := a.reporter.Orders(); ok {
-			a.enforce(ctx, orders)
+		if assignment, ok := a.reporter.Assignment(); ok {
+			a.enforce(ctx, assignment)
 		}
 		select {
 		case <-ctx.Done():
@@ -196,25 +196,25 @@
 
 // enforce closes the host for new work before it ends flows, so that nothing
 // starts in between.
-func (a *Agent) enforce(ctx context.Context, orders *anvilglade.HostOrders) {
-	a.parts.Keys.Adopt(orders.Keys, orders.KeysAt)
-	if a.limits != nil && orders.Service != "" {
-		a.limits.SetPool(orders.Service, orders.Pool)
+func (a *Agent) enforce(ctx context.Context, assignment *anvilglade.HostAssignment) {
+	a.parts.Keys.Adopt(assignment.Keys, assignment.KeysAt)
+	if a.limits != nil && assignment.Service != "" {
+		a.limits.SetPool(assignment.Service, assignment.Pool)
 	}
-	a.setClosed(a.closedBy(orders))
+	a.setClosed(a.closedBy(assignment))
 	now := a.clock.Now()
-	a.carryOut(ctx, now, a.machine.SetOrders(now, orders, nil), aglog.NewLimiter(dropLogInterval))
-	if previous := a.counters.revision.Swap(uint64(orders.Revision)); previous != uint64(orders.Revision) {
-		a.events.Record(anvilglade.Event{Type: agevent.RevisionAdopted, Host: a.settings.Host, Service: orders.Service, Revision: orders.Revision})
-		a.log.WithField("Revision", orders.Revision).WithField("Service", orders.Service).WithField("DataCentreState", orders.DataCentreState).Info("Orders are in force.")
+	a.carryOut(ctx, now, a.machine.SetAssignment(now, assignment, nil), aglog.NewLimiter(dropLogInterval))
+	if previous := a.counters.revision.Swap(uint64(assignment.Revision)); previous != uint64(assignment.Revision) {
+		a.events.Record(anvilglade.Event{Type: agevent.RevisionAdopted, Host: a.settings.Host, Service: assignment.Service, Revision: assignment.Revision})
+		a.log.WithField("Revision", assignment.Revision).WithField("Service", assignment.Service).WithField("DataCentreState", assignment.DataCentreState).Info("Assignment is in force.")
 	}
 }
 
-func (a *Agent) closedBy(orders *anvilglade.HostOrders) anvilglade.Refusal {
+func (a *Agent) closedBy(assignment *anvilglade.HostAssignment) anvilglade.Refusal {
 	switch {
-	case a.stopping.Load() || orders.Draining || orders.DataCentreState == anvilglade.DataCentreDraining:
+	case a.stopping.Load() || assignment.Draining || assignment.DataCentreState == anvilglade.DataCentreDraining:
 		return anvilglade.RefusalDraining
-	case orders.DataCentreState == anvilglade.DataCentreOut || orders.Service == "":
+	case assignment.DataCentreState == anvilglade.DataCentreOut || assignment.Service == "":
 		return anvilglade.RefusalOut
 	}
 	return anvilglade.RefusalNone
--- a/internal/operate/agcommand/agent_requests.go
+++ b/internal/operate/agcommand/agent_requests.go
@@ -67,7 +67,7 @@
 		Tickets:       l.tickets,
 		Journal:       l.journal,
 		Peers:         l.peers,
-		Members:       func() []anvilglade.ServiceMember { return membersOf(options.Orders, options.Service) },
+		Members:       func() []anvilglade.ServiceMember { return membersOf(options.Assignment, options.Service) },
 		DataCentre:    options.Record.DataCentre,
 		Clock:         anvilglade.SystemClock{},
 		Events:        options.Events,
@@ -82,7 +82,7 @@
 		closeShared()
 		return nil, nil, err
 	}
-	return &drainedServer{server: server, group: options.Group, orders: options.Orders}, func() {
+	return &drainedServer{server: server, group: options.Group, assignment: options.Assignment}, func() {
 		stop()
 		closeShared()
 	}, nil
@@ -130,7 +130,7 @@
 		return nil, err
 	}
 	l.peers = peers
-	follow := func(ctx context.Context) error { return l.followMembers(ctx, options.Orders) }
+	follow := func(ctx context.Context) error { return l.followMembers(ctx, options.Assignment) }
 	if err := options.Group.Start("members", follow); err != nil {
 		stop()
 		return nil, err
@@ -141,7 +141,7 @@
 // followMembers closes the connections to agents whose data centre was taken out
 // of service. Agents that leave the members for another reason, such as a move
 // of their host to another pool, keep the requests that were placed there.
-func (l *requestLayer) followMembers(ctx context.Context, source anvilglade.OrdersSource) error {
+func (l *requestLayer) followMembers(ctx context.Context, source anvilglade.AssignmentSource) error {
 	changed, end := source.Subscribe()
 	defer end()
 	known := make(map[netip.AddrPort]anvilglade.DataCentreID)
@@ -151,18 +151,18 @@
 			return ctx.Err()
 		case <-changed:
 		}
-		orders, ok := source.Orders()
+		assignment, ok := source.Assignment()
 		if !ok {
 			continue
 		}
-		if orders.DataCentreState == anvilglade.DataCentreOut {
+		if assignment.DataCentreState == anvilglade.DataCentreOut {
 			l.peers.DropAll()
 		}
-		for i := range orders.Members {
-			known[orders.Members[i].ControlAddress] = orders.Members[i].DataCentre
+		for i := range assignment.Members {
+			known[assignment.Members[i].ControlAddress] = assignment.Members[i].DataCentre
 		}
 		for address, centre := range known {
-			if slices.Contains(orders.OutDataCentres, centre) {
+			if slices.Contains(assignment.OutDataCentres, centre) {
 				l.peers.Drop(address)
 				delete(known, address)
 			}
@@ -171,7 +171,7 @@
 }
 
 // serviceTLS looks the certificate up at each handshake, since the keys come
-// with the first orders and change with rotations.
+// with the first assignment and change with rotations.
 func (l *requestLayer) serviceTLS(service anvilglade.ServiceID) *tls.Config {
 	return &tls.Config{
 		MinVersion: tls.VersionTLS13,
@@ -185,20 +185,20 @@
 	}
 }
 
-// membersOf returns the hosts of the service that the orders are for.
-func membersOf(source anvilglade.OrdersSource, service anvilglade.ServiceID) []anvilglade.ServiceMember {
-	orders, ok := source.Orders()
-	if !ok || orders.Service != service {
+// membersOf returns the hosts of the service that the assignment is for.
+func membersOf(source anvilglade.AssignmentSource, service anvilglade.ServiceID) []anvilglade.ServiceMember {
+	assignment, ok := source.Assignment()
+	if !ok || assignment.Service != service {
 		return nil
 	}
-	return orders.Members
+	return assignment.Members
 }
 
 // drainedServer runs the graceful stop of a server as a task.
 type drainedServer struct {
-	server *agserve.Server
-	group  *agtask.Group
-	orders anvilglade.OrdersSource
+	server     *agserve.Server
+	group      *agtask.Group
+	assignment anvilglade.AssignmentSource
 }
 
 // ConnectionKeys returns the number of open connections by key.
@@ -209,8 +209,8 @@
 // Drain starts the graceful stop and does not wait for its end.
 func (d *drainedServer) Drain() {
 	limit := agagent.DefaultDrainLimit
-	if orders, ok := d.orders.Orders(); ok && orders.Pool.DrainLimit > 0 {
-		limit = time.Duration(orders.Pool.DrainLimit)
+	if assignment, ok := d.assignment.Assignment(); ok && assignment.Pool.DrainLimit > 0 {
+		limit = time.Duration(assignment.Pool.DrainLimit)
 	}
 	log := aglog.New("request")
 	task := func(ctx context.Context) error {
--- a/members.go
+++ b/members.go
@@ -95,9 +95,9 @@
 	Former bool
 }
 
-// HostOrders is what a balancer tells an agent in the acknowledgement of a
+// HostAssignment is what a balancer tells an agent in the acknowledgement of a
 // heartbeat.
-type HostOrders struct {
+type HostAssignment struct {
 	Revision        Revision
 	DataCentreState DataCentreState
 	// OutDataCentres are the data centres that are out of service.
@@ -118,12 +118,12 @@
 	KeysAt            Version
 }
 
-// OrdersSource gives an agent its newest orders. It is safe for concurrent use.
-type OrdersSource interface {
-	// Orders returns the newest orders, or false before the first ones. The
+// AssignmentSource gives an agent its newest assignment. It is safe for concurrent use.
+type AssignmentSource interface {
+	// Assignment returns the newest assignment, or false before the first one. The
 	// value must not be changed.
-	Orders() (*HostOrders, bool)
-	// Subscribe returns a channel that gets a signal after the orders have
+	Assignment() (*HostAssignment, bool)
+	// Subscribe returns a channel that gets a signal after the assignment has
 	// changed; signals that nobody waits for are merged. The returned
 	// function ends the subscription.
 	Subscribe() (<-chan struct{}, func())
--- a/test/integration/fleet_test.go
+++ b/test/integration/fleet_test.go
@@ -21,7 +21,7 @@
 
 var _ = Describe("A small fleet", func() {
 	// Guards against parts that work alone and not together: settings,
-	// addresses behind the fabric, keys, orders, forwarding and HTTP/3. The
+	// addresses behind the fabric, keys, assignment, forwarding and HTTP/3. The
 	// targets are counts; none depends on the speed of the machine.
 	It("keeps flows and reports through planned changes", func(ctx SpecContext) {
 		dir := GinkgoT().TempDir()
