Measure what agents accept under a retired key

Cause: 'packets accepted under a retired key 0' of KeyRotation was not measured. Change: the case sends each agent a first packet sealed under the former datagram key, once while the key is current, as a control that must be answered, and once after it was retired.

--- /dev/null
+++ b/internal/stand/agscenario/keyprobe.go
@@ -0,0 +1,123 @@
+package agscenario
+
+// Probes with datagram keys: a stand-in for an attacker who holds a key. Each
+// probe is a first packet of a new flow that is sent to every agent; an agent
+// that accepts it has it answered to the address that the probe names.
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/anvilglade/anvilglade"
+	"github.com/anvilglade/anvilglade/internal/packet/agheader"
+	"github.com/anvilglade/anvilglade/internal/packet/agseal"
+	"github.com/anvilglade/anvilglade/internal/platform/agstore"
+	"github.com/anvilglade/anvilglade/internal/state/agkeys"
+)
+
+const (
+	probeWait = time.Second
+	// probePort is that of the callers that probes name; nothing listens there.
+	probePort = 9
+)
+
+// readKeys returns the keys that the object API has now.
+func (f *Fleet) readKeys(ctx context.Context) (anvilglade.KeyBundle, error) {
+	store, stop, err := agstore.NewStore(agstore.Options{URL: "http://" + f.plan.relay(0).String()})
+	if err != nil {
+		return anvilglade.KeyBundle{}, err
+	}
+	defer stop()
+	object, err := store.Get(ctx, string(anvilglade.RecordKeys), "current")
+	if err != nil {
+		return anvilglade.KeyBundle{}, fmt.Errorf("read keys: %w", err)
+	}
+	return agkeys.Decode(object.Data)
+}
+
+// probeKeys sends a probe sealed under the current key of the bundle to every
+// agent and returns how many were sent and answered.
+func (f *Fleet) probeKeys(bundle anvilglade.KeyBundle) (sent, answered int, err error) {
+	secrets, err := agkeys.ParseJoinSecrets(f.secret)
+	if err != nil {
+		return 0, 0, err
+	}
+	ring, err := agkeys.NewRing(secrets)
+	if err != nil {
+		return 0, 0, err
+	}
+	ring.Adopt(bundle, 1)
+	sealer, err := agseal.NewSealer(ring)
+	if err != nil {
+		return 0, 0, err
+	}
+	socket, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		return 0, 0, fmt.Errorf("listen for answers to probes: %w", err)
+	}
+	defer func() { _ = socket.Close() }()
+	local, ok := socket.LocalAddr().(*net.UDPAddr)
+	if !ok {
+		return 0, 0, fmt.Errorf("address %v is not one of UDP", socket.LocalAddr())
+	}
+	for _, item := range f.livingHosts() {
+		if err := f.sendProbe(socket, sealer, item, local.AddrPort(), sent); err != nil {
+			return sent, 0, err
+		}
+		sent++
+	}
+	buffer := make([]byte, agseal.MaxDatagram)
+	if err := socket.SetReadDeadline(time.Now().Add(probeWait)); err != nil {
+		return sent, 0, fmt.Errorf("wait for answers to probes: %w", err)
+	}
+	for {
+		if _, _, err := socket.ReadFromUDPAddrPort(buffer); err != nil {
+			return sent, answered, nil
+		}
+		answered++
+	}
+}
+
+func (f *Fleet) sendProbe(socket *net.UDPConn, sealer *agseal.Sealer, item *host, answers netip.AddrPort, number int) error {
+	service, err := f.serviceAddress(item.service, false)
+	if err != nil {
+		return err
+	}
+	caller := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 250, 0, byte(number)}), probePort)
+	id := anvilglade.ServiceID(item.service).Number()
+	plain, err := agheader.Append(nil, &agheader.Header{
+		Service:        id,
+		Protocol:       anvilglade.ProtocolUDP,
+		Flow:           anvilglade.NewFlowKey(id, caller) + anvilglade.FlowKey(time.Now().UnixNano()),
+		Caller:         caller,
+		ServiceAddress: service,
+		Balancer:       answers,
+		Candidates:     []anvilglade.Candidate{{Address: at(f.plan.hostFront(item.number), portAgent), Accepts: true}},
+	})
+	if err != nil {
+		return fmt.Errorf("encode probe: %w", err)
+	}
+	datagram, err := sealer.Seal(nil, agheader.KindLookup, append(plain, "probe"...))
+	if err != nil {
+		return fmt.Errorf("seal probe: %w", err)
+	}
+	if _, err := socket.WriteToUDPAddrPort(datagram, at(f.plan.host(item.number), portAgent)); err != nil {
+		return fmt.Errorf("send probe: %w", err)
+	}
+	return nil
+}
+
+func (f *Fleet) livingHosts() []*host {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var living []*host
+	for _, item := range f.hosts {
+		if !item.ended {
+			living = append(living, item)
+		}
+	}
+	return living
+}
--- a/internal/stand/agscenario/measures.go
+++ b/internal/stand/agscenario/measures.go
@@ -49,6 +49,7 @@
 
 // measures names them all. "Of" is the option of expect: a load or a service.
 var measures = map[string]measure{
+	"AcceptedUnderRetired": measureAcceptedUnderRetired,
 	"BrokenFlows":          measureBrokenFlows,
 	"WrongService":         measureWrongService,
 	"PacketsAfterOut":      measurePacketsAfterOut,
--- a/internal/stand/agscenario/scene.go
+++ b/internal/stand/agscenario/scene.go
@@ -58,6 +58,8 @@
 	speeds map[string]float64
 	// balance is the utilisation of the hosts of each service at one time.
 	balance map[string]map[string]float64
+	// retired counts probes under retired datagram keys.
+	retired keyProbes
 	// failing is the share of the work that fails at a host.
 	failing map[string]float64
 }
