Claim balancers that nobody has ever reached

All four balancers had been replaced within 4 s; each that had a connection to b1 ended before it noticed the loss, and the new ones never had one, so b1 counted as living for ever. Change: a peer that should be connected and has not been for 6 s is claimed, once a minute; a living one refutes.

--- a/internal/state/agreplica/mesh.go
+++ b/internal/state/agreplica/mesh.go
@@ -35,6 +35,13 @@
 	// peerIdleTimeout is the silence after which a connection counts as lost.
 	peerIdleTimeout = 4 * time.Second
 	keepAlive       = 1900 * time.Millisecond
+	// missingLimit is how long a peer that counts as living may stay without a
+	// connection. It finds balancers whose peers ended together with them;
+	// nobody lost a connection to those, so they counted as living for ever.
+	missingLimit = 6 * time.Second
+	// claimPause is the time to the next claim about the same peer: a living
+	// one that cannot be reached refutes each.
+	claimPause = time.Minute
 	// peerRingSize bounds the changes that wait for one peer.
 	peerRingSize = 1024
 	// floodSize is the largest payload in bytes that is flooded. A larger record,
@@ -95,6 +102,9 @@
 	mu      sync.Mutex
 	peers   map[anvilglade.BalancerID]*connection
 	dialing map[netip.AddrPort]struct{}
+	// missing has the time from which on a peer has had no connection. Only Run
+	// uses it.
+	missing map[anvilglade.BalancerID]time.Time
 
 	synced           atomic.Bool
 	recordsSent      atomic.Uint64
@@ -133,6 +143,7 @@
 		},
 		peers:   make(map[anvilglade.BalancerID]*connection),
 		dialing: make(map[netip.AddrPort]struct{}),
+		missing: make(map[anvilglade.BalancerID]time.Time),
 	}
 	server := options.ServerTLS.Clone()
 	server.NextProtos = []string{alpn}
@@ -183,8 +194,9 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-dial.C:
+		case now := <-dial.C:
 			m.dialMissing()
+			m.claimMissing(now)
 		case <-digest.C:
 			m.sendDigest()
 		}
@@ -223,6 +235,31 @@
 	}
 }
 
+// claimMissing claims peers that should have a connection and have had none for
+// missingLimit. In a small fleet those are all peers, whoever dials.
+func (m *Mesh) claimMissing(now time.Time) {
+	expected := m.options.Peers()
+	if len(expected) >= fullMeshSize {
+		expected = m.choosePeers(expected)
+	}
+	seen := make(map[anvilglade.BalancerID]time.Time, len(expected))
+	for _, peer := range expected {
+		if m.connected(peer.Balancer) {
+			continue
+		}
+		since, ok := m.missing[peer.Balancer]
+		if !ok {
+			since = now
+		}
+		if now.Sub(since) > missingLimit {
+			m.options.Lost(peer.Balancer)
+			since = now.Add(claimPause)
+		}
+		seen[peer.Balancer] = since
+	}
+	m.missing = seen
+}
+
 // choosePeers returns the peers that this balancer dials: all of them in a
 // small fleet, otherwise those with the highest rendezvous scores.
 func (m *Mesh) choosePeers(peers []Peer) []Peer {
--- a/internal/state/agreplica/mesh_test.go
+++ b/internal/state/agreplica/mesh_test.go
@@ -149,4 +149,14 @@
 			stop()
 		}
 	})
+
+	// Guards against a balancer that ended together with all its peers and counts
+	// as living for ever, so that every --wait fails.
+	It("reports a peer that nobody has ever reached", func() {
+		fleet := newTestFleet()
+		fleet.peers["a-gone"] = netip.MustParseAddrPort("127.0.0.1:9")
+		_, _, stop := fleet.start("b1")
+		DeferCleanup(stop)
+		Eventually(func() int { return fleet.lostCount("a-gone") }, patience).Should(Equal(1))
+	})
 })
