Drop an unused hop limit and tell joins from changes of a host

Cause: the read-through found two hop limits, of which agheader.MaxHops was used nowhere, and every change of a host's record on the time line as HostJoined. Change: agflow.MaxHops is the only limit; HostJoined stands for a new incarnation, other changes are HostStateChanged.

--- a/internal/membership/agmember/claims.go
+++ b/internal/membership/agmember/claims.go
@@ -72,10 +72,7 @@
 		m.heard[host] = now
 		return false
 	}
-	if now.Sub(last) <= limit<<min(m.refuted[host], maxDoublings) {
-		return false
-	}
-	return true
+	return now.Sub(last) > limit<<min(m.refuted[host], maxDoublings)
 }
 
 // suspect probes a silent host and claims it after the last probe.
--- a/internal/membership/agmember/monitor.go
+++ b/internal/membership/agmember/monitor.go
@@ -294,7 +294,7 @@
 	}
 	if !exists || hostVersion(&known) < heartbeat.RecordVersion {
 		ack.SendRecord = heartbeat.Record == nil
-		return m.publishHost(heartbeat.Record)
+		return m.publishHost(heartbeat.Record, known.Incarnation)
 	}
 	switch known.State {
 	case anvilglade.HostSuspect:
@@ -306,7 +306,9 @@
 	return nil
 }
 
-func (m *Monitor) publishHost(host *anvilglade.HostRecord) error {
+// publishHost publishes the record of an agent. Known is the incarnation that was
+// known before, 0 for a new host.
+func (m *Monitor) publishHost(host *anvilglade.HostRecord, known anvilglade.Incarnation) error {
 	if host == nil {
 		return nil
 	}
@@ -317,8 +319,12 @@
 		return err
 	}
 	if m.options.Replica.Put(record) {
+		event := agevent.HostStateChanged
+		if host.Incarnation != known {
+			event = agevent.HostJoined
+		}
 		m.options.Events.Record(anvilglade.Event{
-			Type: agevent.HostJoined, Host: host.Host, DataCentre: host.DataCentre, Detail: string(host.State),
+			Type: event, Host: host.Host, DataCentre: host.DataCentre, Detail: string(host.State),
 		})
 	}
 	return nil
--- a/internal/packet/agheader/header.go
+++ b/internal/packet/agheader/header.go
@@ -72,12 +72,6 @@
 	return kindNames[k]
 }
 
-// MaxHops is the number of times that a datagram may be forwarded before it
-// is dropped. It bounds loops between agents with different views. A lookup of
-// a new flow passes up to MaxCandidates hosts, the arbiter and the hosts that
-// refuse the flow.
-const MaxHops = anvilglade.MaxCandidates + 8
-
 // maxListed is the largest candidate list: the candidates and the arbiter.
 const maxListed = anvilglade.MaxCandidates + 1
 
