--- a/errors.go
+++ b/errors.go
@@ -14,6 +14,9 @@
 	ErrNoChange = errors.New("no change before the watch ended")
 	// ErrOverloaded means that the platform refused the call by rate limit.
 	ErrOverloaded = errors.New("platform refused the call by its rate limit")
+	// ErrHistoryGone means that the platform no longer knows what has changed
+	// since a revision.
+	ErrHistoryGone = errors.New("history of changes is gone")
 	// ErrNotRun means that a request was refused before any byte of it was
 	// sent to a backend server.
 	ErrNotRun = errors.New("request was not run")
--- /dev/null
+++ b/internal/admission/agopen/gate.go
@@ -0,0 +1,191 @@
+// Package agopen decides at an agent whether its host takes a new packet flow.
+//
+// The agent runs on the VM of its host, so what it decides holds for every
+// balancer, also for one whose knowledge is old. The host's own heartbeats say
+// whether it is ready, draining or cold; the evacuated data centres come from
+// balancers. An agent that does not know its host's state, because it has just
+// started or because heartbeats have stopped, takes nothing. A cold host gets
+// new flows at the rate that its service names, metered over a sliding second.
+//
+// # Usage
+//
+//	gate := agopen.NewGate(options)
+//	verdict := gate.Heartbeat(heartbeat, now)
+//	if refusal := gate.Open(now); refusal != agopen.RefusalNone {
+//		// pass the packet on
+//	}
+package agopen
+
+import (
+	"time"
+
+	"github.com/anvilglade/anvilglade"
+)
+
+// Refusal is the reason for which a new flow is not taken.
+type Refusal string
+
+// Reasons of a refusal.
+const (
+	RefusalNone        Refusal = ""
+	RefusalNoHeartbeat Refusal = "NoHeartbeat"
+	RefusalDraining    Refusal = "Draining"
+	RefusalGone        Refusal = "Gone"
+	RefusalEvacuated   Refusal = "Evacuated"
+	RefusalCold        Refusal = "Cold"
+	RefusalStale       Refusal = "StaleState"
+)
+
+// Heard is what became of a heartbeat.
+type Heard string
+
+// Results of a heartbeat. An old one is from an earlier boot of the host or was
+// overtaken by a later one; a foreign one is of another host.
+const (
+	HeardNew     Heard = "New"
+	HeardOld     Heard = "Old"
+	HeardForeign Heard = "Foreign"
+)
+
+const (
+	// silentHeartbeats is the number of missing heartbeats after which the
+	// host's state is not known any more.
+	silentHeartbeats = 3
+	// coldWindow is the span over which new flows of a cold host are counted.
+	coldWindow = time.Second
+	// coldMargin is kept below the bound for flows that arrive late in one
+	// window and early in the next.
+	coldMargin = 1.0
+	// coldTail is how long a host is still treated as cold after it says that
+	// it is not, as its heartbeat and the meter are not exact.
+	coldTail = 200 * time.Millisecond
+	// staleAfter is the age of the newest status of a balancer from which on
+	// the agent no longer knows whether its data centre is evacuated.
+	staleAfter = 3 * time.Second
+)
+
+// Options are the settings of a Gate.
+type Options struct {
+	Service           anvilglade.ServiceID
+	Address           anvilglade.Endpoint
+	DataCentre        anvilglade.DataCentreID
+	HeartbeatInterval time.Duration
+	// ColdSlack is the number of flows a second that a cold host may get
+	// beyond its rate.
+	ColdSlack float64
+}
+
+// Gate is the state of one host as far as new flows are concerned. It is not
+// safe for concurrent use.
+type Gate struct {
+	options   Options
+	heartbeat anvilglade.HostHeartbeat
+	heard     time.Time
+	known     bool
+	gone      bool
+	coldUntil time.Time
+	coldRate  float64
+	opened    []time.Time
+	evacuated bool
+	informed  time.Time
+}
+
+// NewGate returns a Gate that knows nothing of its host yet.
+func NewGate(options Options) *Gate {
+	return &Gate{options: options}
+}
+
+// Heartbeat takes a heartbeat. One of an earlier boot, or with a sequence
+// number that is not higher, changes nothing.
+func (g *Gate) Heartbeat(heartbeat anvilglade.HostHeartbeat, now time.Time) Heard {
+	if heartbeat.Service != g.options.Service || heartbeat.Address != g.options.Address {
+		return HeardForeign
+	}
+	if g.known && g.isOld(&heartbeat) {
+		return HeardOld
+	}
+	if g.known && heartbeat.Born.After(g.heartbeat.Born) {
+		g.coldUntil = time.Time{}
+	}
+	if heartbeat.ColdLeft > 0 {
+		g.coldUntil = now.Add(heartbeat.ColdLeft + coldTail)
+	}
+	g.heartbeat, g.heard, g.known, g.gone = heartbeat, now, true, false
+	return HeardNew
+}
+
+func (g *Gate) isOld(heartbeat *anvilglade.HostHeartbeat) bool {
+	if !heartbeat.Born.Equal(g.heartbeat.Born) {
+		return heartbeat.Born.Before(g.heartbeat.Born)
+	}
+	return heartbeat.Sequence <= g.heartbeat.Sequence
+}
+
+// Leave takes the message that the host ends, and reports whether it is about
+// the present host.
+func (g *Gate) Leave(host anvilglade.HostID) bool {
+	if !g.known || host != g.heartbeat.Host {
+		return false
+	}
+	g.gone = true
+	return true
+}
+
+// HostDown takes the finding that the host does not run. Its next heartbeat
+// puts it back.
+func (g *Gate) HostDown() {
+	g.gone = true
+}
+
+// Inform takes what balancers say of the evacuations and of the service.
+func (g *Gate) Inform(evacuated bool, coldRate float64, now time.Time) {
+	g.evacuated, g.coldRate, g.informed = evacuated, coldRate, now
+}
+
+// Host returns the newest heartbeat, or false before the first one.
+func (g *Gate) Host() (*anvilglade.HostHeartbeat, bool) {
+	return &g.heartbeat, g.known
+}
+
+// Cold reports whether the host is cold.
+func (g *Gate) Cold(now time.Time) bool {
+	return now.Before(g.coldUntil)
+}
+
+// Standing returns the reason for which the host takes no new flows at all,
+// without the limit of a cold host.
+func (g *Gate) Standing(now time.Time) Refusal {
+	switch {
+	case !g.known:
+		return RefusalNoHeartbeat
+	case g.gone:
+		return RefusalGone
+	case g.heartbeat.Draining:
+		return RefusalDraining
+	case now.Sub(g.heard) > silentHeartbeats*g.options.HeartbeatInterval:
+		return RefusalNoHeartbeat
+	case g.evacuated:
+		return RefusalEvacuated
+	case g.informed.IsZero() || now.Sub(g.informed) > staleAfter:
+		return RefusalStale
+	}
+	return RefusalNone
+}
+
+// Open asks for one new flow and counts it if it is allowed.
+func (g *Gate) Open(now time.Time) Refusal {
+	if refusal := g.Standing(now); refusal != RefusalNone {
+		return refusal
+	}
+	if !g.Cold(now) {
+		return RefusalNone
+	}
+	for len(g.opened) > 0 && now.Sub(g.opened[0]) > coldWindow {
+		g.opened = g.opened[1:]
+	}
+	if float64(len(g.opened)+1) > g.coldRate+g.options.ColdSlack-coldMargin {
+		return RefusalCold
+	}
+	g.opened = append(g.opened, now)
+	return RefusalNone
+}
--- /dev/null
+++ b/internal/operate/agcommand/packet_agent.go
@@ -0,0 +1,48 @@
+package agcommand
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/anvilglade/anvilglade/internal/operate/agpacketagent"
+	agplatform "github.com/anvilglade/anvilglade/platform"
+)
+
+// packetAgentVerb runs the agent of packet services on the users' platform.
+type packetAgentVerb struct {
+	packetVerb
+}
+
+func newPacketAgentVerb() Verb {
+	return &packetAgentVerb{packetVerb{name: "packet-agent"}}
+}
+
+// Bind adds the settings of the process.
+func (v *packetAgentVerb) Bind(subcommand *flaggy.Subcommand) {
+	v.bind(subcommand)
+}
+
+// Run starts the agent and waits for signals.
+func (v *packetAgentVerb) Run(ctx context.Context) int {
+	settings, store, stop, err := v.open()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "anvilglade packet-agent:", err)
+		return ExitUsage
+	}
+	defer stop()
+	process, closeProcess, err := agpacketagent.NewProcess(ctx, settings, agpacketagent.Parts{
+		Codec:            agplatform.Codec{},
+		Store:            store,
+		HeartbeatHandler: agplatform.NewHeartbeatHandler,
+		ReadyHandler:     agplatform.NewReadyHandler,
+		Reload:           v.reload,
+	})
+	if err != nil {
+		return v.failed(err)
+	}
+	defer closeProcess()
+	return v.outcome(process.Run(ctx, v.signals()))
+}
--- a/internal/operate/agcommand/table.go
+++ b/internal/operate/agcommand/table.go
@@ -37,6 +37,8 @@
 		Example: "anvilglade agent --host dk1-h01 --data-centre dk1 --agent-address 127.0.0.1:7300 --control-address 127.0.0.1:7301 --admin-address 127.0.0.1:7302 --backends alerts=127.0.0.1:9001 --balancers 127.0.0.1:7200 --join-secret $SECRET",
 	},
 	{Name: "balancer", Summary: "run a balancer", Example: "anvilglade balancer --id b1 --data-centre dk1 --datagram-address 10.0.0.1:7800 --platform http://10.0.0.9:7000 --join-secret $SECRET", Create: newBalancerVerb},
+	{Name: "packet-balancer", Summary: "run a balancer of packet services on the platform", Example: "ANVILGLADE_CONFIG=node.toml anvilglade packet-balancer", Create: newPacketBalancerVerb},
+	{Name: "packet-agent", Summary: "run the agent of packet services beside a backend server", Example: "ANVILGLADE_CONFIG=node.toml anvilglade packet-agent", Create: newPacketAgentVerb},
 	{Name: "routes", Summary: "edit which traffic belongs to which service", Example: "anvilglade routes set 127.100.0.1:7001 UDP alerts", Create: newRoutesVerb},
 	{Name: "pools", Summary: "edit which hosts serve a service, and their limits", Example: "anvilglade pools set alerts --hosts 'dk?-a*' --slots 4 --connections 2000", Create: newPoolsVerb},
 	{Name: "datacentres", Summary: "edit data centres; take them out and bring them back", Example: "anvilglade datacentres out dk1 --wait --admin 10.0.0.1:7900", Create: newDataCentresVerb},
--- /dev/null
+++ b/internal/operate/agpacketagent/packets.go
@@ -0,0 +1,145 @@
+package agpacketagent
+
+// Tasks that carry packets between balancers, the host and callers.
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"time"
+
+	"github.com/anvilglade/anvilglade"
+	"github.com/anvilglade/anvilglade/internal/flow/agholder"
+	"github.com/anvilglade/anvilglade/internal/packet/agmessage"
+	"github.com/anvilglade/anvilglade/internal/packet/agsocket"
+)
+
+const (
+	// maxDatagram is the largest datagram that is read, in bytes.
+	maxDatagram = 4096
+	// batchSize is the number of datagrams read at once. Buffers count towards
+	// the memory of the process.
+	batchSize = 32
+)
+
+// endRead turns the end of a read into the end of its task.
+func endRead(ctx context.Context, err error) error {
+	if ctx.Err() != nil || errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
+		return ctx.Err()
+	}
+	return fmt.Errorf("read datagrams: %w", err)
+}
+
+// readPackets takes packets that balancers and agents forward, and statuses of
+// balancers.
+func (p *Process) readPackets(ctx context.Context) error {
+	reader := p.packets.NewReader(batchSize, maxDatagram)
+	out := writers{packets: p.packets.NewWriter(batchSize), host: p.outbound.NewWriter(batchSize)}
+	var verdict agholder.Verdict
+	var forward agmessage.Forward
+	for {
+		batch, err := reader.Read()
+		if err != nil {
+			return endRead(ctx, err)
+		}
+		now := time.Now()
+		p.mu.Lock()
+		for i := range batch {
+			switch agmessage.KindOf(batch[i].Data) {
+			case agmessage.KindForward:
+				p.forwarded(&out, batch[i].Data, &forward, now, &verdict)
+			case agmessage.KindBalancerStatus:
+				p.hearBalancer(batch[i].Data, now)
+			}
+		}
+		p.mu.Unlock()
+		out.flush()
+	}
+}
+
+// writers are the sockets of one task: packets for balancers, agents and
+// callers, and packets for the host.
+type writers struct {
+	packets *agsocket.Writer
+	host    *agsocket.Writer
+}
+
+func (w *writers) flush() {
+	w.packets.Flush()
+	w.host.Flush()
+}
+
+func (p *Process) forwarded(out *writers, datagram []byte, forward *agmessage.Forward, now time.Time, verdict *agholder.Verdict) {
+	raw, err := agmessage.ParseForward(datagram, forward)
+	if err != nil {
+		return
+	}
+	var packet anvilglade.Packet
+	if err := p.parts.Codec.Parse(raw, &packet); err != nil {
+		return
+	}
+	refusal := ""
+	if packet.Opens() && forward.Service == p.settings.Service.Number() && !p.holder.Holds(packet.FromCaller()) {
+		refusal = string(p.gate.Open(now))
+	}
+	p.holder.FromBalancer(forward, &packet, refusal, now, verdict)
+	p.carryOut(out, raw, &packet, verdict)
+}
+
+// readOutbound takes the packets that the host sends and returns.
+func (p *Process) readOutbound(ctx context.Context) error {
+	reader := p.outbound.NewReader(batchSize, maxDatagram)
+	out := writers{packets: p.packets.NewWriter(batchSize), host: p.outbound.NewWriter(batchSize)}
+	var verdict agholder.Verdict
+	var packet anvilglade.Packet
+	for {
+		batch, err := reader.Read()
+		if err != nil {
+			return endRead(ctx, err)
+		}
+		now := time.Now()
+		p.mu.Lock()
+		for i := range batch {
+			if err := p.parts.Codec.Parse(batch[i].Data, &packet); err != nil {
+				continue
+			}
+			p.holder.FromHost(&packet, now, &verdict)
+			p.carryOut(&out, batch[i].Data, &packet, &verdict)
+		}
+		p.mu.Unlock()
+		out.flush()
+	}
+}
+
+// carryOut sends what a verdict asks for.
+func (p *Process) carryOut(out *writers, raw []byte, packet *anvilglade.Packet, verdict *agholder.Verdict) {
+	switch verdict.Action {
+	case agholder.ActionDeliver:
+		p.parts.Codec.SetTag(raw, verdict.Tag)
+		out.host.Add(append(out.host.Buffer(), raw...), p.settings.HostAddr.AddrPort())
+	case agholder.ActionCaller:
+		out.packets.Add(append(out.packets.Buffer(), raw...), p.packetEndpoint(packet.Destination.IP).AddrPort())
+	case agholder.ActionPass:
+		p.parts.Codec.ClearMarks(raw)
+		out.packets.Add(agmessage.AppendForward(out.packets.Buffer(), &verdict.Forward, raw), p.packetEndpoint(verdict.To).AddrPort())
+	case agholder.ActionReturn:
+		p.parts.Codec.ClearMarks(raw)
+		out.packets.Add(agmessage.AppendPacket(out.packets.Buffer(), agmessage.KindReturned, raw), p.innerEndpoint(verdict.To).AddrPort())
+	case agholder.ActionExhausted:
+		p.parts.Codec.ClearMarks(raw)
+		out.packets.Add(agmessage.AppendPacket(out.packets.Buffer(), agmessage.KindExhausted, raw), p.innerEndpoint(verdict.To).AddrPort())
+	case agholder.ActionReset:
+		p.reset(out.packets, verdict.Flow, packet.Acknowledged)
+	}
+	if verdict.OwnerTo != (anvilglade.IPv4{}) {
+		out.packets.Add(agmessage.AppendOwner(out.packets.Buffer(), &verdict.Owner), p.innerEndpoint(verdict.OwnerTo).AddrPort())
+	}
+}
+
+func (p *Process) reset(writer *agsocket.Writer, flow anvilglade.Flow, acknowledged uint32) {
+	buffer := p.parts.Codec.AppendReset(writer.Buffer(), flow, acknowledged)
+	writer.Add(buffer, p.packetEndpoint(flow.Caller.IP).AddrPort())
+	p.log.WithField("Flow", flow.String()).Debug("Flow is reset because its host has lost it.")
+}
--- /dev/null
+++ b/internal/operate/agpacketagent/process.go
@@ -0,0 +1,200 @@
+// Package agpacketagent runs the agent of packet services beside a host.
+//
+// It joins the parts: agopen decides on new flows from the host's heartbeats
+// and from what balancers say, agholder decides what becomes of each packet.
+// The process keeps nothing that a flow depends on: the host holds its flows,
+// and its packets go from here to the caller without a balancer.
+//
+// Tasks share the gate and the holder under one mutex, which each holds for one
+// batch of datagrams at most.
+//
+// # Usage
+//
+//	process, stop, err := agpacketagent.NewProcess(ctx, settings, parts)
+//	if err != nil {
+//		return err
+//	}
+//	defer stop()
+//	return process.Run(ctx, signals)
+package agpacketagent
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/anvilglade/anvilglade"
+	"github.com/anvilglade/anvilglade/internal/admission/agopen"
+	"github.com/anvilglade/anvilglade/internal/flow/agholder"
+	"github.com/anvilglade/anvilglade/internal/observe/aglog"
+	"github.com/anvilglade/anvilglade/internal/operate/agtask"
+	"github.com/anvilglade/anvilglade/internal/packet/agsocket"
+)
+
+const (
+	// leaveTime is how long a stopping agent still carries packets, so that
+	// balancers place no flow on it at the moment it ends.
+	leaveTime = 150 * time.Millisecond
+	// expireInterval is the time between two searches for idle flows.
+	expireInterval = time.Second
+)
+
+// Parts are what a process gets from outside.
+type Parts struct {
+	Codec anvilglade.PacketCodec
+	Store anvilglade.Store
+	// HeartbeatHandler makes the handler of the host's heartbeats.
+	HeartbeatHandler func(anvilglade.HeartbeatListener) http.Handler
+	// ReadyHandler makes the handler of the readiness check.
+	ReadyHandler func(ready func() bool) http.Handler
+	// Reload reads the settings again.
+	Reload func() (anvilglade.PlatformSettings, error)
+}
+
+// Process is an agent of packet services.
+type Process struct {
+	settings    anvilglade.PlatformSettings
+	parts       Parts
+	log         *aglog.Logger
+	incarnation anvilglade.Incarnation
+	leaving     atomic.Bool
+	packets     *agsocket.Socket
+	outbound    *agsocket.Socket
+	// wake asks for a status out of turn.
+	wake chan struct{}
+
+	mu          sync.Mutex
+	gate        *agopen.Gate
+	holder      *agholder.Holder
+	sequence    anvilglade.Sequence
+	standing    agopen.Refusal
+	evacuations anvilglade.Evacuations
+	balancers   map[anvilglade.IPv4]*knownBalancer
+}
+
+// knownBalancer is a balancer that gets this agent's status.
+type knownBalancer struct {
+	heard time.Time
+	seed  bool
+}
+
+// NewProcess opens the sockets. The returned function closes them.
+func NewProcess(ctx context.Context, settings anvilglade.PlatformSettings, parts Parts) (*Process, func(), error) {
+	packets, closePackets, err := agsocket.Listen(ctx, anvilglade.Endpoint{IP: settings.IP, Port: settings.PacketPort}.AddrPort())
+	if err != nil {
+		return nil, nil, err
+	}
+	outbound, closeOutbound, err := agsocket.Listen(ctx, settings.OutboundAddr.AddrPort())
+	if err != nil {
+		closePackets()
+		return nil, nil, err
+	}
+	p := &Process{
+		settings:    settings,
+		parts:       parts,
+		log:         aglog.New("packet-agent"),
+		incarnation: anvilglade.Incarnation(time.Now().UnixNano()),
+		packets:     packets,
+		outbound:    outbound,
+		wake:        make(chan struct{}, 1),
+		gate: agopen.NewGate(agopen.Options{
+			Service:           settings.Service,
+			Address:           settings.HostAddr,
+			DataCentre:        settings.DataCentre,
+			HeartbeatInterval: settings.HeartbeatInterval,
+			ColdSlack:         settings.ColdSlack,
+		}),
+		holder:    agholder.NewHolder(agholder.Options{Service: settings.Service.Number(), IdleTimeout: settings.MaxFlowAge}),
+		standing:  agopen.RefusalNoHeartbeat,
+		balancers: make(map[anvilglade.IPv4]*knownBalancer),
+	}
+	p.learnSeeds(settings.Seeds)
+	return p, func() { closePackets(); closeOutbound() }, nil
+}
+
+// Run works until a signal to stop arrives or the context ends.
+func (p *Process) Run(ctx context.Context, signals <-chan os.Signal) error {
+	group, stop, err := agtask.NewGroup(ctx)
+	if err != nil {
+		return err
+	}
+	defer stop()
+	tasks := []struct {
+		name string
+		run  func(context.Context) error
+	}{
+		{"packets", p.readPackets},
+		{"outbound", p.readOutbound},
+		{"heartbeats", func(ctx context.Context) error {
+			return agtask.ServeHTTP(ctx, p.settings.ControlAddr, p.parts.HeartbeatHandler(p))
+		}},
+		{"ready", func(ctx context.Context) error {
+			return agtask.ServeHTTP(ctx, p.settings.ReadyAddr, p.parts.ReadyHandler(func() bool { return !p.leaving.Load() }))
+		}},
+		{"status", p.sendStatus},
+		{"watch", p.watchHost},
+		{"discover", p.discover},
+		{"expire", p.expire},
+		{"reload", p.reload},
+	}
+	for _, task := range tasks {
+		if err := group.Start(task.name, task.run); err != nil {
+			return err
+		}
+	}
+	p.log.WithField("Node", p.settings.Node).WithField("Address", p.settings.IP).WithField("Service", p.settings.Service).Info("Agent has started.")
+	select {
+	case signal := <-signals:
+		p.log.WithField("Signal", signal.String()).Info("Agent stops.")
+		p.leaving.Store(true)
+		p.broadcast()
+		// The end of the wait and of the context both lead to the end.
+		_ = agtask.Sleep(group.Context(), leaveTime)
+	case <-group.Context().Done():
+	}
+	group.Stop()
+	p.packets.Interrupt()
+	p.outbound.Interrupt()
+	err = group.Wait()
+	p.log.Info("Agent has stopped.")
+	return err
+}
+
+func (p *Process) expire(ctx context.Context) error {
+	for {
+		if err := agtask.Sleep(ctx, expireInterval); err != nil {
+			return err
+		}
+		p.mu.Lock()
+		p.holder.Expire(time.Now())
+		p.mu.Unlock()
+	}
+}
+
+// reload takes changes of the seeds from the settings file.
+func (p *Process) reload(ctx context.Context) error {
+	for {
+		if err := agtask.Sleep(ctx, reloadInterval); err != nil {
+			return err
+		}
+		settings, err := p.parts.Reload()
+		if err != nil {
+			p.log.WithError(err).Warn("Settings cannot be read; the last ones stay in effect.")
+			continue
+		}
+		p.mu.Lock()
+		p.learnSeeds(settings.Seeds)
+		p.mu.Unlock()
+	}
+}
+
+func (p *Process) innerEndpoint(ip anvilglade.IPv4) anvilglade.Endpoint {
+	return anvilglade.Endpoint{IP: ip, Port: p.settings.InnerPort}
+}
+
+func (p *Process) packetEndpoint(ip anvilglade.IPv4) anvilglade.Endpoint {
+	return anvilglade.Endpoint{IP: ip, Port: p.settings.PacketPort}
+}
--- /dev/null
+++ b/internal/operate/agpacketagent/status.go
@@ -0,0 +1,201 @@
+package agpacketagent
+
+// What the agent and the balancers tell each other.
+
+import (
+	"context"
+	"time"
+
+	"github.com/anvilglade/anvilglade"
+	"github.com/anvilglade/anvilglade/internal/admission/agopen"
+	"github.com/anvilglade/anvilglade/internal/operate/agtask"
+	"github.com/anvilglade/anvilglade/internal/packet/agmessage"
+)
+
+const (
+	// statusInterval is the time between two statuses to each balancer.
+	statusInterval = 500 * time.Millisecond
+	// startInterval replaces it until a balancer has answered.
+	startInterval = 100 * time.Millisecond
+	// forgetAfter is the silence after which a balancer gets no more statuses,
+	// unless it is a seed.
+	forgetAfter = 30 * time.Second
+	// reloadInterval is the time between two looks at the settings file.
+	reloadInterval = 2 * time.Second
+	// discoverAfter is the time without a balancer after which the store is
+	// asked for them.
+	discoverAfter = 2 * time.Second
+	// balancerKind is the kind of the store's objects that name balancers.
+	balancerKind = "anvilglade-balancers"
+	// maxListed bounds the balancers that a status names.
+	maxListed = 250
+)
+
+func (p *Process) learnSeeds(seeds []anvilglade.IPv4) {
+	for _, seed := range seeds {
+		p.learnBalancer(seed).seed = true
+	}
+}
+
+func (p *Process) learnBalancer(address anvilglade.IPv4) *knownBalancer {
+	balancer, ok := p.balancers[address]
+	if !ok {
+		balancer = &knownBalancer{}
+		p.balancers[address] = balancer
+	}
+	return balancer
+}
+
+// hearBalancer takes the status of a balancer. The caller holds the mutex.
+func (p *Process) hearBalancer(datagram []byte, now time.Time) {
+	status, err := agmessage.ParseBalancerStatus(datagram)
+	if err != nil {
+		return
+	}
+	for _, address := range status.Balancers {
+		if _, known := p.balancers[address]; !known {
+			p.learnBalancer(address).heard = now
+			p.wakeStatus()
+		}
+	}
+	if status.Leaving {
+		delete(p.balancers, status.Balancer)
+		return
+	}
+	p.learnBalancer(status.Balancer).heard = now
+	if status.Evacuations.Revision > p.evacuations.Revision {
+		p.evacuations = status.Evacuations
+	}
+	if status.Desired == 0 || p.evacuations.Revision == 0 {
+		return
+	}
+	rate := 0.0
+	for _, service := range status.ColdRates {
+		if service.Service == p.settings.Service {
+			rate = service.ColdRate
+		}
+	}
+	p.gate.Inform(p.evacuations.Has(p.settings.DataCentre), rate, now)
+	if p.noteStanding(now) {
+		p.wakeStatus()
+	}
+}
+
+func (p *Process) wakeStatus() {
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+}
+
+// sendStatus tells balancers of the host, in turn and when it changes.
+func (p *Process) sendStatus(ctx context.Context) error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-p.wake:
+		case <-timer.C:
+		}
+		p.broadcast()
+		interval := statusInterval
+		if !p.heardAny(time.Now()) {
+			interval = startInterval
+		}
+		timer.Reset(interval)
+	}
+}
+
+func (p *Process) heardAny(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, balancer := range p.balancers {
+		if !balancer.heard.IsZero() && now.Sub(balancer.heard) < discoverAfter {
+			return true
+		}
+	}
+	return false
+}
+
+// broadcast sends the status to all balancers that are known.
+func (p *Process) broadcast() {
+	now := time.Now()
+	p.mu.Lock()
+	status := p.status(now)
+	addresses := make([]anvilglade.IPv4, 0, len(p.balancers))
+	for address, balancer := range p.balancers {
+		if !balancer.seed && now.Sub(balancer.heard) > forgetAfter {
+			delete(p.balancers, address)
+			continue
+		}
+		addresses = append(addresses, address)
+	}
+	p.mu.Unlock()
+	datagram, err := agmessage.AppendAgentStatus(nil, &status)
+	if err != nil {
+		p.log.WithError(err).Warn("Status cannot be encoded.")
+		return
+	}
+	for _, address := range addresses {
+		// A balancer that cannot be reached gets the next status.
+		_ = p.packets.WriteTo(datagram, p.innerEndpoint(address).AddrPort())
+	}
+}
+
+// status returns the status of this agent. The caller holds the mutex.
+func (p *Process) status(now time.Time) anvilglade.AgentStatus {
+	p.sequence++
+	flows, working, latency := p.holder.Load()
+	status := anvilglade.AgentStatus{
+		Agent:       p.settings.IP,
+		Incarnation: p.incarnation,
+		Sequence:    p.sequence,
+		Service:     p.settings.Service,
+		DataCentre:  p.settings.DataCentre,
+		Region:      p.settings.Region,
+		Accepts:     p.gate.Standing(now) == agopen.RefusalNone && !p.leaving.Load(),
+		Cold:        p.gate.Cold(now),
+		Flows:       flows,
+		Working:     working,
+		Latency:     latency,
+	}
+	if host, known := p.gate.Host(); known {
+		status.Host, status.Born, status.Slots = host.Host, host.Born.UnixMilli(), host.Slots
+	}
+	for address, balancer := range p.balancers {
+		if !balancer.heard.IsZero() && now.Sub(balancer.heard) < discoverAfter && len(status.Balancers) < maxListed {
+			status.Balancers = append(status.Balancers, address)
+		}
+	}
+	return status
+}
+
+// discover reads the balancers from the store while none answers.
+func (p *Process) discover(ctx context.Context) error {
+	for {
+		if err := agtask.Sleep(ctx, discoverAfter); err != nil {
+			return err
+		}
+		if p.heardAny(time.Now()) {
+			continue
+		}
+		objects, err := p.parts.Store.List(ctx, balancerKind)
+		if err != nil {
+			p.log.WithError(err).Warn("No balancer answers and the store does not list them.")
+			continue
+		}
+		p.mu.Lock()
+		for _, object := range objects {
+			ip, err := anvilglade.ParseIPv4(object.Name)
+			if err != nil {
+				p.log.WithError(err).Warn("Object that names a balancer cannot be read.")
+				continue
+			}
+			p.learnBalancer(ip).heard = time.Now()
+		}
+		p.mu.Unlock()
+		p.wakeStatus()
+	}
+}
--- /dev/null
+++ b/internal/operate/agpacketbalancer/packets.go
@@ -0,0 +1,152 @@
+package agpacketbalancer
+
+// Tasks that read datagrams: packets of callers, and messages of agents and of
+// other balancers.
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"time"
+
+	"github.com/anvilglade/anvilglade"
+	"github.com/anvilglade/anvilglade/internal/packet/agmessage"
+	"github.com/anvilglade/anvilglade/internal/packet/agsocket"
+	"github.com/anvilglade/anvilglade/internal/routing/agdispatch"
+)
+
+const (
+	// maxDatagram is the largest datagram that is read, in bytes.
+	maxDatagram = 8192
+	// batchSize is the number of datagrams read at once. Buffers count towards
+	// the memory of the process.
+	batchSize = 32
+)
+
+// endRead turns the end of a read into the end of its task.
+func endRead(ctx context.Context, err error) error {
+	if ctx.Err() != nil || errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
+		return ctx.Err()
+	}
+	return fmt.Errorf("read datagrams: %w", err)
+}
+
+// readPackets dispatches packets of callers.
+func (p *Process) readPackets(ctx context.Context) error {
+	reader, writer := p.packets.NewReader(batchSize, maxDatagram), p.packets.NewWriter(batchSize)
+	var packet anvilglade.Packet
+	var verdict agdispatch.Verdict
+	for {
+		batch, err := reader.Read()
+		if err != nil {
+			return endRead(ctx, err)
+		}
+		now := time.Now()
+		p.mu.Lock()
+		for i := range batch {
+			if err := p.parts.Codec.Parse(batch[i].Data, &packet); err != nil {
+				continue
+			}
+			p.dispatcher.FromCaller(&packet, now, &verdict)
+			p.carryOut(writer, batch[i].Data, &packet, &verdict)
+		}
+		p.mu.Unlock()
+		writer.Flush()
+	}
+}
+
+// carryOut sends what a verdict asks for.
+func (p *Process) carryOut(writer *agsocket.Writer, data []byte, packet *anvilglade.Packet, verdict *agdispatch.Verdict) {
+	switch verdict.Action {
+	case agdispatch.ActionForward:
+		forward := agmessage.Forward{Service: verdict.Service, Origin: p.settings.IP, Held: verdict.Held, Candidates: verdict.Candidates}
+		for _, agent := range verdict.To {
+			if !verdict.Held && verdict.Service == 0 {
+				// The flow may belong to any service of its route.
+				forward.Service = p.serviceNumber(agent)
+			}
+			buffer := agmessage.AppendForward(writer.Buffer(), &forward, data)
+			writer.Add(buffer, p.endpointOf(agent, p.settings.PacketPort).AddrPort())
+		}
+	case agdispatch.ActionReset:
+		flow := packet.FromCaller()
+		buffer := p.parts.Codec.AppendReset(writer.Buffer(), flow, packet.Acknowledged)
+		writer.Add(buffer, p.endpointOf(flow.Caller.IP, p.settings.PacketPort).AddrPort())
+	}
+}
+
+func (p *Process) serviceNumber(agent anvilglade.IPv4) anvilglade.ServiceNumber {
+	if host, ok := p.fleet.Host(agent); ok {
+		return host.Number
+	}
+	return 0
+}
+
+// readInner takes messages of agents and balancers.
+func (p *Process) readInner(ctx context.Context) error {
+	reader, writer := p.inner.NewReader(batchSize, maxDatagram), p.packets.NewWriter(batchSize)
+	for {
+		batch, err := reader.Read()
+		if err != nil {
+			return endRead(ctx, err)
+		}
+		now := time.Now()
+		p.mu.Lock()
+		for i := range batch {
+			from := batch[i].From.Addr()
+			if !from.Is4() {
+				continue
+			}
+			p.message(writer, batch[i].Data, from.As4(), now)
+		}
+		p.mu.Unlock()
+		writer.Flush()
+	}
+}
+
+// message takes one message. One that cannot be decoded is dropped: its sender
+// repeats its status, and a lost packet is sent again by its caller.
+func (p *Process) message(writer *agsocket.Writer, data []byte, from anvilglade.IPv4, now time.Time) {
+	switch agmessage.KindOf(data) {
+	case agmessage.KindOwner:
+		owner, err := agmessage.ParseOwner(data)
+		if err != nil {
+			return
+		}
+		p.dispatcher.Owner(from, owner.Flow, owner.Established, owner.Sequence, now)
+		p.fleet.HearLoad(from, int(owner.Flows), int(owner.Working))
+	case agmessage.KindReturned, agmessage.KindExhausted:
+		p.comeBack(writer, data, from, now)
+	case agmessage.KindAgentStatus:
+		status, err := agmessage.ParseAgentStatus(data)
+		if err != nil || status.Agent != from {
+			return
+		}
+		p.fleet.HearAgent(status, now)
+		p.answerAgent(writer, &status, now)
+	case agmessage.KindBalancerStatus:
+		status, err := agmessage.ParseBalancerStatus(data)
+		if err != nil || status.Balancer != from {
+			return
+		}
+		p.fleet.HearBalancer(status, now)
+	}
+}
+
+// comeBack decides again on a packet that no host took.
+func (p *Process) comeBack(writer *agsocket.Writer, data []byte, from anvilglade.IPv4, now time.Time) {
+	raw := agmessage.Packet(data)
+	var packet anvilglade.Packet
+	if err := p.parts.Codec.Parse(raw, &packet); err != nil {
+		return
+	}
+	var verdict agdispatch.Verdict
+	if agmessage.KindOf(data) == agmessage.KindReturned {
+		p.dispatcher.Returned(from, &packet, now, &verdict)
+	} else {
+		p.dispatcher.Exhausted(&packet, &verdict)
+	}
+	p.carryOut(writer, raw, &packet, &verdict)
+}
--- /dev/null
+++ b/internal/operate/agpacketbalancer/process.go
@@ -0,0 +1,205 @@
+// Package agpacketbalancer runs the balancer of packet services.
+//
+// It joins the parts: packets of callers go through agdispatch to agents, what
+// agents and other balancers say goes into agfleet, and the operators' desired
+// state comes from the platform's store or from a peer that has a newer one.
+// The process keeps nothing that a flow depends on.
+//
+// Tasks share the fleet and the dispatcher under one mutex, which each holds
+// for one batch of datagrams at most.
+//
+// # Usage
+//
+//	process, stop, err := agpacketbalancer.NewProcess(ctx, settings, parts)
+//	if err != nil {
+//		return err
+//	}
+//	defer stop()
+//	return process.Run(ctx, signals)
+package agpacketbalancer
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/anvilglade/anvilglade"
+	"github.com/anvilglade/anvilglade/internal/observe/aglog"
+	"github.com/anvilglade/anvilglade/internal/operate/agtask"
+	"github.com/anvilglade/anvilglade/internal/packet/agsocket"
+	"github.com/anvilglade/anvilglade/internal/routing/agdispatch"
+	"github.com/anvilglade/anvilglade/internal/state/agfleet"
+)
+
+const (
+	// leaveTime is how long a stopping balancer goes on forwarding: callers'
+	// packets come until it has missed two readiness checks, half a second
+	// apart.
+	leaveTime = 2 * time.Second
+	// expireInterval is the time between two searches for idle flows.
+	expireInterval = 2 * time.Second
+)
+
+// Parts are what a process gets from outside.
+type Parts struct {
+	Codec anvilglade.PacketCodec
+	Feed  anvilglade.PlatformFeed
+	Store anvilglade.Store
+	// ReadyHandler makes the handler of the readiness check.
+	ReadyHandler func(ready func() bool) http.Handler
+	// Reload reads the settings again.
+	Reload func() (anvilglade.PlatformSettings, error)
+}
+
+// Process is a balancer of packet services.
+type Process struct {
+	settings    anvilglade.PlatformSettings
+	parts       Parts
+	log         *aglog.Logger
+	started     time.Time
+	incarnation anvilglade.Incarnation
+	sequence    atomic.Uint64
+	leaving     atomic.Bool
+	packets     *agsocket.Socket
+	inner       *agsocket.Socket
+	http        *http.Client
+
+	mu         sync.Mutex
+	fleet      *agfleet.Fleet
+	dispatcher *agdispatch.Dispatcher
+}
+
+// NewProcess opens the sockets. The returned function closes them.
+func NewProcess(ctx context.Context, settings anvilglade.PlatformSettings, parts Parts) (*Process, func(), error) {
+	packets, closePackets, err := agsocket.Listen(ctx, anvilglade.Endpoint{IP: settings.IP, Port: settings.PacketPort}.AddrPort())
+	if err != nil {
+		return nil, nil, err
+	}
+	inner, closeInner, err := agsocket.Listen(ctx, anvilglade.Endpoint{IP: settings.IP, Port: settings.InnerPort}.AddrPort())
+	if err != nil {
+		closePackets()
+		return nil, nil, err
+	}
+	now := time.Now()
+	fleet := agfleet.NewFleet(agfleet.Options{Self: settings.IP, DataCentre: settings.DataCentre, Regions: settings.Regions})
+	fleet.LearnBalancers(settings.Seeds)
+	seed := uint64(now.UnixNano())
+	p := &Process{
+		settings:    settings,
+		parts:       parts,
+		log:         aglog.New("packet-balancer"),
+		started:     now,
+		incarnation: anvilglade.Incarnation(now.UnixNano()),
+		packets:     packets,
+		inner:       inner,
+		http:        &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
+		fleet:       fleet,
+		dispatcher:  agdispatch.NewDispatcher(fleet, rand.New(rand.NewPCG(seed, seed)), now),
+	}
+	return p, func() { closePackets(); closeInner() }, nil
+}
+
+// Run works until a signal to stop arrives and the balancer has left the
+// rotation, or the context ends.
+func (p *Process) Run(ctx context.Context, signals <-chan os.Signal) error {
+	group, stop, err := agtask.NewGroup(ctx)
+	if err != nil {
+		return err
+	}
+	defer stop()
+	tasks := []struct {
+		name string
+		run  func(context.Context) error
+	}{
+		{"packets", p.readPackets},
+		{"inner", p.readInner},
+		{"status", p.sendStatus},
+		{"desired", p.watchDesired},
+		{"evacuations", p.watchEvacuations},
+		{"peers", p.fetchFromPeers},
+		{"discover", p.discover},
+		{"expire", p.expire},
+		{"reload", p.reload},
+		{"ready", func(ctx context.Context) error {
+			return serveHTTP(ctx, p.settings.ReadyAddr, p.parts.ReadyHandler(p.Ready))
+		}},
+		{"transfer", p.serveTransfer},
+	}
+	for _, task := range tasks {
+		if err := group.Start(task.name, task.run); err != nil {
+			return err
+		}
+	}
+	p.log.WithField("Node", p.settings.Node).WithField("Address", p.settings.IP).Info("Balancer has started.")
+	select {
+	case signal := <-signals:
+		p.log.WithField("Signal", signal.String()).Info("Balancer leaves the rotation.")
+		p.leave(group.Context())
+	case <-group.Context().Done():
+	}
+	group.Stop()
+	p.packets.Interrupt()
+	p.inner.Interrupt()
+	err = group.Wait()
+	p.log.Info("Balancer has stopped.")
+	return err
+}
+
+// leave goes on forwarding until callers' packets come to others.
+func (p *Process) leave(ctx context.Context) {
+	p.leaving.Store(true)
+	p.broadcast()
+	select {
+	case <-time.After(leaveTime):
+	case <-ctx.Done():
+	}
+}
+
+// Ready reports whether callers' packets may come here: the desired state and
+// the evacuations are known, and so is a host that was heard recently. A
+// balancer that hears no host is cut off from them.
+func (p *Process) Ready() bool {
+	if p.leaving.Load() {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_, known := p.fleet.Desired()
+	heard, _ := p.fleet.HeardHosts(time.Now())
+	return known && p.fleet.Evacuations().Revision > 0 && heard > 0
+}
+
+// expire forgets idle flows and silent processes.
+func (p *Process) expire(ctx context.Context) error {
+	ticker := time.NewTicker(expireInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case now := <-ticker.C:
+			p.mu.Lock()
+			p.dispatcher.Expire(now)
+			p.fleet.Forget(now)
+			p.mu.Unlock()
+		}
+	}
+}
+
+// serveHTTP serves until the context ends.
+func serveHTTP(ctx context.Context, address string, handler http.Handler) error {
+	return agtask.ServeHTTP(ctx, address, handler)
+}
+
+func (p *Process) endpointOf(ip anvilglade.IPv4, port uint16) anvilglade.Endpoint {
+	return anvilglade.Endpoint{IP: ip, Port: port}
+}
+
+func (p *Process) logFailure(err error, text string) {
+	p.log.WithError(fmt.Errorf("balancer %s: %w", p.settings.Node, err)).Warn(text)
+}
--- /dev/null
+++ b/internal/operate/agpacketbalancer/state.go
@@ -0,0 +1,211 @@
+package agpacketbalancer
+
+// Tasks that keep the desired state, the evacuations and the settings current.
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/anvilglade/anvilglade"
+	"github.com/anvilglade/anvilglade/internal/operate/agtask"
+	"github.com/anvilglade/anvilglade/internal/state/agtransfer"
+)
+
+const (
+	// minBackoff and maxBackoff bound the pause after a call to the store has
+	// failed. The end of an outage is noticed within maxBackoff.
+	minBackoff = 150 * time.Millisecond
+	maxBackoff = 1500 * time.Millisecond
+	// peerInterval is the time between two looks for a peer with a newer state.
+	peerInterval = 200 * time.Millisecond
+	// fetchTimeout bounds the transfer of a state.
+	fetchTimeout = 1500 * time.Millisecond
+	// reloadInterval is the time between two looks at the settings file, which
+	// may change without a signal.
+	reloadInterval = 2 * time.Second
+	// discoverAfter is how long a balancer looks for others through its seeds
+	// before it asks the store.
+	discoverAfter = time.Second
+	// balancerKind is the kind of the store's objects that name balancers.
+	balancerKind = "anvilglade-balancers"
+)
+
+// watchDesired follows the desired state in the store.
+func (p *Process) watchDesired(ctx context.Context) error {
+	var revision anvilglade.StoreRevision
+	return p.follow(ctx, "desired state", func(ctx context.Context) error {
+		var state anvilglade.DesiredState
+		var err error
+		if revision == 0 {
+			state, revision, err = p.parts.Feed.Desired(ctx)
+		} else {
+			var next anvilglade.StoreRevision
+			if state, next, err = p.parts.Feed.NextDesired(ctx, revision); err == nil {
+				revision = next
+			}
+		}
+		if err != nil {
+			if errors.Is(err, anvilglade.ErrHistoryGone) {
+				revision = 0
+			}
+			return err
+		}
+		p.adopt(state, "store")
+		return nil
+	})
+}
+
+// watchEvacuations follows the evacuated data centres in the store.
+func (p *Process) watchEvacuations(ctx context.Context) error {
+	known := false
+	return p.follow(ctx, "evacuations", func(ctx context.Context) error {
+		p.mu.Lock()
+		present := *p.fleet.Evacuations()
+		p.mu.Unlock()
+		var next anvilglade.Evacuations
+		var err error
+		if known {
+			next, err = p.parts.Feed.NextEvacuations(ctx, present)
+		} else {
+			next, err = p.parts.Feed.Evacuations(ctx)
+		}
+		known = err == nil
+		if err != nil {
+			return err
+		}
+		p.mu.Lock()
+		adopted := p.fleet.OfferEvacuations(next)
+		p.mu.Unlock()
+		if adopted && len(next.DataCentres) != len(present.DataCentres) {
+			p.log.WithField("DataCentres", next.DataCentres).WithField("Revision", next.Revision).Info("Evacuations have changed.")
+			p.broadcast()
+		}
+		return nil
+	})
+}
+
+// follow repeats a read of the store until the context ends.
+func (p *Process) follow(ctx context.Context, what string, read func(context.Context) error) error {
+	backoff, reachable := minBackoff, true
+	for ctx.Err() == nil {
+		err := read(ctx)
+		if ctx.Err() != nil {
+			break
+		}
+		if err == nil || errors.Is(err, anvilglade.ErrHistoryGone) {
+			if !reachable {
+				p.log.WithField("What", what).Info("Store answers again.")
+			}
+			reachable, backoff = true, minBackoff
+			continue
+		}
+		if reachable {
+			p.log.WithError(err).WithField("What", what).Warn("Store does not answer; the last state stays in effect.")
+		}
+		reachable = false
+		if err := agtask.Sleep(ctx, backoff/2+rand.N(backoff/2)); err != nil {
+			return err
+		}
+		backoff = min(2*backoff, maxBackoff)
+	}
+	return ctx.Err()
+}
+
+// adopt puts a desired state into effect if it is newer.
+func (p *Process) adopt(state anvilglade.DesiredState, source string) {
+	if state.Version == 0 {
+		return
+	}
+	p.mu.Lock()
+	adopted := p.fleet.OfferDesired(state)
+	p.mu.Unlock()
+	if adopted {
+		p.log.WithField("Version", state.Version).WithField("Routes", len(state.Routes)).WithField("Source", source).Info("Desired state is in effect.")
+		p.broadcast()
+	}
+}
+
+// fetchFromPeers reads the desired state from a balancer that has a newer one.
+func (p *Process) fetchFromPeers(ctx context.Context) error {
+	for {
+		if err := agtask.Sleep(ctx, peerInterval); err != nil {
+			return err
+		}
+		p.mu.Lock()
+		peer, ahead := p.fleet.Ahead(time.Now())
+		p.mu.Unlock()
+		if !ahead {
+			continue
+		}
+		fetchCtx, cancel := context.WithTimeout(ctx, fetchTimeout)
+		state, err := agtransfer.Fetch(fetchCtx, p.http, p.endpointOf(peer, p.settings.InnerPort))
+		cancel()
+		if err != nil {
+			p.logFailure(err, "Peer with a newer desired state does not answer.")
+			continue
+		}
+		p.adopt(state, peer.String())
+	}
+}
+
+// serveTransfer offers the desired state to other balancers.
+func (p *Process) serveTransfer(ctx context.Context) error {
+	mux := http.NewServeMux()
+	mux.Handle(agtransfer.Path, agtransfer.NewHandler(func() (anvilglade.DesiredState, bool) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		state, known := p.fleet.Desired()
+		return *state, known
+	}))
+	return agtask.ServeHTTP(ctx, p.endpointOf(p.settings.IP, p.settings.InnerPort).String(), mux)
+}
+
+// discover names this balancer in the store and reads the others from it if the
+// seeds have led to none.
+func (p *Process) discover(ctx context.Context) error {
+	if err := agtask.Sleep(ctx, discoverAfter); err != nil {
+		return err
+	}
+	return p.follow(ctx, "balancers", func(ctx context.Context) error {
+		_, err := p.parts.Store.Put(ctx, anvilglade.Object{Kind: balancerKind, Name: p.settings.IP.String(), Data: []byte(p.settings.Node)}, 0)
+		if err != nil && !errors.Is(err, anvilglade.ErrConflict) {
+			return err
+		}
+		objects, err := p.parts.Store.List(ctx, balancerKind)
+		if err != nil {
+			return err
+		}
+		p.mu.Lock()
+		for _, object := range objects {
+			ip, err := anvilglade.ParseIPv4(object.Name)
+			if err != nil {
+				p.logFailure(err, "Object that names a balancer cannot be read.")
+				continue
+			}
+			p.fleet.LearnBalancers([]anvilglade.IPv4{ip})
+		}
+		p.mu.Unlock()
+		<-ctx.Done()
+		return ctx.Err()
+	})
+}
+
+// reload takes changes of the seeds from the settings file.
+func (p *Process) reload(ctx context.Context) error {
+	for {
+		if err := agtask.Sleep(ctx, reloadInterval); err != nil {
+			return err
+		}
+		settings, err := p.parts.Reload()
+		if err != nil {
+			p.logFailure(err, "Settings cannot be read; the last ones stay in effect.")
+			continue
+		}
+		p.mu.Lock()
+		p.fleet.LearnBalancers(settings.Seeds)
+		p.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/internal/operate/agpacketbalancer/status.go
@@ -0,0 +1,90 @@
+package agpacketbalancer
+
+// Tasks by which balancers find each other and agents learn what balancers
+// know.
+
+import (
+	"context"
+	"time"
+
+	"github.com/anvilglade/anvilglade"
+	"github.com/anvilglade/anvilglade/internal/packet/agmessage"
+	"github.com/anvilglade/anvilglade/internal/packet/agsocket"
+)
+
+const (
+	// statusInterval is the time between two statuses to each other balancer.
+	statusInterval = 500 * time.Millisecond
+	// maxListed bounds the balancers that a status names, so that it fits into
+	// one datagram.
+	maxListed = 250
+)
+
+// sendStatus tells the other balancers what this one has.
+func (p *Process) sendStatus(ctx context.Context) error {
+	ticker := time.NewTicker(statusInterval)
+	defer ticker.Stop()
+	for {
+		p.broadcast()
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+}
+
+// broadcast sends the status to every balancer that is known.
+func (p *Process) broadcast() {
+	now := time.Now()
+	p.mu.Lock()
+	status := p.status(now)
+	peers := p.fleet.Balancers()
+	addresses := make([]anvilglade.IPv4, 0, len(peers))
+	for _, peer := range peers {
+		addresses = append(addresses, peer.Balancer)
+	}
+	p.mu.Unlock()
+	datagram, err := agmessage.AppendBalancerStatus(nil, &status)
+	if err != nil {
+		p.logFailure(err, "Status cannot be encoded.")
+		return
+	}
+	for _, address := range addresses {
+		// A peer that cannot be reached gets the next status.
+		_ = p.inner.WriteTo(datagram, p.endpointOf(address, p.settings.InnerPort).AddrPort())
+	}
+}
+
+// status returns the status of this balancer. The caller holds the mutex.
+func (p *Process) status(now time.Time) anvilglade.BalancerStatus {
+	living := p.fleet.LivingBalancers(now)
+	desired, _ := p.fleet.Desired()
+	return anvilglade.BalancerStatus{
+		Balancer:    p.settings.IP,
+		Incarnation: p.incarnation,
+		Sequence:    anvilglade.Sequence(p.sequence.Add(1)),
+		DataCentre:  p.settings.DataCentre,
+		Leaving:     p.leaving.Load(),
+		Desired:     desired.Version,
+		Evacuations: *p.fleet.Evacuations(),
+		Balancers:   living[:min(len(living), maxListed)],
+	}
+}
+
+// answerAgent tells an agent what it has to know. The caller holds the mutex.
+func (p *Process) answerAgent(writer *agsocket.Writer, agent *anvilglade.AgentStatus, now time.Time) {
+	status := p.status(now)
+	desired, _ := p.fleet.Desired()
+	for _, service := range desired.Services {
+		if service.Service == agent.Service {
+			status.ColdRates = append(status.ColdRates, service)
+		}
+	}
+	datagram, err := agmessage.AppendBalancerStatus(writer.Buffer(), &status)
+	if err != nil {
+		p.logFailure(err, "Status cannot be encoded.")
+		return
+	}
+	writer.Add(datagram, p.endpointOf(agent.Agent, p.settings.PacketPort).AddrPort())
+}
--- /dev/null
+++ b/internal/packet/agmessage/message.go
@@ -0,0 +1,214 @@
+// Package agmessage encodes the datagrams between balancers and agents of
+// packet services.
+//
+// The first byte of each datagram is its kind. Kinds on the path of packets
+// have a fixed binary header and are encoded without allocation; the others are
+// CBOR. Agents take all kinds on their packet port, balancers on their inner
+// port. A datagram that cannot be decoded is dropped by the receiver.
+//
+// # Usage
+//
+//	buffer = agmessage.AppendForward(buffer[:0], &forward, packet)
+//	socket.WriteTo(buffer, agent)
+//
+//	var forward agmessage.Forward
+//	packet, err := agmessage.ParseForward(datagram, &forward)
+package agmessage
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/anvilglade/anvilglade"
+)
+
+// Kind is the first byte of a datagram.
+type Kind uint8
+
+// Kinds of datagrams.
+const (
+	// KindForward carries a caller's packet to an agent.
+	KindForward Kind = iota + 1
+	// KindOwner tells a balancer which agent holds a flow.
+	KindOwner
+	// KindReturned gives a balancer a packet whose flow the agent it chose
+	// does not hold.
+	KindReturned
+	// KindExhausted gives a balancer a packet that none of the candidates took.
+	KindExhausted
+	// KindAgentStatus and KindBalancerStatus carry an AgentStatus and a
+	// BalancerStatus.
+	KindAgentStatus
+	KindBalancerStatus
+)
+
+// MaxCandidates bounds the candidates of a Forward.
+const MaxCandidates = 255
+
+// Forward is the header of a caller's packet on its way to an agent.
+type Forward struct {
+	Service anvilglade.ServiceNumber
+	// Origin is the balancer that gets the news on the flow.
+	Origin anvilglade.IPv4
+	// Held is set when the balancer knows that the agent's host holds the
+	// flow. There are no candidates then.
+	Held bool
+	// Candidates are the agents to try after the receiver, in order.
+	Candidates []anvilglade.IPv4
+}
+
+// Owner says that a host holds a flow or has offered to.
+type Owner struct {
+	Flow anvilglade.Flow
+	// Established is false while the host has only answered the opening
+	// packet; Sequence is then the sequence number of that answer.
+	Established bool
+	Sequence    uint32
+	// Flows and Working are the host's load as in an AgentStatus.
+	Flows   uint16
+	Working uint16
+}
+
+const (
+	forwardHeader = 1 + 1 + 1 + 8 + 4
+	ownerSize     = 1 + 12 + 1 + 4 + 2 + 2
+	flagHeld      = 1
+	flagEstabl    = 1
+)
+
+var errShort = errors.New("datagram is too short")
+
+// KindOf returns the kind of a datagram, 0 if it is empty.
+func KindOf(datagram []byte) Kind {
+	if len(datagram) == 0 {
+		return 0
+	}
+	return Kind(datagram[0])
+}
+
+// AppendForward appends a Forward and the packet that it carries.
+func AppendForward(dst []byte, forward *Forward, packet []byte) []byte {
+	var flags byte
+	if forward.Held {
+		flags |= flagHeld
+	}
+	count := min(len(forward.Candidates), MaxCandidates)
+	dst = append(dst, byte(KindForward), flags, byte(count))
+	dst = binary.BigEndian.AppendUint64(dst, uint64(forward.Service))
+	dst = append(dst, forward.Origin[:]...)
+	for _, candidate := range forward.Candidates[:count] {
+		dst = append(dst, candidate[:]...)
+	}
+	return append(dst, packet...)
+}
+
+// ParseForward decodes a Forward and returns the packet, which shares the
+// memory of the datagram. It reuses forward.Candidates.
+func ParseForward(datagram []byte, forward *Forward) ([]byte, error) {
+	if len(datagram) < forwardHeader {
+		return nil, fmt.Errorf("forwarded packet: %w", errShort)
+	}
+	count := int(datagram[2])
+	end := forwardHeader + count*len(anvilglade.IPv4{})
+	if len(datagram) < end {
+		return nil, fmt.Errorf("forwarded packet with %d candidates: %w", count, errShort)
+	}
+	forward.Held = datagram[1]&flagHeld != 0
+	forward.Service = anvilglade.ServiceNumber(binary.BigEndian.Uint64(datagram[3:11]))
+	forward.Origin = anvilglade.IPv4(datagram[11:15])
+	forward.Candidates = forward.Candidates[:0]
+	for at := forwardHeader; at < end; at += len(anvilglade.IPv4{}) {
+		forward.Candidates = append(forward.Candidates, anvilglade.IPv4(datagram[at:at+4]))
+	}
+	return datagram[end:], nil
+}
+
+// AppendOwner appends an Owner.
+func AppendOwner(dst []byte, owner *Owner) []byte {
+	dst = append(dst, byte(KindOwner))
+	dst = appendEndpoint(dst, owner.Flow.Caller)
+	dst = appendEndpoint(dst, owner.Flow.Service)
+	var flags byte
+	if owner.Established {
+		flags |= flagEstabl
+	}
+	dst = append(dst, flags)
+	dst = binary.BigEndian.AppendUint32(dst, owner.Sequence)
+	dst = binary.BigEndian.AppendUint16(dst, owner.Flows)
+	return binary.BigEndian.AppendUint16(dst, owner.Working)
+}
+
+// ParseOwner decodes an Owner.
+func ParseOwner(datagram []byte) (Owner, error) {
+	if len(datagram) != ownerSize {
+		return Owner{}, fmt.Errorf("owner message has %d bytes, want %d", len(datagram), ownerSize)
+	}
+	return Owner{
+		Flow:        anvilglade.Flow{Caller: endpoint(datagram[1:]), Service: endpoint(datagram[7:])},
+		Established: datagram[13]&flagEstabl != 0,
+		Sequence:    binary.BigEndian.Uint32(datagram[14:]),
+		Flows:       binary.BigEndian.Uint16(datagram[18:]),
+		Working:     binary.BigEndian.Uint16(datagram[20:]),
+	}, nil
+}
+
+// AppendPacket appends a datagram of KindReturned or KindExhausted.
+func AppendPacket(dst []byte, kind Kind, packet []byte) []byte {
+	return append(append(dst, byte(kind)), packet...)
+}
+
+// Packet returns the packet in a datagram of KindReturned or KindExhausted.
+func Packet(datagram []byte) []byte {
+	return datagram[1:]
+}
+
+// AppendAgentStatus appends an AgentStatus.
+func AppendAgentStatus(dst []byte, status *anvilglade.AgentStatus) ([]byte, error) {
+	return appendCBOR(dst, KindAgentStatus, status)
+}
+
+// ParseAgentStatus decodes an AgentStatus.
+func ParseAgentStatus(datagram []byte) (anvilglade.AgentStatus, error) {
+	var status anvilglade.AgentStatus
+	return status, parseCBOR(datagram, &status)
+}
+
+// AppendBalancerStatus appends a BalancerStatus.
+func AppendBalancerStatus(dst []byte, status *anvilglade.BalancerStatus) ([]byte, error) {
+	return appendCBOR(dst, KindBalancerStatus, status)
+}
+
+// ParseBalancerStatus decodes a BalancerStatus.
+func ParseBalancerStatus(datagram []byte) (anvilglade.BalancerStatus, error) {
+	var status anvilglade.BalancerStatus
+	return status, parseCBOR(datagram, &status)
+}
+
+func appendCBOR(dst []byte, kind Kind, value any) ([]byte, error) {
+	data, err := cbor.Marshal(value)
+	if err != nil {
+		return nil, fmt.Errorf("encode %T: %w", value, err)
+	}
+	return append(append(dst, byte(kind)), data...), nil
+}
+
+func parseCBOR(datagram []byte, value any) error {
+	if len(datagram) < 1 {
+		return errShort
+	}
+	if err := cbor.Unmarshal(datagram[1:], value); err != nil {
+		return fmt.Errorf("decode %T: %w", value, err)
+	}
+	return nil
+}
+
+func appendEndpoint(dst []byte, e anvilglade.Endpoint) []byte {
+	return binary.BigEndian.AppendUint16(append(dst, e.IP[:]...), e.Port)
+}
+
+func endpoint(data []byte) anvilglade.Endpoint {
+	return anvilglade.Endpoint{IP: anvilglade.IPv4(data[:4]), Port: binary.BigEndian.Uint16(data[4:])}
+}
--- /dev/null
+++ b/internal/routing/agdispatch/dispatch.go
@@ -0,0 +1,333 @@
+// Package agdispatch decides at a balancer where each packet of a caller goes.
+//
+// The balancer remembers the holder of each flow that it has seen, but never
+// has to: a packet of an unknown flow is sent to every agent of the route's
+// services, the one that holds the flow delivers it and tells the balancer, and
+// the others hand it to hosts that return it. An opening packet goes to the
+// host that package agplace ranks first, with the next ones as candidates that
+// agents pass it on to. A copy of it, which callers send when no answer has
+// come, goes to a host that has not been tried.
+//
+// A Dispatcher takes the time as a parameter, has no sockets and is not safe
+// for concurrent use.
+//
+// # Usage
+//
+//	dispatcher := agdispatch.NewDispatcher(fleet, random)
+//	dispatcher.FromCaller(&packet, now, &verdict)
+//	switch verdict.Action {
+//	case agdispatch.ActionForward:
+//		// send to each of verdict.To
+//	case agdispatch.ActionReset:
+//		// reset the flow to its caller
+//	}
+package agdispatch
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/anvilglade/anvilglade"
+	"github.com/anvilglade/anvilglade/internal/routing/agplace"
+	"github.com/anvilglade/anvilglade/internal/state/agfleet"
+)
+
+// Action is what to do with a packet.
+type Action uint8
+
+// Actions of a verdict.
+const (
+	ActionDrop Action = iota
+	ActionForward
+	ActionReset
+)
+
+// Reason says why a packet was dropped, reset or sent where it was. Its string
+// is the name of the counter and stands in the log.
+type Reason string
+
+// Reasons of a verdict.
+const (
+	ReasonHeld        Reason = "Held"
+	ReasonPlaced      Reason = "Placed"
+	ReasonLookup      Reason = "Lookup"
+	ReasonNoRoute     Reason = "NoRoute"
+	ReasonNoHost      Reason = "NoHost"
+	ReasonNoState     Reason = "NoDesiredState"
+	ReasonAllRefused  Reason = "AllRefused"
+	ReasonUnknownFlow Reason = "UnknownFlow"
+)
+
+const (
+	// alternatives is the number of hosts that an opening packet may be passed
+	// on to.
+	alternatives = 4
+	// settleTime is the time after the start in which a balancer may not have
+	// heard of every host yet; it refuses no flow for lack of hosts before.
+	settleTime = 2 * time.Second
+	// maxFlows bounds the memory for flows, about 100 bytes each.
+	maxFlows = 400_000
+	// idleMargin is kept beyond the idle timeout of the desired state.
+	idleMargin = 5 * time.Second
+	// defaultIdle stands in until a desired state names an idle timeout.
+	defaultIdle = 60 * time.Second
+)
+
+// Verdict is the decision on one packet.
+type Verdict struct {
+	Action  Action
+	Reason  Reason
+	Service anvilglade.ServiceNumber
+	// Held is set if the only entry of To is known to hold the flow.
+	Held bool
+	// To are the agents that get the packet.
+	To []anvilglade.IPv4
+	// Candidates are the agents that an opening packet may be passed on to.
+	Candidates []anvilglade.IPv4
+}
+
+// Dispatcher keeps the flows of one balancer.
+type Dispatcher struct {
+	fleet   *agfleet.Fleet
+	random  *rand.Rand
+	started time.Time
+	flows   map[anvilglade.Flow]*flowEntry
+	options []agplace.Option
+	ranked  []anvilglade.IPv4
+}
+
+// NewDispatcher returns a Dispatcher that reads the fleet.
+func NewDispatcher(fleet *agfleet.Fleet, random *rand.Rand, now time.Time) *Dispatcher {
+	return &Dispatcher{fleet: fleet, random: random, started: now, flows: make(map[anvilglade.Flow]*flowEntry)}
+}
+
+// Flows returns the number of flows that are remembered.
+func (d *Dispatcher) Flows() int {
+	return len(d.flows)
+}
+
+// FromCaller decides on a packet of a caller.
+func (d *Dispatcher) FromCaller(packet *anvilglade.Packet, now time.Time, verdict *Verdict) {
+	*verdict = Verdict{To: verdict.To[:0], Candidates: verdict.Candidates[:0]}
+	flow := packet.FromCaller()
+	entry := d.flows[flow]
+	if entry != nil {
+		entry.used = now
+	}
+	if packet.Opens() {
+		d.open(flow, entry, now, verdict)
+		return
+	}
+	if entry != nil {
+		if holder, ok := entry.holderOf(packet); ok {
+			d.toHolder(entry, holder, verdict)
+			return
+		}
+	}
+	d.lookup(flow, anvilglade.IPv4{}, now, verdict)
+}
+
+func (d *Dispatcher) toHolder(entry *flowEntry, holder anvilglade.IPv4, verdict *Verdict) {
+	verdict.Action, verdict.Reason, verdict.Held = ActionForward, ReasonHeld, true
+	verdict.Service = entry.service
+	verdict.To = append(verdict.To, holder)
+}
+
+// open places a new flow or sends a copy of its opening packet on.
+func (d *Dispatcher) open(flow anvilglade.Flow, entry *flowEntry, now time.Time, verdict *Verdict) {
+	if entry != nil && entry.established {
+		d.toHolder(entry, entry.holder, verdict)
+		return
+	}
+	if _, known := d.fleet.Desired(); !known {
+		verdict.Reason = ReasonNoState
+		return
+	}
+	route, ok := d.fleet.Route(flow.Service)
+	if !ok {
+		verdict.Action, verdict.Reason = ActionReset, ReasonNoRoute
+		return
+	}
+	service := serviceOf(route, flow)
+	if entry == nil || entry.service != service.Number() {
+		entry = d.remember(flow, service.Number(), now)
+	}
+	if len(entry.offers) > 0 {
+		// The answer of the host that offered has been lost.
+		d.toOffering(entry, verdict)
+		return
+	}
+	d.rank(route, service, entry, now)
+	if len(d.ranked) == 0 {
+		d.noHost(now, verdict)
+		return
+	}
+	verdict.Action, verdict.Reason, verdict.Service = ActionForward, ReasonPlaced, service.Number()
+	verdict.To = append(verdict.To, d.ranked[0])
+	verdict.Candidates = append(verdict.Candidates, d.ranked[1:min(len(d.ranked), 1+alternatives)]...)
+	entry.tried(d.ranked[0])
+	if host, ok := d.fleet.Host(d.ranked[0]); ok {
+		host.Placed++
+	}
+}
+
+func (d *Dispatcher) toOffering(entry *flowEntry, verdict *Verdict) {
+	verdict.Action, verdict.Reason, verdict.Service = ActionForward, ReasonPlaced, entry.service
+	verdict.To = append(verdict.To, entry.offers[0].agent)
+}
+
+// noHost refuses a flow that no host can take, unless hosts may still be heard
+// of for the first time: the copy of the opening packet then finds them.
+func (d *Dispatcher) noHost(now time.Time, verdict *Verdict) {
+	verdict.Reason = ReasonNoHost
+	if now.Sub(d.started) > settleTime {
+		verdict.Action = ActionReset
+	}
+}
+
+// rank fills d.ranked with the agents that may take a new flow, those that
+// have been tried for it last.
+func (d *Dispatcher) rank(route *anvilglade.PacketRoute, service anvilglade.ServiceID, entry *flowEntry, now time.Time) {
+	d.options = d.options[:0]
+	tried := 0
+	for _, host := range d.fleet.Hosts(service) {
+		if !d.usable(host, route, now) {
+			continue
+		}
+		if entry.wasTried(host.Agent) {
+			tried++
+			continue
+		}
+		d.options = append(d.options, agplace.Option{
+			Agent:   host.Agent,
+			Slots:   host.Slots,
+			Flows:   host.Flows + host.Placed,
+			Working: host.Working,
+			Latency: host.Latency,
+			Local:   d.fleet.Local(host.DataCentre),
+			Cold:    host.Cold,
+			Order:   d.random.Uint64(),
+		})
+	}
+	d.ranked = agplace.Rank(d.ranked[:0], d.options)
+	if len(d.ranked) == 0 && tried > 0 {
+		entry.forgetTried()
+		d.rank(route, service, entry, now)
+	}
+}
+
+func (d *Dispatcher) usable(host *agfleet.Host, route *anvilglade.PacketRoute, now time.Time) bool {
+	if !host.Accepts || now.Sub(host.Heard) > agfleet.SilentAfter {
+		return false
+	}
+	return !d.fleet.Evacuations().Has(host.DataCentre) && d.fleet.SameRegion(host.DataCentre, route.Regions)
+}
+
+// lookup sends a packet of a flow whose holder is not known to every agent that
+// may hold it but the one given.
+func (d *Dispatcher) lookup(flow anvilglade.Flow, except anvilglade.IPv4, now time.Time, verdict *Verdict) {
+	route, ok := d.fleet.Route(flow.Service)
+	if !ok {
+		verdict.Reason = ReasonNoRoute
+		return
+	}
+	for _, backend := range route.Backends {
+		for _, host := range d.fleet.Hosts(backend.Service) {
+			if host.Agent != except && now.Sub(host.Heard) < 2*agfleet.SilentAfter {
+				verdict.To = append(verdict.To, host.Agent)
+			}
+		}
+	}
+	verdict.Reason = ReasonLookup
+	if len(verdict.To) > 0 {
+		verdict.Action = ActionForward
+	}
+}
+
+// Owner takes the news that an agent's host holds a flow or offers to.
+func (d *Dispatcher) Owner(agent anvilglade.IPv4, flow anvilglade.Flow, established bool, sequence uint32, now time.Time) {
+	entry := d.flows[flow]
+	if entry == nil {
+		host, ok := d.fleet.Host(agent)
+		if !ok {
+			return
+		}
+		entry = d.remember(flow, host.Number, now)
+	}
+	entry.used = now
+	if established {
+		entry.holder, entry.established = agent, true
+		return
+	}
+	entry.offer(agent, sequence)
+}
+
+// Returned decides on a packet that came back from the agent that was believed
+// to hold its flow.
+func (d *Dispatcher) Returned(agent anvilglade.IPv4, packet *anvilglade.Packet, now time.Time, verdict *Verdict) {
+	*verdict = Verdict{To: verdict.To[:0], Candidates: verdict.Candidates[:0]}
+	flow := packet.FromCaller()
+	if entry := d.flows[flow]; entry != nil && entry.holder == agent {
+		delete(d.flows, flow)
+	}
+	d.lookup(flow, agent, now, verdict)
+}
+
+// Exhausted decides on a packet that no candidate took.
+func (d *Dispatcher) Exhausted(packet *anvilglade.Packet, verdict *Verdict) {
+	*verdict = Verdict{To: verdict.To[:0], Candidates: verdict.Candidates[:0], Reason: ReasonUnknownFlow}
+	if !packet.Opens() {
+		return
+	}
+	flow := packet.FromCaller()
+	if entry := d.flows[flow]; entry != nil && (entry.established || len(entry.offers) > 0) {
+		return
+	}
+	delete(d.flows, flow)
+	verdict.Action, verdict.Reason = ActionReset, ReasonAllRefused
+}
+
+// Expire forgets flows that have been idle for longer than callers may be.
+func (d *Dispatcher) Expire(now time.Time) {
+	idle := defaultIdle
+	if state, ok := d.fleet.Desired(); ok && state.IdleTimeout > 0 {
+		idle = state.IdleTimeout + idleMargin
+	}
+	for flow, entry := range d.flows {
+		if now.Sub(entry.used) > idle {
+			delete(d.flows, flow)
+		}
+	}
+}
+
+func (d *Dispatcher) remember(flow anvilglade.Flow, service anvilglade.ServiceNumber, now time.Time) *flowEntry {
+	if len(d.flows) >= maxFlows {
+		for other := range d.flows {
+			delete(d.flows, other)
+			break
+		}
+	}
+	entry := &flowEntry{service: service, used: now}
+	d.flows[flow] = entry
+	return entry
+}
+
+// serviceOf chooses the service of a new flow by the weights of its route. All
+// balancers choose the same one.
+func serviceOf(route *anvilglade.PacketRoute, flow anvilglade.Flow) anvilglade.ServiceID {
+	total := 0
+	for _, backend := range route.Backends {
+		total += backend.Weight
+	}
+	if total <= 0 {
+		return route.Backends[0].Service
+	}
+	point := int(flow.Hash() % uint64(total))
+	for _, backend := range route.Backends {
+		if point < backend.Weight {
+			return backend.Service
+		}
+		point -= backend.Weight
+	}
+	return route.Backends[0].Service
+}
--- /dev/null
+++ b/internal/routing/agdispatch/flow.go
@@ -0,0 +1,68 @@
+package agdispatch
+
+import (
+	"slices"
+	"time"
+
+	"github.com/anvilglade/anvilglade"
+)
+
+// flowEntry is what a balancer remembers of a flow.
+type flowEntry struct {
+	service anvilglade.ServiceNumber
+	used    time.Time
+	// holder is the agent whose host holds the flow if established is set, and
+	// otherwise the one that the newest opening packet went to.
+	holder      anvilglade.IPv4
+	established bool
+	attempts    []anvilglade.IPv4
+	// offers are the hosts that have answered the opening packet.
+	offers []offer
+}
+
+type offer struct {
+	agent    anvilglade.IPv4
+	sequence uint32
+}
+
+// holderOf returns the agent for a packet after the opening one. While several
+// hosts have offered to take the flow, the caller's acknowledgement tells which
+// one it has chosen.
+func (e *flowEntry) holderOf(packet *anvilglade.Packet) (anvilglade.IPv4, bool) {
+	if e.established {
+		return e.holder, true
+	}
+	for _, offer := range e.offers {
+		if offer.sequence+1 == packet.Acknowledged {
+			e.holder, e.established = offer.agent, true
+			return e.holder, true
+		}
+	}
+	if len(e.offers) == 0 && len(e.attempts) == 1 {
+		return e.holder, true
+	}
+	return anvilglade.IPv4{}, false
+}
+
+func (e *flowEntry) tried(agent anvilglade.IPv4) {
+	e.holder = agent
+	e.attempts = append(e.attempts, agent)
+}
+
+func (e *flowEntry) wasTried(agent anvilglade.IPv4) bool {
+	return slices.Contains(e.attempts, agent)
+}
+
+func (e *flowEntry) forgetTried() {
+	e.attempts = e.attempts[:0]
+}
+
+func (e *flowEntry) offer(agent anvilglade.IPv4, sequence uint32) {
+	for i := range e.offers {
+		if e.offers[i].agent == agent {
+			e.offers[i].sequence = sequence
+			return
+		}
+	}
+	e.offers = append(e.offers, offer{agent: agent, sequence: sequence})
+}
--- /dev/null
+++ b/internal/routing/agplace/place.go
@@ -0,0 +1,107 @@
+// Package agplace chooses the host of a new packet flow.
+//
+// A new flow goes to the usable host with the lowest expected utilisation: its
+// requests in progress and the work that its open flows bring on average, over
+// its slots. Hosts in the balancer's own data centre go first while they are
+// not much busier than the best one, as each flow to another one crosses the
+// network between them for its whole life. The choice answers a steady load of
+// long flows, where a flow that is placed badly stays there.
+//
+// # Usage
+//
+//	ranked = agplace.Rank(ranked[:0], options)
+//	first, rest := ranked[0], ranked[1:]
+package agplace
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/anvilglade/anvilglade"
+)
+
+const (
+	// flowWeight is the part of a slot that an open flow occupies on average.
+	flowWeight = 0.08
+	// remotePenalty is the utilisation that a host in another data centre has
+	// to be better by.
+	remotePenalty = 0.08
+	// coldPenalty keeps flows off cold hosts while others have capacity.
+	coldPenalty = 0.5
+	// slowLatencyFactor is the multiple of the median latency from which on a
+	// host counts as slow.
+	slowLatencyFactor = 2.0
+)
+
+// Option is a host that may take a flow.
+type Option struct {
+	Agent   anvilglade.IPv4
+	Slots   anvilglade.Slots
+	Flows   int
+	Working int
+	// Latency is the average time to the first byte of an answer; 0 if unknown.
+	Latency time.Duration
+	Local   bool
+	Cold    bool
+	// Order breaks ties, so that balancers with the same knowledge do not all
+	// choose the same host.
+	Order uint64
+}
+
+type scored struct {
+	option *Option
+	score  float64
+}
+
+// Rank appends the agents of the options in the order in which to try them.
+func Rank(dst []anvilglade.IPv4, options []Option) []anvilglade.IPv4 {
+	median := medianLatency(options)
+	list := make([]scored, len(options))
+	for i := range options {
+		list[i] = scored{option: &options[i], score: Score(&options[i], median)}
+	}
+	slices.SortFunc(list, func(a, b scored) int {
+		if order := cmp.Compare(a.score, b.score); order != 0 {
+			return order
+		}
+		return cmp.Compare(a.option.Order, b.option.Order)
+	})
+	for _, entry := range list {
+		dst = append(dst, entry.option.Agent)
+	}
+	return dst
+}
+
+// Score returns the expected utilisation of a host with its penalties; lower is
+// better. Median is the median latency of the service's hosts, 0 if unknown.
+func Score(option *Option, median time.Duration) float64 {
+	slots := float64(max(option.Slots, 1))
+	perFlow := flowWeight
+	if median > 0 && float64(option.Latency) > slowLatencyFactor*float64(median) {
+		// A flow occupies a slow host for longer.
+		perFlow *= float64(option.Latency) / float64(median)
+	}
+	score := (float64(option.Working) + perFlow*float64(option.Flows)) / slots
+	if !option.Local {
+		score += remotePenalty
+	}
+	if option.Cold {
+		score += coldPenalty
+	}
+	return score
+}
+
+func medianLatency(options []Option) time.Duration {
+	latencies := make([]time.Duration, 0, len(options))
+	for i := range options {
+		if options[i].Latency > 0 {
+			latencies = append(latencies, options[i].Latency)
+		}
+	}
+	if len(latencies) == 0 {
+		return 0
+	}
+	slices.Sort(latencies)
+	return latencies[len(latencies)/2]
+}
--- /dev/null
+++ b/internal/state/agfleet/fleet.go
@@ -0,0 +1,308 @@
+// Package agfleet is a balancer's knowledge of the fleet: the desired state,
+// the evacuated data centres, the hosts behind agents and the other balancers.
+//
+// One rule decides between two sources: the higher version wins, and a version
+// that is not higher changes nothing. It holds for what the platform's store
+// says, for what peers say and for what agents say of themselves, so the order
+// in which news arrives does not matter and nothing goes backwards while the
+// process runs.
+//
+// A Fleet takes the time as a parameter, has no sockets and is not safe for
+// concurrent use.
+//
+// # Usage
+//
+//	fleet := agfleet.NewFleet(agfleet.Options{Self: ip, DataCentre: "dk1"})
+//	fleet.OfferDesired(state)
+//	fleet.HearAgent(status, now)
+//	route, ok := fleet.Route(address)
+package agfleet
+
+import (
+	"time"
+
+	"github.com/anvilglade/anvilglade"
+)
+
+// Times after which a silent process changes its standing.
+const (
+	// SilentAfter is the silence after which a host gets no new flows. Three
+	// statuses in a row are then missing.
+	SilentAfter = 1600 * time.Millisecond
+	// ForgetAfter is the silence after which a host or balancer is forgotten.
+	// A partition that heals within it costs no rediscovery.
+	ForgetAfter = 90 * time.Second
+	// restartAfter is the silence after which a lower incarnation is believed:
+	// the clock of a VM may have jumped back before its process restarted.
+	restartAfter = 700 * time.Millisecond
+)
+
+// Options are the settings of a Fleet.
+type Options struct {
+	Self       anvilglade.IPv4
+	DataCentre anvilglade.DataCentreID
+	Regions    map[anvilglade.DataCentreID]anvilglade.RegionID
+}
+
+// Host is a backend server and the agent beside it.
+type Host struct {
+	anvilglade.AgentStatus
+	Number anvilglade.ServiceNumber
+	Heard  time.Time
+	// Placed counts the flows that this balancer has placed since Heard.
+	Placed int
+}
+
+// Balancer is another balancer.
+type Balancer struct {
+	anvilglade.BalancerStatus
+	Heard time.Time
+	// Known is false for addresses that have not been heard yet.
+	Known bool
+}
+
+// Fleet is the knowledge of one balancer.
+type Fleet struct {
+	options     Options
+	desired     anvilglade.DesiredState
+	known       bool
+	routes      map[anvilglade.Endpoint]*anvilglade.PacketRoute
+	evacuations anvilglade.Evacuations
+	hosts       map[anvilglade.IPv4]*Host
+	byService   map[anvilglade.ServiceID][]*Host
+	balancers   map[anvilglade.IPv4]*Balancer
+}
+
+// NewFleet returns an empty Fleet.
+func NewFleet(options Options) *Fleet {
+	return &Fleet{
+		options:   options,
+		routes:    make(map[anvilglade.Endpoint]*anvilglade.PacketRoute),
+		hosts:     make(map[anvilglade.IPv4]*Host),
+		byService: make(map[anvilglade.ServiceID][]*Host),
+		balancers: make(map[anvilglade.IPv4]*Balancer),
+	}
+}
+
+// OfferDesired adopts a desired state if its version is higher than the one in
+// effect, and reports whether it did.
+func (f *Fleet) OfferDesired(state anvilglade.DesiredState) bool {
+	if f.known && state.Version <= f.desired.Version {
+		return false
+	}
+	f.desired, f.known = state, true
+	f.routes = make(map[anvilglade.Endpoint]*anvilglade.PacketRoute, len(state.Routes))
+	for i := range state.Routes {
+		f.routes[state.Routes[i].Address] = &state.Routes[i]
+	}
+	return true
+}
+
+// Desired returns the desired state in effect, or false before the first one.
+func (f *Fleet) Desired() (*anvilglade.DesiredState, bool) {
+	return &f.desired, f.known
+}
+
+// Route returns the route of a service address.
+func (f *Fleet) Route(address anvilglade.Endpoint) (*anvilglade.PacketRoute, bool) {
+	route, ok := f.routes[address]
+	return route, ok
+}
+
+// OfferEvacuations adopts evacuations of a higher revision and reports whether
+// it did.
+func (f *Fleet) OfferEvacuations(evacuations anvilglade.Evacuations) bool {
+	if evacuations.Revision <= f.evacuations.Revision {
+		return false
+	}
+	f.evacuations = evacuations
+	return true
+}
+
+// Evacuations returns the evacuations in effect.
+func (f *Fleet) Evacuations() *anvilglade.Evacuations {
+	return &f.evacuations
+}
+
+// HearAgent takes the status of an agent and reports whether it is news: an
+// agent, host or standing that was not known.
+func (f *Fleet) HearAgent(status anvilglade.AgentStatus, now time.Time) bool {
+	host, ok := f.hosts[status.Agent]
+	if ok && now.Sub(host.Heard) < restartAfter && !newer(status.Incarnation, status.Sequence, host.Incarnation, host.Sequence) {
+		return false
+	}
+	news := !ok || host.Host != status.Host || host.Born != status.Born || host.Accepts != status.Accepts
+	if !ok {
+		host = &Host{}
+		f.hosts[status.Agent] = host
+	}
+	moved := host.Service != status.Service
+	host.AgentStatus, host.Heard, host.Placed = status, now, 0
+	host.Number = status.Service.Number()
+	if !ok || moved {
+		f.index()
+	}
+	for _, balancer := range status.Balancers {
+		f.learnBalancer(balancer)
+	}
+	return news
+}
+
+// HearLoad takes the load of a host as its agent told it with other news.
+func (f *Fleet) HearLoad(agent anvilglade.IPv4, flows, working int) {
+	if host, ok := f.hosts[agent]; ok {
+		host.Flows, host.Working, host.Placed = flows, working, 0
+	}
+}
+
+// HearBalancer takes the status of a balancer. Evacuations in it are adopted
+// if they are newer; a newer desired state has to be fetched.
+func (f *Fleet) HearBalancer(status anvilglade.BalancerStatus, now time.Time) {
+	for _, address := range status.Balancers {
+		f.learnBalancer(address)
+	}
+	if status.Balancer == f.options.Self {
+		return
+	}
+	balancer, ok := f.balancers[status.Balancer]
+	if ok && balancer.Known && now.Sub(balancer.Heard) < restartAfter && !newer(status.Incarnation, status.Sequence, balancer.Incarnation, balancer.Sequence) {
+		return
+	}
+	f.balancers[status.Balancer] = &Balancer{BalancerStatus: status, Heard: now, Known: true}
+	f.OfferEvacuations(status.Evacuations)
+}
+
+// LearnBalancers adds addresses at which balancers may run, such as the seeds.
+func (f *Fleet) LearnBalancers(addresses []anvilglade.IPv4) {
+	for _, address := range addresses {
+		f.learnBalancer(address)
+	}
+}
+
+func (f *Fleet) learnBalancer(address anvilglade.IPv4) {
+	if _, ok := f.balancers[address]; ok || address == f.options.Self || address == (anvilglade.IPv4{}) {
+		return
+	}
+	f.balancers[address] = &Balancer{BalancerStatus: anvilglade.BalancerStatus{Balancer: address}}
+}
+
+// Balancers returns the other balancers in no order.
+func (f *Fleet) Balancers() []*Balancer {
+	list := make([]*Balancer, 0, len(f.balancers))
+	for _, balancer := range f.balancers {
+		list = append(list, balancer)
+	}
+	return list
+}
+
+// LivingBalancers returns the addresses of balancers that were heard recently,
+// this one included.
+func (f *Fleet) LivingBalancers(now time.Time) []anvilglade.IPv4 {
+	list := []anvilglade.IPv4{f.options.Self}
+	for address, balancer := range f.balancers {
+		if balancer.Known && !balancer.Leaving && now.Sub(balancer.Heard) < ForgetAfter/2 {
+			list = append(list, address)
+		}
+	}
+	return list
+}
+
+// Ahead returns a balancer that has a newer desired state than this one.
+func (f *Fleet) Ahead(now time.Time) (anvilglade.IPv4, bool) {
+	var best *Balancer
+	for _, balancer := range f.balancers {
+		if !balancer.Known || now.Sub(balancer.Heard) > 2*SilentAfter || balancer.Desired <= f.desired.Version {
+			continue
+		}
+		if best == nil || balancer.Desired > best.Desired {
+			best = balancer
+		}
+	}
+	if best == nil {
+		return anvilglade.IPv4{}, false
+	}
+	return best.Balancer, true
+}
+
+// Hosts returns the hosts of a service. The slice must not be changed.
+func (f *Fleet) Hosts(service anvilglade.ServiceID) []*Host {
+	return f.byService[service]
+}
+
+// Host returns the host behind an agent.
+func (f *Fleet) Host(agent anvilglade.IPv4) (*Host, bool) {
+	host, ok := f.hosts[agent]
+	return host, ok
+}
+
+// AllHosts returns every host in no order.
+func (f *Fleet) AllHosts() []*Host {
+	list := make([]*Host, 0, len(f.hosts))
+	for _, host := range f.hosts {
+		list = append(list, host)
+	}
+	return list
+}
+
+// HeardHosts returns the number of hosts that were heard within SilentAfter and
+// the number that is known.
+func (f *Fleet) HeardHosts(now time.Time) (heard, known int) {
+	for _, host := range f.hosts {
+		if now.Sub(host.Heard) < SilentAfter {
+			heard++
+		}
+	}
+	return heard, len(f.hosts)
+}
+
+// Forget drops hosts and balancers that have been silent for ForgetAfter.
+func (f *Fleet) Forget(now time.Time) {
+	changed := false
+	for address, host := range f.hosts {
+		if now.Sub(host.Heard) > ForgetAfter {
+			delete(f.hosts, address)
+			changed = true
+		}
+	}
+	if changed {
+		f.index()
+	}
+	for address, balancer := range f.balancers {
+		if balancer.Known && now.Sub(balancer.Heard) > ForgetAfter {
+			delete(f.balancers, address)
+		}
+	}
+}
+
+// SameRegion reports whether a data centre is in one of the regions; an empty
+// list stands for all.
+func (f *Fleet) SameRegion(dataCentre anvilglade.DataCentreID, regions []anvilglade.RegionID) bool {
+	if len(regions) == 0 {
+		return true
+	}
+	for _, region := range regions {
+		if f.options.Regions[dataCentre] == region {
+			return true
+		}
+	}
+	return false
+}
+
+// Local reports whether a data centre is this balancer's own.
+func (f *Fleet) Local(dataCentre anvilglade.DataCentreID) bool {
+	return dataCentre == f.options.DataCentre
+}
+
+func (f *Fleet) index() {
+	f.byService = make(map[anvilglade.ServiceID][]*Host)
+	for _, host := range f.hosts {
+		f.byService[host.Service] = append(f.byService[host.Service], host)
+	}
+}
+
+func newer(incarnation anvilglade.Incarnation, sequence anvilglade.Sequence, thanIncarnation anvilglade.Incarnation, thanSequence anvilglade.Sequence) bool {
+	if incarnation != thanIncarnation {
+		return incarnation > thanIncarnation
+	}
+	return sequence > thanSequence
+}
