Reset flows that no host holds; find flows of former services

Ruled out: lost news between agents and balancers (every host was heard). Change: a search asks all hosts, those of services that the route does not name marked; agents answer 'absent', and once no host is left that may hold the flow, its caller is told by a reset. Decisions are logged within a budget.

--- a/fleet.go
+++ b/fleet.go
@@ -89,6 +89,9 @@
 	Host        HostID
 	// Born is the host's start in milliseconds since the Unix epoch.
 	Born int64
+	// Ended is true once it is known that the host does not run any more. Its
+	// flows are lost then.
+	Ended bool
 	// Accepts is true while the host takes new flows.
 	Accepts bool
 	Cold    bool
@@ -116,8 +119,9 @@
 	Evacuations Evacuations
 	// ColdRates is set for the services of the agents that the status is for.
 	ColdRates []PacketService
-	// Balancers are the balancers that the sender knows.
+	// Balancers and Agents are the ones that the sender knows.
 	Balancers []IPv4
+	Agents    []IPv4
 }
 
 // PlatformSettings is what a process on the users' platform is told at its
--- a/internal/admission/agopen/gate.go
+++ b/internal/admission/agopen/gate.go
@@ -137,6 +137,11 @@
 	g.gone = true
 }
 
+// Ended reports whether it is known that the host does not run any more.
+func (g *Gate) Ended() bool {
+	return g.gone
+}
+
 // Inform takes what balancers say of the evacuations and of the service.
 func (g *Gate) Inform(evacuated bool, coldRate float64, now time.Time) {
 	g.evacuated, g.coldRate, g.informed = evacuated, coldRate, now
--- a/internal/flow/agholder/holder.go
+++ b/internal/flow/agholder/holder.go
@@ -45,6 +45,8 @@
 	ActionReturn
 	// ActionExhausted tells the balancer To that no candidate took the packet.
 	ActionExhausted
+	// ActionAbsent tells the balancer To that the host does not hold the flow.
+	ActionAbsent
 	// ActionReset resets the flow to its caller.
 	ActionReset
 )
@@ -131,6 +133,7 @@
 // Holder keeps the flows of one host.
 type Holder struct {
 	options Options
+	started time.Time
 	flows   map[anvilglade.Flow]*flowRecord
 	pending [pendingPackets]pendingPacket
 	tag     uint32
@@ -143,8 +146,8 @@
 }
 
 // NewHolder returns a Holder without flows.
-func NewHolder(options Options) *Holder {
-	return &Holder{options: options, flows: make(map[anvilglade.Flow]*flowRecord)}
+func NewHolder(options Options, now time.Time) *Holder {
+	return &Holder{options: options, started: now, flows: make(map[anvilglade.Flow]*flowRecord)}
 }
 
 // Holds reports whether the host has answered the flow's opening packet.
@@ -160,8 +163,9 @@
 }
 
 // FromBalancer decides on a packet that a balancer or an agent has forwarded.
-// Refusal is empty if an opening packet may go to the host.
-func (h *Holder) FromBalancer(forward *agmessage.Forward, packet *anvilglade.Packet, refusal string, now time.Time, verdict *Verdict) {
+// Refusal is empty if an opening packet may go to the host; ended is set if the
+// host does not run any more.
+func (h *Holder) FromBalancer(forward *agmessage.Forward, packet *anvilglade.Packet, refusal string, ended bool, now time.Time, verdict *Verdict) {
 	flow := packet.FromCaller()
 	*verdict = Verdict{Flow: flow, Forward: agmessage.Forward{Candidates: verdict.Forward.Candidates[:0]}}
 	if forward.Service != h.options.Service {
@@ -169,6 +173,10 @@
 		return
 	}
 	record := h.flows[flow]
+	if !packet.Opens() && (ended || forward.Foreign && record == nil && h.remembersAll(now)) {
+		verdict.Action, verdict.To = ActionAbsent, forward.Origin
+		return
+	}
 	if packet.Opens() && (record == nil || record.state == stateAsked) && refusal != "" {
 		h.refuse(forward, packet, refusal, verdict)
 		return
@@ -291,9 +299,19 @@
 	if record != nil && record.state != stateEnded {
 		h.drop(flow, record)
 	}
+	verdict.Action, verdict.To = ActionAbsent, slot.origin
 	if slot.held {
-		verdict.Action, verdict.To = ActionReturn, slot.origin
+		verdict.Action = ActionReturn
+		return
 	}
+	// The usual answer of a host that was asked for a flow.
+	verdict.Cause = ""
+}
+
+// remembersAll reports whether the holder has run for longer than a flow may
+// last, so that it has seen every flow of its host.
+func (h *Holder) remembersAll(now time.Time) bool {
+	return now.Sub(h.started) > h.options.IdleTimeout
 }
 
 // Lost returns the open flows and forgets them; the host that held them is
--- a/internal/operate/agcommand/packet.go
+++ b/internal/operate/agcommand/packet.go
@@ -35,6 +35,7 @@
 	set   *agsettings.Set
 	path  string
 	level string
+	log   *aglog.AsyncWriter
 }
 
 func (v *packetVerb) bind(subcommand *flaggy.Subcommand) {
@@ -49,7 +50,8 @@
 	if err := v.set.Check(); err != nil {
 		return anvilglade.PlatformSettings{}, nil, nil, err
 	}
-	if err := aglog.Configure(aglog.Options{Level: v.level, JSON: true, Output: os.Stdout}); err != nil {
+	v.log = aglog.NewAsyncWriter(os.Stdout)
+	if err := aglog.Configure(aglog.Options{Level: v.level, JSON: true, Output: v.log}); err != nil {
 		return anvilglade.PlatformSettings{}, nil, nil, err
 	}
 	debug.SetGCPercent(gcPercent)
--- a/internal/operate/agpacketagent/packets.go
+++ b/internal/operate/agpacketagent/packets.go
@@ -12,6 +12,7 @@
 
 	"github.com/anvilglade/anvilglade"
 	"github.com/anvilglade/anvilglade/internal/flow/agholder"
+	"github.com/anvilglade/anvilglade/internal/observe/agdecision"
 	"github.com/anvilglade/anvilglade/internal/packet/agmessage"
 	"github.com/anvilglade/anvilglade/internal/packet/agsocket"
 )
@@ -84,7 +85,7 @@
 	if packet.Opens() && forward.Service == p.settings.Service.Number() && !p.holder.Holds(packet.FromCaller()) {
 		refusal = string(p.gate.Open(now))
 	}
-	p.holder.FromBalancer(forward, &packet, refusal, now, verdict)
+	p.holder.FromBalancer(forward, &packet, refusal, p.gate.Ended(), now, verdict)
 	p.carryOut(out, raw, &packet, verdict)
 }
 
@@ -130,9 +131,14 @@
 	case agholder.ActionExhausted:
 		p.parts.Codec.ClearMarks(raw)
 		out.packets.Add(agmessage.AppendPacket(out.packets.Buffer(), agmessage.KindExhausted, raw), p.innerEndpoint(verdict.To).AddrPort())
+	case agholder.ActionAbsent:
+		out.packets.Add(agmessage.AppendAbsent(out.packets.Buffer(), verdict.Flow), p.innerEndpoint(verdict.To).AddrPort())
 	case agholder.ActionReset:
 		p.reset(out.packets, verdict.Flow, packet.Acknowledged)
 	}
+	if verdict.Cause != "" {
+		p.logVerdict(packet, verdict)
+	}
 	if verdict.OwnerTo != (anvilglade.IPv4{}) {
 		out.packets.Add(agmessage.AppendOwner(out.packets.Buffer(), &verdict.Owner), p.innerEndpoint(verdict.OwnerTo).AddrPort())
 	}
@@ -141,5 +147,22 @@
 func (p *Process) reset(writer *agsocket.Writer, flow anvilglade.Flow, acknowledged uint32) {
 	buffer := p.parts.Codec.AppendReset(writer.Buffer(), flow, acknowledged)
 	writer.Add(buffer, p.packetEndpoint(flow.Caller.IP).AddrPort())
-	p.log.WithField("Flow", flow.String()).Debug("Flow is reset because its host has lost it.")
+}
+
+var decisionKinds = map[agholder.Action]agdecision.Kind{
+	agholder.ActionDrop:      agdecision.KindDropped,
+	agholder.ActionPass:      agdecision.KindPassed,
+	agholder.ActionReturn:    agdecision.KindReturned,
+	agholder.ActionExhausted: agdecision.KindRefused,
+	agholder.ActionReset:     agdecision.KindReset,
+}
+
+// logVerdict logs a decision on a packet that did not go the usual way.
+func (p *Process) logVerdict(packet *anvilglade.Packet, verdict *agholder.Verdict) {
+	line, ok := p.decisions.Line(decisionKinds[verdict.Action], time.Now())
+	if !ok {
+		return
+	}
+	line.WithField("Flow", verdict.Flow.String()).WithField("Opens", packet.Opens()).WithField("Cause", verdict.Cause).
+		WithField("To", verdict.To).WithField("Revision", p.evacuations.Revision).Info("Packet is not taken by the host.")
 }
--- a/internal/operate/agpacketagent/process.go
+++ b/internal/operate/agpacketagent/process.go
@@ -29,6 +29,7 @@
 	"github.com/anvilglade/anvilglade"
 	"github.com/anvilglade/anvilglade/internal/admission/agopen"
 	"github.com/anvilglade/anvilglade/internal/flow/agholder"
+	"github.com/anvilglade/anvilglade/internal/observe/agdecision"
 	"github.com/anvilglade/anvilglade/internal/observe/aglog"
 	"github.com/anvilglade/anvilglade/internal/operate/agtask"
 	"github.com/anvilglade/anvilglade/internal/packet/agsocket"
@@ -52,6 +53,8 @@
 	ReadyHandler func(ready func() bool) http.Handler
 	// Reload reads the settings again.
 	Reload func() (anvilglade.PlatformSettings, error)
+	// LogWriter passes log lines on while the process runs.
+	LogWriter func(context.Context) error
 }
 
 // Process is an agent of packet services.
@@ -73,6 +76,7 @@
 	standing    agopen.Refusal
 	evacuations anvilglade.Evacuations
 	balancers   map[anvilglade.IPv4]*knownBalancer
+	decisions   *agdecision.Log
 }
 
 // knownBalancer is a balancer that gets this agent's status.
@@ -107,9 +111,10 @@
 			HeartbeatInterval: settings.HeartbeatInterval,
 			ColdSlack:         settings.ColdSlack,
 		}),
-		holder:    agholder.NewHolder(agholder.Options{Service: settings.Service.Number(), IdleTimeout: settings.MaxFlowAge}),
+		holder:    agholder.NewHolder(agholder.Options{Service: settings.Service.Number(), IdleTimeout: settings.MaxFlowAge}, time.Now()),
 		standing:  agopen.RefusalNoHeartbeat,
 		balancers: make(map[anvilglade.IPv4]*knownBalancer),
+		decisions: agdecision.NewLog(aglog.New("packet-agent")),
 	}
 	p.learnSeeds(settings.Seeds)
 	return p, func() { closePackets(); closeOutbound() }, nil
@@ -126,6 +131,7 @@
 		name string
 		run  func(context.Context) error
 	}{
+		{"log", p.parts.LogWriter},
 		{"packets", p.readPackets},
 		{"outbound", p.readOutbound},
 		{"heartbeats", func(ctx context.Context) error {
--- a/internal/operate/agpacketagent/status.go
+++ b/internal/operate/agpacketagent/status.go
@@ -155,6 +155,7 @@
 		Service:     p.settings.Service,
 		DataCentre:  p.settings.DataCentre,
 		Region:      p.settings.Region,
+		Ended:       p.gate.Ended(),
 		Accepts:     p.gate.Standing(now) == agopen.RefusalNone && !p.leaving.Load(),
 		Cold:        p.gate.Cold(now),
 		Flows:       flows,
--- a/internal/operate/agpacketbalancer/packets.go
+++ b/internal/operate/agpacketbalancer/packets.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/anvilglade/anvilglade"
+	"github.com/anvilglade/anvilglade/internal/observe/agdecision"
 	"github.com/anvilglade/anvilglade/internal/packet/agmessage"
 	"github.com/anvilglade/anvilglade/internal/packet/agsocket"
 	"github.com/anvilglade/anvilglade/internal/routing/agdispatch"
@@ -51,6 +52,7 @@
 			}
 			p.dispatcher.FromCaller(&packet, now, &verdict)
 			p.carryOut(writer, batch[i].Data, &packet, &verdict)
+			p.logVerdict(&packet, &verdict, now)
 		}
 		p.mu.Unlock()
 		writer.Flush()
@@ -62,7 +64,8 @@
 	switch verdict.Action {
 	case agdispatch.ActionForward:
 		forward := agmessage.Forward{Service: verdict.Service, Origin: p.settings.IP, Held: verdict.Held, Candidates: verdict.Candidates}
-		for _, agent := range verdict.To {
+		for i, agent := range verdict.To {
+			forward.Foreign = i >= len(verdict.To)-verdict.Foreign
 			if !verdict.Held && verdict.Service == 0 {
 				// The flow may belong to any service of its route.
 				forward.Service = p.serviceNumber(agent)
@@ -71,12 +74,15 @@
 			writer.Add(buffer, p.endpointOf(agent, p.settings.PacketPort).AddrPort())
 		}
 	case agdispatch.ActionReset:
-		flow := packet.FromCaller()
-		buffer := p.parts.Codec.AppendReset(writer.Buffer(), flow, packet.Acknowledged)
-		writer.Add(buffer, p.endpointOf(flow.Caller.IP, p.settings.PacketPort).AddrPort())
+		p.reset(writer, packet.FromCaller(), verdict.Acknowledged)
 	}
 }
 
+func (p *Process) reset(writer *agsocket.Writer, flow anvilglade.Flow, acknowledged uint32) {
+	buffer := p.parts.Codec.AppendReset(writer.Buffer(), flow, acknowledged)
+	writer.Add(buffer, p.endpointOf(flow.Caller.IP, p.settings.PacketPort).AddrPort())
+}
+
 func (p *Process) serviceNumber(agent anvilglade.IPv4) anvilglade.ServiceNumber {
 	if host, ok := p.fleet.Host(agent); ok {
 		return host.Number
@@ -117,6 +123,8 @@
 		}
 		p.dispatcher.Owner(from, owner.Flow, owner.Established, owner.Sequence, now)
 		p.fleet.HearLoad(from, int(owner.Flows), int(owner.Working))
+	case agmessage.KindAbsent:
+		p.absent(writer, data, from, now)
 	case agmessage.KindReturned, agmessage.KindExhausted:
 		p.comeBack(writer, data, from, now)
 	case agmessage.KindAgentStatus:
@@ -135,6 +143,23 @@
 	}
 }
 
+// absent takes the news that a host does not hold a flow.
+func (p *Process) absent(writer *agsocket.Writer, data []byte, from anvilglade.IPv4, now time.Time) {
+	flow, err := agmessage.ParseAbsent(data)
+	if err != nil {
+		return
+	}
+	var verdict agdispatch.Verdict
+	p.dispatcher.Absent(from, flow, now, &verdict)
+	if verdict.Action != agdispatch.ActionReset {
+		return
+	}
+	p.reset(writer, flow, verdict.Acknowledged)
+	if line, ok := p.decisions.Line(agdecision.KindReset, now); ok {
+		line.WithField("Flow", flow.String()).WithField("Reason", string(verdict.Reason)).Info("Flow is reset because no host holds it.")
+	}
+}
+
 // comeBack decides again on a packet that no host took.
 func (p *Process) comeBack(writer *agsocket.Writer, data []byte, from anvilglade.IPv4, now time.Time) {
 	raw := agmessage.Packet(data)
@@ -149,4 +174,33 @@
 		p.dispatcher.Exhausted(&packet, &verdict)
 	}
 	p.carryOut(writer, raw, &packet, &verdict)
+	if line, ok := p.decisions.Line(agdecision.KindReturned, now); ok {
+		line.WithField("Flow", packet.FromCaller().String()).WithField("Agent", from).WithField("Reason", string(verdict.Reason)).
+			WithField("To", verdict.To).Info("Packet has come back from an agent.")
+	}
+}
+
+// logVerdict logs a decision on a packet of a caller unless it is the usual one.
+func (p *Process) logVerdict(packet *anvilglade.Packet, verdict *agdispatch.Verdict, now time.Time) {
+	if verdict.Reason == agdispatch.ReasonHeld {
+		return
+	}
+	kind := agdecision.KindDropped
+	switch {
+	case verdict.Action == agdispatch.ActionReset:
+		kind = agdecision.KindReset
+	case verdict.Reason == agdispatch.ReasonLookup:
+		kind = agdecision.KindLookup
+	case verdict.Reason == agdispatch.ReasonPlaced:
+		kind = agdecision.KindPlaced
+	}
+	line, ok := p.decisions.Line(kind, now)
+	if !ok {
+		return
+	}
+	desired, _ := p.fleet.Desired()
+	heard, known := p.fleet.HeardHosts(now)
+	line.WithField("Flow", packet.FromCaller().String()).WithField("Reason", string(verdict.Reason)).WithField("To", verdict.To).
+		WithField("Candidates", verdict.Candidates).WithField("Version", desired.Version).WithField("HostsHeard", heard).
+		WithField("HostsKnown", known).Info("Packet of a caller.")
 }
--- a/internal/operate/agpacketbalancer/process.go
+++ b/internal/operate/agpacketbalancer/process.go
@@ -29,6 +29,7 @@
 	"time"
 
 	"github.com/anvilglade/anvilglade"
+	"github.com/anvilglade/anvilglade/internal/observe/agdecision"
 	"github.com/anvilglade/anvilglade/internal/observe/aglog"
 	"github.com/anvilglade/anvilglade/internal/operate/agtask"
 	"github.com/anvilglade/anvilglade/internal/packet/agsocket"
@@ -54,6 +55,8 @@
 	ReadyHandler func(ready func() bool) http.Handler
 	// Reload reads the settings again.
 	Reload func() (anvilglade.PlatformSettings, error)
+	// LogWriter passes log lines on while the process runs.
+	LogWriter func(context.Context) error
 }
 
 // Process is a balancer of packet services.
@@ -72,6 +75,7 @@
 	mu         sync.Mutex
 	fleet      *agfleet.Fleet
 	dispatcher *agdispatch.Dispatcher
+	decisions  *agdecision.Log
 }
 
 // NewProcess opens the sockets. The returned function closes them.
@@ -99,6 +103,7 @@
 		inner:       inner,
 		http:        &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
 		fleet:       fleet,
+		decisions:   agdecision.NewLog(aglog.New("packet-balancer")),
 		dispatcher:  agdispatch.NewDispatcher(fleet, rand.New(rand.NewPCG(seed, seed)), now),
 	}
 	return p, func() { closePackets(); closeInner() }, nil
@@ -116,6 +121,7 @@
 		name string
 		run  func(context.Context) error
 	}{
+		{"log", p.parts.LogWriter},
 		{"packets", p.readPackets},
 		{"inner", p.readInner},
 		{"status", p.sendStatus},
@@ -126,7 +132,7 @@
 		{"expire", p.expire},
 		{"reload", p.reload},
 		{"ready", func(ctx context.Context) error {
-			return serveHTTP(ctx, p.settings.ReadyAddr, p.parts.ReadyHandler(p.Ready))
+			return agtask.ServeHTTP(ctx, p.settings.ReadyAddr, p.parts.ReadyHandler(p.Ready))
 		}},
 		{"transfer", p.serveTransfer},
 	}
@@ -191,11 +197,6 @@
 	}
 }
 
-// serveHTTP serves until the context ends.
-func serveHTTP(ctx context.Context, address string, handler http.Handler) error {
-	return agtask.ServeHTTP(ctx, address, handler)
-}
-
 func (p *Process) endpointOf(ip anvilglade.IPv4, port uint16) anvilglade.Endpoint {
 	return anvilglade.Endpoint{IP: ip, Port: port}
 }
--- a/internal/operate/agpacketbalancer/status.go
+++ b/internal/operate/agpacketbalancer/status.go
@@ -59,6 +59,7 @@
 // status returns the status of this balancer. The caller holds the mutex.
 func (p *Process) status(now time.Time) anvilglade.BalancerStatus {
 	living := p.fleet.LivingBalancers(now)
+	agents := p.fleet.Agents(now)
 	desired, _ := p.fleet.Desired()
 	return anvilglade.BalancerStatus{
 		Balancer:    p.settings.IP,
@@ -69,12 +70,15 @@
 		Desired:     desired.Version,
 		Evacuations: *p.fleet.Evacuations(),
 		Balancers:   living[:min(len(living), maxListed)],
+		Agents:      agents[:min(len(agents), maxListed)],
 	}
 }
 
 // answerAgent tells an agent what it has to know. The caller holds the mutex.
 func (p *Process) answerAgent(writer *agsocket.Writer, agent *anvilglade.AgentStatus, now time.Time) {
 	status := p.status(now)
+	// Agents have no use for each other's addresses.
+	status.Agents = nil
 	desired, _ := p.fleet.Desired()
 	for _, service := range desired.Services {
 		if service.Service == agent.Service {
--- a/internal/packet/agmessage/message.go
+++ b/internal/packet/agmessage/message.go
@@ -39,6 +39,8 @@
 	KindReturned
 	// KindExhausted gives a balancer a packet that none of the candidates took.
 	KindExhausted
+	// KindAbsent tells a balancer that a host does not hold a flow.
+	KindAbsent
 	// KindAgentStatus and KindBalancerStatus carry an AgentStatus and a
 	// BalancerStatus.
 	KindAgentStatus
@@ -56,6 +58,9 @@
 	// Held is set when the balancer knows that the agent's host holds the
 	// flow. There are no candidates then.
 	Held bool
+	// Foreign is set when the flow's route does not name the receiver's service
+	// any more. The flow may be there from before.
+	Foreign bool
 	// Candidates are the agents to try after the receiver, in order.
 	Candidates []anvilglade.IPv4
 }
@@ -75,7 +80,9 @@
 const (
 	forwardHeader = 1 + 1 + 1 + 8 + 4
 	ownerSize     = 1 + 12 + 1 + 4 + 2 + 2
+	absentSize    = 1 + 12
 	flagHeld      = 1
+	flagForeign   = 2
 	flagEstabl    = 1
 )
 
@@ -95,6 +102,9 @@
 	if forward.Held {
 		flags |= flagHeld
 	}
+	if forward.Foreign {
+		flags |= flagForeign
+	}
 	count := min(len(forward.Candidates), MaxCandidates)
 	dst = append(dst, byte(KindForward), flags, byte(count))
 	dst = binary.BigEndian.AppendUint64(dst, uint64(forward.Service))
@@ -117,6 +127,7 @@
 		return nil, fmt.Errorf("forwarded packet with %d candidates: %w", count, errShort)
 	}
 	forward.Held = datagram[1]&flagHeld != 0
+	forward.Foreign = datagram[1]&flagForeign != 0
 	forward.Service = anvilglade.ServiceNumber(binary.BigEndian.Uint64(datagram[3:11]))
 	forward.Origin = anvilglade.IPv4(datagram[11:15])
 	forward.Candidates = forward.Candidates[:0]
@@ -155,6 +166,19 @@
 	}, nil
 }
 
+// AppendAbsent appends the message that a host does not hold a flow.
+func AppendAbsent(dst []byte, flow anvilglade.Flow) []byte {
+	return appendEndpoint(appendEndpoint(append(dst, byte(KindAbsent)), flow.Caller), flow.Service)
+}
+
+// ParseAbsent decodes the flow that a host does not hold.
+func ParseAbsent(datagram []byte) (anvilglade.Flow, error) {
+	if len(datagram) != absentSize {
+		return anvilglade.Flow{}, fmt.Errorf("absent message has %d bytes, want %d", len(datagram), absentSize)
+	}
+	return anvilglade.Flow{Caller: endpoint(datagram[1:]), Service: endpoint(datagram[7:])}, nil
+}
+
 // AppendPacket appends a datagram of KindReturned or KindExhausted.
 func AppendPacket(dst []byte, kind Kind, packet []byte) []byte {
 	return append(append(dst, byte(kind)), packet...)
--- a/internal/routing/agdispatch/dispatch.go
+++ b/internal/routing/agdispatch/dispatch.go
@@ -56,6 +56,8 @@
 	ReasonNoState     Reason = "NoDesiredState"
 	ReasonAllRefused  Reason = "AllRefused"
 	ReasonUnknownFlow Reason = "UnknownFlow"
+	ReasonLostHost    Reason = "HostLost"
+	ReasonNowhere     Reason = "HeldNowhere"
 )
 
 const (
@@ -82,6 +84,11 @@
 	Held bool
 	// To are the agents that get the packet.
 	To []anvilglade.IPv4
+	// Foreign is the number of agents at the end of To whose service the route
+	// does not name any more.
+	Foreign int
+	// Acknowledged is the caller's newest acknowledgement, for a reset.
+	Acknowledged uint32
 	// Candidates are the agents that an opening packet may be passed on to.
 	Candidates []anvilglade.IPv4
 }
@@ -108,23 +115,40 @@
 
 // FromCaller decides on a packet of a caller.
 func (d *Dispatcher) FromCaller(packet *anvilglade.Packet, now time.Time, verdict *Verdict) {
-	*verdict = Verdict{To: verdict.To[:0], Candidates: verdict.Candidates[:0]}
+	*verdict = Verdict{To: verdict.To[:0], Candidates: verdict.Candidates[:0], Acknowledged: packet.Acknowledged}
 	flow := packet.FromCaller()
 	entry := d.flows[flow]
 	if entry != nil {
 		entry.used = now
+		entry.acknowledged = packet.Acknowledged
 	}
 	if packet.Opens() {
 		d.open(flow, entry, now, verdict)
 		return
 	}
 	if entry != nil {
-		if holder, ok := entry.holderOf(packet); ok {
+		if holder, ok := entry.holderOf(packet); ok && d.mayHold(entry, holder, flow, now, verdict) {
 			d.toHolder(entry, holder, verdict)
 			return
 		}
+		if verdict.Action == ActionReset {
+			return
+		}
 	}
-	d.lookup(flow, anvilglade.IPv4{}, now, verdict)
+	d.lookup(flow, packet, anvilglade.IPv4{}, now, verdict)
+}
+
+// mayHold reports whether the host that held a flow may still run. A host that
+// has been silent for too long is lost with its machine, and the caller is told
+// with a reset.
+func (d *Dispatcher) mayHold(entry *flowEntry, holder anvilglade.IPv4, flow anvilglade.Flow, now time.Time, verdict *Verdict) bool {
+	host, known := d.fleet.Host(holder)
+	if !known || !host.Ended && now.Sub(host.Heard) >= agfleet.LostAfter {
+		verdict.Action, verdict.Reason = ActionReset, ReasonLostHost
+		delete(d.flows, flow)
+		return false
+	}
+	return !host.Ended && (entry.born == 0 || entry.born == host.Born)
 }
 
 func (d *Dispatcher) toHolder(entry *flowEntry, holder anvilglade.IPv4, verdict *Verdict) {
@@ -136,7 +160,9 @@
 // open places a new flow or sends a copy of its opening packet on.
 func (d *Dispatcher) open(flow anvilglade.Flow, entry *flowEntry, now time.Time, verdict *Verdict) {
 	if entry != nil && entry.established {
-		d.toHolder(entry, entry.holder, verdict)
+		if d.mayHold(entry, entry.holder, flow, now, verdict) {
+			d.toHolder(entry, entry.holder, verdict)
+		}
 		return
 	}
 	if _, known := d.fleet.Desired(); !known {
@@ -224,39 +250,88 @@
 }
 
 // lookup sends a packet of a flow whose holder is not known to every agent that
-// may hold it but the one given.
-func (d *Dispatcher) lookup(flow anvilglade.Flow, except anvilglade.IPv4, now time.Time, verdict *Verdict) {
+// may hold it but the one given, which has said that it does not. Hosts of
+// services that the route does not name are asked too: the route may have named
+// them when the flow was opened.
+func (d *Dispatcher) lookup(flow anvilglade.Flow, packet *anvilglade.Packet, except anvilglade.IPv4, now time.Time, verdict *Verdict) {
+	verdict.Reason = ReasonLookup
 	route, ok := d.fleet.Route(flow.Service)
 	if !ok {
 		verdict.Reason = ReasonNoRoute
 		return
 	}
-	for _, backend := range route.Backends {
-		for _, host := range d.fleet.Hosts(backend.Service) {
-			if host.Agent != except && now.Sub(host.Heard) < 2*agfleet.SilentAfter {
-				verdict.To = append(verdict.To, host.Agent)
-			}
+	entry := d.flows[flow]
+	if entry == nil {
+		entry = d.remember(flow, 0, now)
+	}
+	entry.acknowledged = packet.Acknowledged
+	entry.startSearch(except)
+	for _, host := range d.fleet.AllHosts() {
+		if !host.MayHold(now) || host.Agent == except {
+			continue
+		}
+		verdict.To = append(verdict.To, host.Agent)
+		if routeNames(route, host.Service) {
+			last := len(verdict.To) - 1
+			verdict.To[last], verdict.To[last-verdict.Foreign] = verdict.To[last-verdict.Foreign], verdict.To[last]
+			continue
 		}
+		verdict.Foreign++
 	}
-	verdict.Reason = ReasonLookup
 	if len(verdict.To) > 0 {
 		verdict.Action = ActionForward
+		return
+	}
+	d.concludeSearch(flow, entry, now, verdict)
+}
+
+func routeNames(route *anvilglade.PacketRoute, service anvilglade.ServiceID) bool {
+	for _, backend := range route.Backends {
+		if backend.Service == service {
+			return true
+		}
 	}
+	return false
+}
+
+// Absent takes the news that an agent's host does not hold a flow. Once no host
+// is left that may hold it, the flow is reset to its caller.
+func (d *Dispatcher) Absent(agent anvilglade.IPv4, flow anvilglade.Flow, now time.Time, verdict *Verdict) {
+	*verdict = Verdict{To: verdict.To[:0], Candidates: verdict.Candidates[:0], Reason: ReasonUnknownFlow}
+	entry := d.flows[flow]
+	if entry == nil || !entry.searching() {
+		return
+	}
+	entry.absentAt(agent)
+	d.concludeSearch(flow, entry, now, verdict)
+}
+
+func (d *Dispatcher) concludeSearch(flow anvilglade.Flow, entry *flowEntry, now time.Time, verdict *Verdict) {
+	if !d.fleet.Complete(d.started, now) {
+		return
+	}
+	for _, host := range d.fleet.AllHosts() {
+		if host.MayHold(now) && !entry.isAbsentAt(host.Agent) {
+			return
+		}
+	}
+	verdict.Action, verdict.Reason, verdict.Acknowledged = ActionReset, ReasonNowhere, entry.acknowledged
+	delete(d.flows, flow)
 }
 
 // Owner takes the news that an agent's host holds a flow or offers to.
 func (d *Dispatcher) Owner(agent anvilglade.IPv4, flow anvilglade.Flow, established bool, sequence uint32, now time.Time) {
+	host, ok := d.fleet.Host(agent)
+	if !ok {
+		return
+	}
 	entry := d.flows[flow]
 	if entry == nil {
-		host, ok := d.fleet.Host(agent)
-		if !ok {
-			return
-		}
 		entry = d.remember(flow, host.Number, now)
 	}
 	entry.used = now
 	if established {
-		entry.holder, entry.established = agent, true
+		entry.establish(host)
 		return
 	}
 	entry.offer(agent, sequence)
@@ -265,12 +340,12 @@
 // Returned decides on a packet that came back from the agent that was believed
 // to hold its flow.
 func (d *Dispatcher) Returned(agent anvilglade.IPv4, packet *anvilglade.Packet, now time.Time, verdict *Verdict) {
-	*verdict = Verdict{To: verdict.To[:0], Candidates: verdict.Candidates[:0]}
+	*verdict = Verdict{To: verdict.To[:0], Candidates: verdict.Candidates[:0], Acknowledged: packet.Acknowledged}
 	flow := packet.FromCaller()
 	if entry := d.flows[flow]; entry != nil && entry.holder == agent {
 		delete(d.flows, flow)
 	}
-	d.lookup(flow, agent, now, verdict)
+	d.lookup(flow, packet, agent, now, verdict)
 }
 
 // Exhausted decides on a packet that no candidate took.
--- a/internal/routing/agdispatch/flow.go
+++ b/internal/routing/agdispatch/flow.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/anvilglade/anvilglade"
+	"github.com/anvilglade/anvilglade/internal/state/agfleet"
 )
 
 // flowEntry is what a balancer remembers of a flow.
@@ -15,9 +16,16 @@
 	// otherwise the one that the newest opening packet went to.
 	holder      anvilglade.IPv4
 	established bool
-	attempts    []anvilglade.IPv4
+	// born is the start of the holder's host, 0 if unknown.
+	born     int64
+	attempts []anvilglade.IPv4
 	// offers are the hosts that have answered the opening packet.
 	offers []offer
+	// acknowledged is the caller's newest acknowledgement.
+	acknowledged uint32
+	// absent are the agents whose hosts do not hold the flow, nil if no search
+	// for its holder is going on.
+	absent map[anvilglade.IPv4]struct{}
 }
 
 type offer struct {
@@ -44,6 +52,37 @@
 	return anvilglade.IPv4{}, false
 }
 
+func (e *flowEntry) establish(host *agfleet.Host) {
+	e.holder, e.born, e.service, e.established = host.Agent, host.Born, host.Number, true
+	e.absent = nil
+}
+
+// startSearch begins a search for the holder or goes on with it. One agent is
+// known not to hold the flow, unless it is the zero address.
+func (e *flowEntry) startSearch(except anvilglade.IPv4) {
+	e.established = false
+	e.offers, e.attempts = nil, nil
+	if e.absent == nil {
+		e.absent = make(map[anvilglade.IPv4]struct{})
+	}
+	if except != (anvilglade.IPv4{}) {
+		e.absent[except] = struct{}{}
+	}
+}
+
+func (e *flowEntry) searching() bool {
+	return e.absent != nil
+}
+
+func (e *flowEntry) absentAt(agent anvilglade.IPv4) {
+	e.absent[agent] = struct{}{}
+}
+
+func (e *flowEntry) isAbsentAt(agent anvilglade.IPv4) bool {
+	_, absent := e.absent[agent]
+	return absent
+}
+
 func (e *flowEntry) tried(agent anvilglade.IPv4) {
 	e.holder = agent
 	e.attempts = append(e.attempts, agent)
--- a/internal/state/agfleet/fleet.go
+++ b/internal/state/agfleet/fleet.go
@@ -29,6 +29,9 @@
 	// SilentAfter is the silence after which a host gets no new flows. Three
 	// statuses in a row are then missing.
 	SilentAfter = 1600 * time.Millisecond
+	// LostAfter is the silence after which a host counts as lost together with
+	// its flows. An agent that is restarted is back before.
+	LostAfter = 3 * time.Second
 	// ForgetAfter is the silence after which a host or balancer is forgotten.
 	// A partition that heals within it costs no rediscovery.
 	ForgetAfter = 90 * time.Second
@@ -53,6 +56,11 @@
 	Placed int
 }
 
+// MayHold reports whether the host may be running and hold flows.
+func (h *Host) MayHold(now time.Time) bool {
+	return !h.Ended && now.Sub(h.Heard) < LostAfter
+}
+
 // Balancer is another balancer.
 type Balancer struct {
 	anvilglade.BalancerStatus
@@ -69,8 +77,12 @@
 	routes      map[anvilglade.Endpoint]*anvilglade.PacketRoute
 	evacuations anvilglade.Evacuations
 	hosts       map[anvilglade.IPv4]*Host
-	byService   map[anvilglade.ServiceID][]*Host
-	balancers   map[anvilglade.IPv4]*Balancer
+	// told are the agents that peers know and this balancer has not heard yet,
+	// with the time at which it was told.
+	told      map[anvilglade.IPv4]time.Time
+	peerHeard bool
+	byService map[anvilglade.ServiceID][]*Host
+	balancers map[anvilglade.IPv4]*Balancer
 }
 
 // NewFleet returns an empty Fleet.
@@ -79,6 +91,7 @@
 		options:   options,
 		routes:    make(map[anvilglade.Endpoint]*anvilglade.PacketRoute),
 		hosts:     make(map[anvilglade.IPv4]*Host),
+		told:      make(map[anvilglade.IPv4]time.Time),
 		byService: make(map[anvilglade.ServiceID][]*Host),
 		balancers: make(map[anvilglade.IPv4]*Balancer),
 	}
@@ -135,6 +148,7 @@
 	if !ok {
 		host = &Host{}
 		f.hosts[status.Agent] = host
+		delete(f.told, status.Agent)
 	}
 	moved := host.Service != status.Service
 	host.AgentStatus, host.Heard, host.Placed = status, now, 0
@@ -170,6 +184,47 @@
 	}
 	f.balancers[status.Balancer] = &Balancer{BalancerStatus: status, Heard: now, Known: true}
 	f.OfferEvacuations(status.Evacuations)
+	f.peerHeard = true
+	for _, agent := range status.Agents {
+		if _, known := f.hosts[agent]; known {
+			continue
+		}
+		if _, told := f.told[agent]; !told {
+			f.told[agent] = now
+		}
+	}
+}
+
+// Agents returns the agents whose hosts may hold flows: those that have not
+// been silent for LostAfter and whose host is not known to have ended.
+func (f *Fleet) Agents(now time.Time) []anvilglade.IPv4 {
+	var list []anvilglade.IPv4
+	for address, host := range f.hosts {
+		if host.MayHold(now) {
+			list = append(list, address)
+		}
+	}
+	return list
+}
+
+// Complete reports whether every host that may hold a flow is in Agents and has
+// been heard recently. It is false while this balancer may not know of all
+// hosts, because it has just started or one of them is silent.
+func (f *Fleet) Complete(started, now time.Time) bool {
+	if !f.peerHeard && now.Sub(started) < LostAfter {
+		return false
+	}
+	for _, told := range f.told {
+		if now.Sub(told) < LostAfter {
+			return false
+		}
+	}
+	for _, host := range f.hosts {
+		if host.MayHold(now) && now.Sub(host.Heard) > SilentAfter {
+			return false
+		}
+	}
+	return true
 }
 
 // LearnBalancers adds addresses at which balancers may run, such as the seeds.
@@ -267,6 +322,11 @@
 	if changed {
 		f.index()
 	}
+	for address, told := range f.told {
+		if now.Sub(told) > ForgetAfter {
+			delete(f.told, address)
+		}
+	}
 	for address, balancer := range f.balancers {
 		if balancer.Known && now.Sub(balancer.Heard) > ForgetAfter {
 			delete(f.balancers, address)
