Find balancers in the store at the start, tell statuses four times a second

Cause: after a power loss of everything new flows were refused until 35.8 s (machines back at 35.3): agents knew only seeds, which started last, and the cold meter let 4 flows a second through although the service names no rate. Searches did not end for 3 s after a machine had vanished. Change: agents and balancers read the list in the store at once; a service without a cold rate is not metered; a host is silent after 0.8 s and lost after 2 s; only packets that a host must answer raise the suspicion that it ended.

--- a/internal/admission/agopen/gate.go
+++ b/internal/admission/agopen/gate.go
@@ -152,6 +152,12 @@
 	return &g.heartbeat, g.known
 }
 
+// ColdRate returns the number of new flows a second that the host bears while it
+// is cold.
+func (g *Gate) ColdRate() float64 {
+	return g.coldRate
+}
+
 // Cold reports whether the host is cold.
 func (g *Gate) Cold(now time.Time) bool {
 	return now.Before(g.coldUntil)
@@ -182,7 +188,7 @@
 	if refusal := g.Standing(now); refusal != RefusalNone {
 		return refusal
 	}
-	if !g.Cold(now) {
+	if !g.Cold(now) || g.coldRate <= 0 {
 		return RefusalNone
 	}
 	for len(g.opened) > 0 && now.Sub(g.opened[0]) > coldWindow {
--- a/internal/flow/agholder/holder.go
+++ b/internal/flow/agholder/holder.go
@@ -193,7 +193,8 @@
 	if record.state == stateOpen && !forward.Held && !record.informed {
 		h.inform(flow, record, verdict)
 	}
-	if h.waitingFrom.IsZero() {
+	if h.waitingFrom.IsZero() && (packet.Opens() || packet.DataLength > 0) {
+		// A host owes no answer to any other packet.
 		h.waitingFrom = now
 	}
 	h.deliver(forward, verdict)
--- a/internal/operate/agpacketagent/host.go
+++ b/internal/operate/agpacketagent/host.go
@@ -102,22 +102,23 @@
 			continue
 		}
 		checked = now
-		if hostRefuses(ctx, p.settings.HostAddr) {
+		err := checkHost(ctx, p.settings.HostAddr)
+		p.log.WithError(err).WithField("Silent", silent.String()).Info("Host was checked because it does not answer packets.")
+		if errors.Is(err, syscall.ECONNREFUSED) {
 			p.hostEnded(writer)
 		}
 	}
 }
 
-// hostRefuses reports whether nothing listens at the host's port. Any other
-// failure proves nothing.
-func hostRefuses(ctx context.Context, address anvilglade.Endpoint) bool {
+// checkHost connects to the host's port. A refused connection proves that nothing
+// listens there; any other failure proves nothing.
+func checkHost(ctx context.Context, address anvilglade.Endpoint) error {
 	dialer := net.Dialer{Timeout: checkTimeout}
 	connection, err := dialer.DialContext(ctx, "tcp4", address.String())
 	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+		return err
 	}
-	_ = connection.Close()
-	return false
+	return connection.Close()
 }
 
 func (p *Process) hostEnded(writer *agsocket.Writer) {
--- a/internal/operate/agpacketagent/packets.go
+++ b/internal/operate/agpacketagent/packets.go
@@ -164,5 +164,5 @@
 		return
 	}
 	line.WithField("Flow", verdict.Flow.String()).WithField("Opens", packet.Opens()).WithField("Cause", verdict.Cause).
-		WithField("To", verdict.To).WithField("Revision", p.evacuations.Revision).Info("Packet is not taken by the host.")
+		WithField("To", verdict.To).WithField("Revision", p.evacuations.Revision).WithField("ColdRate", p.gate.ColdRate()).Info("Packet is not taken by the host.")
 }
--- a/internal/operate/agpacketagent/status.go
+++ b/internal/operate/agpacketagent/status.go
@@ -14,7 +14,7 @@
 
 const (
 	// statusInterval is the time between two statuses to each balancer.
-	statusInterval = 500 * time.Millisecond
+	statusInterval = 250 * time.Millisecond
 	// startInterval replaces it until a balancer has answered.
 	startInterval = 100 * time.Millisecond
 	// forgetAfter is the silence after which a balancer gets no more statuses,
@@ -22,9 +22,9 @@
 	forgetAfter = 30 * time.Second
 	// reloadInterval is the time between two looks at the settings file.
 	reloadInterval = 2 * time.Second
-	// discoverAfter is the time without a balancer after which the store is
-	// asked for them.
-	discoverAfter = 2 * time.Second
+	// discoverInterval is the time between two readings of the store while no
+	// balancer answers.
+	discoverInterval = 2 * time.Second
 	// balancerKind is the kind of the store's objects that name balancers.
 	balancerKind = "anvilglade-balancers"
 	// maxListed bounds the balancers that a status names.
@@ -112,7 +112,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, balancer := range p.balancers {
-		if !balancer.heard.IsZero() && now.Sub(balancer.heard) < discoverAfter {
+		if !balancer.heard.IsZero() && now.Sub(balancer.heard) < discoverInterval {
 			return true
 		}
 	}
@@ -166,18 +166,21 @@
 		status.Host, status.Born, status.Slots = host.Host, host.Born.UnixMilli(), host.Slots
 	}
 	for address, balancer := range p.balancers {
-		if !balancer.heard.IsZero() && now.Sub(balancer.heard) < discoverAfter && len(status.Balancers) < maxListed {
+		if !balancer.heard.IsZero() && now.Sub(balancer.heard) < discoverInterval && len(status.Balancers) < maxListed {
 			status.Balancers = append(status.Balancers, address)
 		}
 	}
 	return status
 }
 
-// discover reads the balancers from the store while none answers.
+// discover reads the balancers from the store at the start, as seeds may be
+// stale or down, and again while none answers.
 func (p *Process) discover(ctx context.Context) error {
-	for {
-		if err := agtask.Sleep(ctx, discoverAfter); err != nil {
-			return err
+	for first := true; ; first = false {
+		if !first {
+			if err := agtask.Sleep(ctx, discoverInterval); err != nil {
+				return err
+			}
 		}
 		if p.heardAny(time.Now()) {
 			continue
--- a/internal/operate/agpacketbalancer/state.go
+++ b/internal/operate/agpacketbalancer/state.go
@@ -26,9 +26,6 @@
 	// reloadInterval is the time between two looks at the settings file, which
 	// may change without a signal.
 	reloadInterval = 2 * time.Second
-	// discoverAfter is how long a balancer looks for others through its seeds
-	// before it asks the store.
-	discoverAfter = time.Second
 	// balancerKind is the kind of the store's objects that name balancers.
 	balancerKind = "anvilglade-balancers"
 )
@@ -163,12 +160,9 @@
 	return agtask.ServeHTTP(ctx, p.endpointOf(p.settings.IP, p.settings.InnerPort).String(), mux)
 }
 
-// discover names this balancer in the store and reads the others from it if the
-// seeds have led to none.
+// discover names this balancer in the store and reads the others from it, as
+// seeds may be stale or down.
 func (p *Process) discover(ctx context.Context) error {
-	if err := agtask.Sleep(ctx, discoverAfter); err != nil {
-		return err
-	}
 	return p.follow(ctx, "balancers", func(ctx context.Context) error {
 		_, err := p.parts.Store.Put(ctx, anvilglade.Object{Kind: balancerKind, Name: p.settings.IP.String(), Data: []byte(p.settings.Node)}, 0)
 		if err != nil && !errors.Is(err, anvilglade.ErrConflict) {
@@ -188,6 +182,7 @@
 			p.fleet.LearnBalancers([]anvilglade.IPv4{ip})
 		}
 		p.mu.Unlock()
+		p.broadcast()
 		<-ctx.Done()
 		return ctx.Err()
 	})
--- a/internal/state/agfleet/fleet.go
+++ b/internal/state/agfleet/fleet.go
@@ -28,10 +28,10 @@
 const (
 	// SilentAfter is the silence after which a host gets no new flows. Three
 	// statuses in a row are then missing.
-	SilentAfter = 1600 * time.Millisecond
+	SilentAfter = 800 * time.Millisecond
 	// LostAfter is the silence after which a host counts as lost together with
 	// its flows. An agent that is restarted is back before.
-	LostAfter = 3 * time.Second
+	LostAfter = 2 * time.Second
 	// ForgetAfter is the silence after which a host or balancer is forgotten.
 	// A partition that heals within it costs no rediscovery.
 	ForgetAfter = 90 * time.Second
@@ -266,7 +266,7 @@
 func (f *Fleet) Ahead(now time.Time) (anvilglade.IPv4, bool) {
 	var best *Balancer
 	for _, balancer := range f.balancers {
-		if !balancer.Known || now.Sub(balancer.Heard) > 2*SilentAfter || balancer.Desired <= f.desired.Version {
+		if !balancer.Known || now.Sub(balancer.Heard) > LostAfter || balancer.Desired <= f.desired.Version {
 			continue
 		}
 		if best == nil || balancer.Desired > best.Desired {
