One client of the platform's store; name all agents before a search ends

It took the first status of any peer as complete, also that of a peer as new as itself. Change: a status says whether its sender is settled; agents and balancers stand in lists in the store (agregistry), read once at the start. internal/platform is gone: platform/ has the one client, and agapi speaks the platform's protocol through the same types.

--- a/fleet.go
+++ b/fleet.go
@@ -114,6 +114,8 @@
 	Sequence    Sequence
 	DataCentre  DataCentreID
 	Leaving     bool
+	// Settled is set once the sender knows every agent that may run.
+	Settled bool
 	// Desired is the version of the desired state in effect; 0 means none.
 	Desired     DesiredVersion
 	Evacuations Evacuations
--- a/internal/operate/agcommand/adminapi.go
+++ b/internal/operate/agcommand/adminapi.go
@@ -10,7 +10,7 @@
 	"github.com/anvilglade/anvilglade/internal/config/agadminapi"
 	"github.com/anvilglade/anvilglade/internal/observe/agevent"
 	"github.com/anvilglade/anvilglade/internal/operate/agbalancer"
-	"github.com/anvilglade/anvilglade/internal/platform/agstore"
+	agplatform "github.com/anvilglade/anvilglade/platform"
 )
 
 // apiCertificate is the name under which the key bundle holds the certificate of
@@ -32,7 +32,7 @@
 	if !ok {
 		return nil, fmt.Errorf("key ring %T has no service certificates", parts.Keys)
 	}
-	store, stop, err := agstore.NewStore(agstore.Options{URL: settings.platform, Token: settings.platformToken})
+	store, stop, err := agplatform.NewStore(agplatform.StoreOptions{URL: settings.platform, Token: settings.platformToken})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/operate/agcommand/balancer_parts.go
+++ b/internal/operate/agcommand/balancer_parts.go
@@ -20,10 +20,10 @@
 	"github.com/anvilglade/anvilglade/internal/operate/agbalancer"
 	"github.com/anvilglade/anvilglade/internal/operate/agtask"
 	"github.com/anvilglade/anvilglade/internal/packet/agconnid"
-	"github.com/anvilglade/anvilglade/internal/platform/agstore"
 	"github.com/anvilglade/anvilglade/internal/routing/agtable"
 	"github.com/anvilglade/anvilglade/internal/state/agkeys"
 	"github.com/anvilglade/anvilglade/internal/state/agreplica"
+	agplatform "github.com/anvilglade/anvilglade/platform"
 )
 
 // balancerBuild holds the parts of a balancer while they are connected.
@@ -37,7 +37,7 @@
 	keys     atomic.Pointer[anvilglade.KeyBundle]
 	current  atomic.Pointer[adopted]
 	replica  *agreplica.Replica
-	store    *agstore.Store
+	store    *agplatform.Store
 	watcher  *agreplica.Watcher
 	mesh     *agreplica.Mesh
 	monitor  atomic.Pointer[agmember.Monitor]
@@ -108,7 +108,7 @@
 }
 
 func (b *balancerBuild) buildStore(context.Context) error {
-	store, stop, err := agstore.NewStore(agstore.Options{URL: b.settings.platform, Token: b.settings.platformToken})
+	store, stop, err := agplatform.NewStore(agplatform.StoreOptions{URL: b.settings.platform, Token: b.settings.platformToken})
 	if err != nil {
 		return err
 	}
--- a/internal/operate/agcommand/operator.go
+++ b/internal/operate/agcommand/operator.go
@@ -16,7 +16,7 @@
 	"github.com/anvilglade/anvilglade/internal/config/agconfig"
 	"github.com/anvilglade/anvilglade/internal/config/agedit"
 	"github.com/anvilglade/anvilglade/internal/operate/agsettings"
-	"github.com/anvilglade/anvilglade/internal/platform/agstore"
+	agplatform "github.com/anvilglade/anvilglade/platform"
 )
 
 const (
@@ -139,7 +139,7 @@
 
 // editor returns the edit path over the platform and its clean-up.
 func (c *operatorCommand) editor() (*agedit.Editor, func(), error) {
-	store, stop, err := agstore.NewStore(agstore.Options{URL: c.platform, Token: c.token})
+	store, stop, err := agplatform.NewStore(agplatform.StoreOptions{URL: c.platform, Token: c.token})
 	if err != nil {
 		return nil, nil, fmt.Errorf("%w: %w", errUsage, err)
 	}
--- a/internal/operate/agcommand/teams.go
+++ b/internal/operate/agcommand/teams.go
@@ -11,7 +11,7 @@
 
 	"github.com/anvilglade/anvilglade"
 	"github.com/anvilglade/anvilglade/internal/config/agadminapi"
-	"github.com/anvilglade/anvilglade/internal/platform/agstore"
+	agplatform "github.com/anvilglade/anvilglade/platform"
 )
 
 // teamFlags are the fields of a team.
@@ -43,7 +43,7 @@
 
 // updateTeams changes the object and prints a line if that was accepted.
 func (c *operatorCommand) updateTeams(ctx context.Context, done string, change func(*agadminapi.Teams) error) int {
-	store, stop, err := agstore.NewStore(agstore.Options{URL: c.platform, Token: c.token})
+	store, stop, err := agplatform.NewStore(agplatform.StoreOptions{URL: c.platform, Token: c.token})
 	if err != nil {
 		return c.fail(fmt.Errorf("%w: %w", errUsage, err))
 	}
@@ -94,7 +94,7 @@
 }
 
 func listTeams(ctx context.Context, c *operatorCommand) int {
-	store, stop, err := agstore.NewStore(agstore.Options{URL: c.platform, Token: c.token})
+	store, stop, err := agplatform.NewStore(agplatform.StoreOptions{URL: c.platform, Token: c.token})
 	if err != nil {
 		return c.fail(fmt.Errorf("%w: %w", errUsage, err))
 	}
--- a/internal/operate/agpacketagent/process.go
+++ b/internal/operate/agpacketagent/process.go
@@ -29,6 +29,7 @@
 	"github.com/anvilglade/anvilglade"
 	"github.com/anvilglade/anvilglade/internal/admission/agopen"
 	"github.com/anvilglade/anvilglade/internal/flow/agholder"
+	"github.com/anvilglade/anvilglade/internal/membership/agregistry"
 	"github.com/anvilglade/anvilglade/internal/observe/agdecision"
 	"github.com/anvilglade/anvilglade/internal/observe/aglog"
 	"github.com/anvilglade/anvilglade/internal/operate/agtask"
@@ -159,6 +160,7 @@
 		p.broadcast()
 		// The end of the wait and of the context both lead to the end.
 		_ = agtask.Sleep(group.Context(), leaveTime)
+		p.leaveList(group.Context())
 	case <-group.Context().Done():
 	}
 	group.Stop()
@@ -169,6 +171,20 @@
 	return err
 }
 
+// leaveList removes this agent from the list in the store if its host has ended:
+// the VM then goes too.
+func (p *Process) leaveList(ctx context.Context) {
+	p.mu.Lock()
+	ended := p.gate.Ended()
+	p.mu.Unlock()
+	if !ended {
+		return
+	}
+	if err := agregistry.NewRegistry(p.parts.Store, agregistry.KindAgent).Leave(ctx, p.settings.IP); err != nil {
+		p.log.WithError(err).Warn("Agent stays in the list of processes although it has left.")
+	}
+}
+
 func (p *Process) expire(ctx context.Context) error {
 	for {
 		if err := agtask.Sleep(ctx, expireInterval); err != nil {
--- a/internal/operate/agpacketagent/status.go
+++ b/internal/operate/agpacketagent/status.go
@@ -4,10 +4,12 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/anvilglade/anvilglade"
 	"github.com/anvilglade/anvilglade/internal/admission/agopen"
+	"github.com/anvilglade/anvilglade/internal/membership/agregistry"
 	"github.com/anvilglade/anvilglade/internal/operate/agtask"
 	"github.com/anvilglade/anvilglade/internal/packet/agmessage"
 )
@@ -25,8 +27,6 @@
 	// discoverInterval is the time between two readings of the store while no
 	// balancer answers.
 	discoverInterval = 2 * time.Second
-	// balancerKind is the kind of the store's objects that name balancers.
-	balancerKind = "anvilglade-balancers"
 	// maxListed bounds the balancers that a status names.
 	maxListed = 250
 )
@@ -173,33 +173,46 @@
 	return status
 }
 
-// discover reads the balancers from the store at the start, as seeds may be
-// stale or down, and again while none answers.
+// discover names this agent in the store and reads the balancers from it, as
+// seeds may be stale or down. It reads them again while none answers.
 func (p *Process) discover(ctx context.Context) error {
-	for first := true; ; first = false {
-		if !first {
-			if err := agtask.Sleep(ctx, discoverInterval); err != nil {
-				return err
-			}
+	agents := agregistry.NewRegistry(p.parts.Store, agregistry.KindAgent)
+	balancers := agregistry.NewRegistry(p.parts.Store, agregistry.KindBalancer)
+	joined, read := false, false
+	for {
+		if !joined {
+			err := agents.Join(ctx, p.settings.IP, p.settings.Node)
+			p.logDiscovery(err)
+			joined = err == nil
 		}
-		if p.heardAny(time.Now()) {
-			continue
+		if !read || !p.heardAny(time.Now()) {
+			addresses, faults, err := balancers.Members(ctx)
+			p.logDiscovery(errors.Join(append(faults, err)...))
+			read = err == nil
+			p.learnBalancers(addresses)
 		}
-		objects, err := p.parts.Store.List(ctx, balancerKind)
-		if err != nil {
-			p.log.WithError(err).Warn("No balancer answers and the store does not list them.")
-			continue
+		if err := agtask.Sleep(ctx, discoverInterval); err != nil {
+			return err
 		}
-		p.mu.Lock()
-		for _, object := range objects {
-			ip, err := anvilglade.ParseIPv4(object.Name)
-			if err != nil {
-				p.log.WithError(err).Warn("Object that names a balancer cannot be read.")
-				continue
-			}
-			p.learnBalancer(ip).heard = time.Now()
+	}
+}
+
+func (p *Process) logDiscovery(err error) {
+	if err != nil {
+		p.log.WithError(err).Warn("Lists of processes in the store cannot be used; they are tried again.")
+	}
+}
+
+// learnBalancers makes the agent tell its status to balancers that it did not
+// know.
+func (p *Process) learnBalancers(addresses []anvilglade.IPv4) {
+	now := time.Now()
+	p.mu.Lock()
+	for _, address := range addresses {
+		if _, known := p.balancers[address]; !known {
+			p.learnBalancer(address).heard = now
 		}
-		p.mu.Unlock()
-		p.wakeStatus()
 	}
+	p.mu.Unlock()
+	p.wakeStatus()
 }
--- a/internal/operate/agpacketbalancer/state.go
+++ b/internal/operate/agpacketbalancer/state.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/anvilglade/anvilglade"
+	"github.com/anvilglade/anvilglade/internal/membership/agregistry"
 	"github.com/anvilglade/anvilglade/internal/operate/agtask"
 	"github.com/anvilglade/anvilglade/internal/state/agtransfer"
 )
@@ -26,8 +27,6 @@
 	// reloadInterval is the time between two looks at the settings file, which
 	// may change without a signal.
 	reloadInterval = 2 * time.Second
-	// balancerKind is the kind of the store's objects that name balancers.
-	balancerKind = "anvilglade-balancers"
 )
 
 // watchDesired follows the desired state in the store.
@@ -160,27 +159,28 @@
 	return agtask.ServeHTTP(ctx, p.endpointOf(p.settings.IP, p.settings.InnerPort).String(), mux)
 }
 
-// discover names this balancer in the store and reads the others from it, as
-// seeds may be stale or down.
+// discover names this balancer in the store and reads the others and the agents
+// from it, as seeds may be stale or down.
 func (p *Process) discover(ctx context.Context) error {
-	return p.follow(ctx, "balancers", func(ctx context.Context) error {
-		_, err := p.parts.Store.Put(ctx, anvilglade.Object{Kind: balancerKind, Name: p.settings.IP.String(), Data: []byte(p.settings.Node)}, 0)
-		if err != nil && !errors.Is(err, anvilglade.ErrConflict) {
+	balancers := agregistry.NewRegistry(p.parts.Store, agregistry.KindBalancer)
+	agents := agregistry.NewRegistry(p.parts.Store, agregistry.KindAgent)
+	return p.follow(ctx, "lists of processes", func(ctx context.Context) error {
+		if err := balancers.Join(ctx, p.settings.IP, p.settings.Node); err != nil {
 			return err
 		}
-		objects, err := p.parts.Store.List(ctx, balancerKind)
+		peers, faults, err := balancers.Members(ctx)
 		if err != nil {
 			return err
 		}
-		p.mu.Lock()
-		for _, object := range objects {
-			ip, err := anvilglade.ParseIPv4(object.Name)
-			if err != nil {
-				p.logFailure(err, "Object that names a balancer cannot be read.")
-				continue
-			}
-			p.fleet.LearnBalancers([]anvilglade.IPv4{ip})
+		p.logFaults(faults)
+		listed, faults, err := agents.Members(ctx)
+		if err != nil {
+			return err
 		}
+		p.logFaults(faults)
+		p.mu.Lock()
+		p.fleet.LearnBalancers(peers)
+		p.fleet.ListAgents(listed, time.Now())
 		p.mu.Unlock()
 		p.broadcast()
 		<-ctx.Done()
@@ -188,6 +188,12 @@
 	})
 }
 
+func (p *Process) logFaults(faults []error) {
+	for _, fault := range faults {
+		p.logFailure(fault, "Entry of a list cannot be read and is ignored.")
+	}
+}
+
 // reload takes changes of the seeds from the settings file.
 func (p *Process) reload(ctx context.Context) error {
 	for {
--- a/internal/operate/agpacketbalancer/status.go
+++ b/internal/operate/agpacketbalancer/status.go
@@ -67,6 +67,7 @@
 		Sequence:    anvilglade.Sequence(p.sequence.Add(1)),
 		DataCentre:  p.settings.DataCentre,
 		Leaving:     p.leaving.Load(),
+		Settled:     p.fleet.Settled(p.started, now),
 		Desired:     desired.Version,
 		Evacuations: *p.fleet.Evacuations(),
 		Balancers:   living[:min(len(living), maxListed)],
--- a/internal/stand/agapi/objects.go
+++ b/internal/stand/agapi/objects.go
@@ -38,7 +38,31 @@
 func (o *Objects) Get(kind, name string, age time.Duration) (anvilglade.Object, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return visible(o.objects[kind+"/"+name], o.clock.Now().Add(-age))
+	object, ok := visible(o.objects[kind+"/"+name], o.clock.Now().Add(-age))
+	return object, ok && object.Data != nil
+}
+
+// Revision returns the number of the newest write.
+func (o *Objects) Revision() anvilglade.StoreRevision {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return anvilglade.StoreRevision(o.counter)
+}
+
+// Changes returns the objects of a kind with a version above after, those that
+// were deleted without Data, and the revision up to which it is complete.
+func (o *Objects) Changes(kind string, after anvilglade.Version, age time.Duration) ([]anvilglade.Object, anvilglade.StoreRevision) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	revision := max(o.counter, after)
+	if age > 0 {
+		revision = after
+	}
+	found := o.list(kind, age, func(object anvilglade.Object) bool { return object.Version > after })
+	for _, object := range found {
+		revision = max(revision, object.Version)
+	}
+	return found, anvilglade.StoreRevision(revision)
 }
 
 // visible returns the newest version that existed at the time.
@@ -55,12 +79,17 @@
 func (o *Objects) List(kind string, age time.Duration) []anvilglade.Object {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	return o.list(kind, age, func(object anvilglade.Object) bool { return object.Data != nil })
+}
+
+// list returns the objects of a kind that keep accepts, sorted by name.
+func (o *Objects) list(kind string, age time.Duration, keep func(anvilglade.Object) bool) []anvilglade.Object {
 	found := []anvilglade.Object{}
 	for key, versions := range o.objects {
 		if !strings.HasPrefix(key, kind+"/") {
 			continue
 		}
-		if object, ok := visible(versions, o.clock.Now().Add(-age)); ok {
+		if object, ok := visible(versions, o.clock.Now().Add(-age)); ok && keep(object) {
 			found = append(found, object)
 		}
 	}
@@ -69,14 +98,14 @@
 }
 
 // Put writes an object if its stored version is ifVersion; 0 means that it must
-// not exist. It returns the new version, or false and writes nothing.
+// not exist. An object without Data is deleted. It returns the new version, or false and writes nothing.
 func (o *Objects) Put(object anvilglade.Object, ifVersion anvilglade.Version) (anvilglade.Version, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	key := object.Kind + "/" + object.Name
 	versions := o.objects[key]
 	var stored anvilglade.Version
-	if len(versions) > 0 {
+	if len(versions) > 0 && versions[len(versions)-1].object.Data != nil {
 		stored = versions[len(versions)-1].object.Version
 	}
 	if stored != ifVersion {
--- a/internal/state/agfleet/fleet.go
+++ b/internal/state/agfleet/fleet.go
@@ -79,8 +79,10 @@
 	hosts       map[anvilglade.IPv4]*Host
 	// told are the agents that peers know and this balancer has not heard yet,
 	// with the time at which it was told.
-	told      map[anvilglade.IPv4]time.Time
-	peerHeard bool
+	told map[anvilglade.IPv4]time.Time
+	// listed is set once all agents have been named by the store or by a
+	// balancer that knows them.
+	listed    bool
 	byService map[anvilglade.ServiceID][]*Host
 	balancers map[anvilglade.IPv4]*Balancer
 }
@@ -184,8 +186,18 @@
 	}
 	f.balancers[status.Balancer] = &Balancer{BalancerStatus: status, Heard: now, Known: true}
 	f.OfferEvacuations(status.Evacuations)
-	f.peerHeard = true
-	for _, agent := range status.Agents {
+	f.learnAgents(status.Agents, now)
+	f.listed = f.listed || status.Settled
+}
+
+// ListAgents takes the list of all agents that the store has.
+func (f *Fleet) ListAgents(agents []anvilglade.IPv4, now time.Time) {
+	f.learnAgents(agents, now)
+	f.listed = true
+}
+
+func (f *Fleet) learnAgents(agents []anvilglade.IPv4, now time.Time) {
+	for _, agent := range agents {
 		if _, known := f.hosts[agent]; known {
 			continue
 		}
@@ -195,6 +207,13 @@
 	}
 }
 
+// Settled reports whether every agent that may run has been named: by the
+// store, by a balancer that is settled, or by itself since this balancer
+// started.
+func (f *Fleet) Settled(started, now time.Time) bool {
+	return f.listed || now.Sub(started) >= LostAfter
+}
+
 // Agents returns the agents whose hosts may hold flows: those that have not
 // been silent for LostAfter and whose host is not known to have ended.
 func (f *Fleet) Agents(now time.Time) []anvilglade.IPv4 {
@@ -211,7 +230,7 @@
 // been heard recently. It is false while this balancer may not know of all
 // hosts, because it has just started or one of them is silent.
 func (f *Fleet) Complete(started, now time.Time) bool {
-	if !f.peerHeard && now.Sub(started) < LostAfter {
+	if !f.Settled(started, now) {
 		return false
 	}
 	for _, told := range f.told {
--- a/state.go
+++ b/state.go
@@ -55,6 +55,8 @@
 	// means that nothing was written; ErrUnknownOutcome that the write may
 	// have taken effect.
 	Put(ctx context.Context, object Object, ifVersion Version) (Version, error)
+	// Delete removes an object, or returns ErrNotFound.
+	Delete(ctx context.Context, kind, name string) error
 	// List returns all objects of a kind.
 	List(ctx context.Context, kind string) ([]Object, error)
 	// Watch waits until the object has a version above after and returns it,
