--- /dev/null
+++ b/internal/admission/agopen/gate_test.go
@@ -0,0 +1,112 @@
+package agopen_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/anvilglade/anvilglade"
+	"github.com/anvilglade/anvilglade/internal/admission/agopen"
+)
+
+func TestGate(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "agopen")
+}
+
+var _ = Describe("Gate", func() {
+	var (
+		start   = time.Unix(1_000_000, 0)
+		address = anvilglade.Endpoint{IP: anvilglade.IPv4{10, 0, 0, 1}, Port: 8080}
+		gate    *agopen.Gate
+	)
+	at := func(d time.Duration) time.Time { return start.Add(d) }
+	beat := func(born int64, sequence anvilglade.Sequence, d time.Duration) anvilglade.HostHeartbeat {
+		heartbeat := anvilglade.HostHeartbeat{Host: "h1", Born: time.UnixMilli(born), Sequence: sequence, Service: "alerts", Address: address}
+		Expect(gate.Heartbeat(heartbeat, at(d))).To(Equal(agopen.HeardNew))
+		return heartbeat
+	}
+
+	BeforeEach(func() {
+		gate = agopen.NewGate(agopen.Options{Service: "alerts", Address: address, DataCentre: "dk1", HeartbeatInterval: time.Second, ColdSlack: 5})
+	})
+
+	// Guards against a restarted agent that sends flows to a host which has
+	// announced before the restart that it leaves.
+	It("takes nothing before it knows its host and its data centre", func() {
+		Expect(gate.Open(at(0))).To(Equal(agopen.RefusalNoHeartbeat))
+		beat(1, 1, 0)
+		Expect(gate.Open(at(0))).To(Equal(agopen.RefusalStale))
+		gate.Inform(false, 0, at(0))
+		Expect(gate.Open(at(0))).To(Equal(agopen.RefusalNone))
+		Expect(gate.Open(at(3100 * time.Millisecond))).To(Equal(agopen.RefusalNoHeartbeat))
+	})
+
+	// Guards against flows for a host that leaves, also when a heartbeat of
+	// before arrives late.
+	It("refuses from the moment that it acknowledges draining", func() {
+		gate.Inform(false, 0, at(0))
+		ready := beat(1, 1, 0)
+		draining := ready
+		draining.Sequence, draining.Draining = 2, true
+		Expect(gate.Heartbeat(draining, at(1))).To(Equal(agopen.HeardNew))
+		Expect(gate.Heartbeat(ready, at(2))).To(Equal(agopen.HeardOld))
+		Expect(gate.Open(at(3))).To(Equal(agopen.RefusalDraining))
+		Expect(gate.Leave("h2")).To(BeFalse())
+		Expect(gate.Leave("h1")).To(BeTrue())
+		Expect(gate.Ended()).To(BeTrue())
+	})
+
+	// Guards against a heartbeat of an earlier boot, or of the former holder of
+	// the address, that speaks for the present host.
+	It("tells boots and services apart", func() {
+		gate.Inform(false, 0, at(0))
+		old := beat(1000, 9, 0)
+		beat(2000, 1, 1)
+		old.Sequence, old.Draining = 10, true
+		Expect(gate.Heartbeat(old, at(2))).To(Equal(agopen.HeardOld))
+		Expect(gate.Open(at(3))).To(Equal(agopen.RefusalNone))
+		foreign := old
+		foreign.Service, foreign.Born = "archive", time.UnixMilli(3000)
+		Expect(gate.Heartbeat(foreign, at(4))).To(Equal(agopen.HeardForeign))
+	})
+
+	// Guards against an evacuated data centre that gets flows from a balancer
+	// with old knowledge.
+	It("refuses in an evacuated data centre and with old knowledge", func() {
+		beat(1, 1, 0)
+		gate.Inform(true, 0, at(0))
+		Expect(gate.Open(at(0))).To(Equal(agopen.RefusalEvacuated))
+		gate.Inform(false, 0, at(0))
+		beat(1, 2, 3*time.Second)
+		Expect(gate.Open(at(3100 * time.Millisecond))).To(Equal(agopen.RefusalStale))
+	})
+
+	// Guards against a cold host that gets more new flows in some second than
+	// its rate and the slack allow.
+	It("meters a cold host over any second", func() {
+		heartbeat := anvilglade.HostHeartbeat{Host: "h1", Sequence: 1, Service: "alerts", Address: address, ColdLeft: 2 * time.Second}
+		Expect(gate.Heartbeat(heartbeat, at(0))).To(Equal(agopen.HeardNew))
+		gate.Inform(false, 10, at(0))
+		var taken []time.Duration
+		for d := time.Duration(0); d < 2*time.Second; d += 7 * time.Millisecond {
+			if gate.Open(at(d)) == agopen.RefusalNone {
+				taken = append(taken, d)
+			}
+		}
+		const bound = 10*1.5 + 5
+		for i, from := range taken {
+			within := 0
+			for _, d := range taken[i:] {
+				if d-from <= time.Second {
+					within++
+				}
+			}
+			Expect(within).To(BeNumerically("<=", bound))
+		}
+		Expect(len(taken)).To(BeNumerically(">=", 20))
+		Expect(gate.Cold(at(2300 * time.Millisecond))).To(BeFalse())
+	})
+})
--- a/internal/flow/agholder/holder.go
+++ b/internal/flow/agholder/holder.go
@@ -168,21 +168,24 @@
 func (h *Holder) FromBalancer(forward *agmessage.Forward, packet *anvilglade.Packet, refusal string, ended bool, now time.Time, verdict *Verdict) {
 	flow := packet.FromCaller()
 	*verdict = Verdict{Flow: flow, Forward: agmessage.Forward{Candidates: verdict.Forward.Candidates[:0]}}
-	if forward.Service != h.options.Service {
-		h.refuse(forward, packet, "service moved", verdict)
-		return
-	}
 	record := h.flows[flow]
-	if !packet.Opens() && (ended || forward.Foreign && record == nil && h.remembersAll(now)) {
-		verdict.Action, verdict.To = ActionAbsent, forward.Origin
-		return
-	}
-	if packet.Opens() && (record == nil || record.state == stateAsked) && refusal != "" {
+	switch {
+	case forward.Service != h.options.Service:
+		h.refuse(forward, packet, "service moved", verdict)
+	case packet.Opens() && refusal != "" && !h.Holds(flow):
 		h.refuse(forward, packet, refusal, verdict)
-		return
+	case !packet.Opens() && (ended || forward.Foreign && record == nil && h.remembersAll(now)):
+		verdict.Action, verdict.To = ActionAbsent, forward.Origin
+	default:
+		h.toHost(forward, packet, now, verdict)
 	}
+}
+
+// toHost gives a packet to the host and notes what it tells of the flow.
+func (h *Holder) toHost(forward *agmessage.Forward, packet *anvilglade.Packet, now time.Time, verdict *Verdict) {
+	record := h.flows[verdict.Flow]
 	if record == nil {
-		record = h.remember(flow, now)
+		record = h.remember(verdict.Flow, now)
 	}
 	record.used = now
 	if record.origin != forward.Origin {
@@ -191,7 +194,7 @@
 	record.acknowledged = packet.Acknowledged
 	h.countCaller(record, packet, now)
 	if record.state == stateOpen && !forward.Held && !record.informed {
-		h.inform(flow, record, verdict)
+		h.inform(verdict.Flow, record, verdict)
 	}
 	if h.waitingFrom.IsZero() && (packet.Opens() || packet.DataLength > 0) {
 		// A host owes no answer to any other packet.
--- /dev/null
+++ b/internal/packet/agmessage/message_test.go
@@ -0,0 +1,76 @@
+package agmessage_test
+
+import (
+	"bytes"
+	"reflect"
+	"testing"
+
+	"github.com/anvilglade/anvilglade"
+	"github.com/anvilglade/anvilglade/internal/packet/agmessage"
+)
+
+var (
+	flow = anvilglade.Flow{
+		Caller:  anvilglade.Endpoint{IP: anvilglade.IPv4{100, 64, 0, 7}, Port: 40001},
+		Service: anvilglade.Endpoint{IP: anvilglade.IPv4{198, 18, 0, 1}, Port: 443},
+	}
+	forward = agmessage.Forward{Service: 42, Origin: anvilglade.IPv4{10, 0, 0, 1}, Foreign: true, Candidates: []anvilglade.IPv4{{10, 0, 0, 2}, {10, 0, 0, 3}}}
+)
+
+// Guards against a message that means something else to its receiver.
+func TestRoundTrip(t *testing.T) {
+	var parsed agmessage.Forward
+	packet, err := agmessage.ParseForward(agmessage.AppendForward(nil, &forward, []byte("packet")), &parsed)
+	if err != nil || string(packet) != "packet" || !reflect.DeepEqual(parsed, forward) {
+		t.Errorf("%+v %q %v", parsed, packet, err)
+	}
+	owner := agmessage.Owner{Flow: flow, Established: true, Sequence: 1 << 31, Flows: 9, Working: 3}
+	if got, err := agmessage.ParseOwner(agmessage.AppendOwner(nil, &owner)); err != nil || got != owner {
+		t.Errorf("%+v %v", got, err)
+	}
+	if got, err := agmessage.ParseAbsent(agmessage.AppendAbsent(nil, flow)); err != nil || got != flow {
+		t.Errorf("%+v %v", got, err)
+	}
+	status := anvilglade.AgentStatus{Agent: anvilglade.IPv4{10, 0, 0, 2}, Incarnation: 1 << 60, Service: "alerts", Host: "h", Born: -1, Latency: 3, Balancers: forward.Candidates}
+	data, err := agmessage.AppendAgentStatus(nil, &status)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, err := agmessage.ParseAgentStatus(data); err != nil || !reflect.DeepEqual(got, status) {
+		t.Errorf("%+v %v", got, err)
+	}
+}
+
+// Guards against a datagram of another sender that ends the process.
+func FuzzMessages(f *testing.F) {
+	f.Add(agmessage.AppendForward(nil, &forward, []byte("packet")))
+	f.Add(agmessage.AppendOwner(nil, &agmessage.Owner{Flow: flow}))
+	f.Add(agmessage.AppendAbsent(nil, flow))
+	f.Add([]byte{byte(agmessage.KindAgentStatus), 0xff})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var parsed agmessage.Forward
+		if packet, err := agmessage.ParseForward(data, &parsed); err == nil {
+			again := agmessage.AppendForward(nil, &parsed, packet)
+			if len(again) != len(data) || !bytes.Equal(again[2:], data[2:]) {
+				t.Errorf("%x became %x", data, again)
+			}
+		}
+		_, _ = agmessage.ParseOwner(data)
+		_, _ = agmessage.ParseAbsent(data)
+		_, _ = agmessage.ParseAgentStatus(data)
+		_, _ = agmessage.ParseBalancerStatus(data)
+	})
+}
+
+func BenchmarkForward(b *testing.B) {
+	packet := make([]byte, 1232)
+	buffer := make([]byte, 0, 2048)
+	var parsed agmessage.Forward
+	b.ReportAllocs()
+	for b.Loop() {
+		buffer = agmessage.AppendForward(buffer[:0], &forward, packet)
+		if _, err := agmessage.ParseForward(buffer, &parsed); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
