--- a/internal/admission/agopen/gate_test.go
+++ b/internal/admission/agopen/gate_test.go
@@ -22,7 +22,7 @@
 		address = anvilglade.Endpoint{IP: anvilglade.IPv4{10, 0, 0, 1}, Port: 8080}
 		gate    *agopen.Gate
 	)
-	at := func(d time.Duration) time.Time { return start.Add(d) }
+	at := start.Add
 	beat := func(born int64, sequence anvilglade.Sequence, d time.Duration) anvilglade.HostHeartbeat {
 		heartbeat := anvilglade.HostHeartbeat{Host: "h1", Born: time.UnixMilli(born), Sequence: sequence, Service: "alerts", Address: address}
 		Expect(gate.Heartbeat(heartbeat, at(d))).To(Equal(agopen.HeardNew))
--- a/internal/operate/agpacketbalancer/process.go
+++ b/internal/operate/agpacketbalancer/process.go
@@ -40,8 +40,10 @@
 const (
 	// leaveTime is how long a stopping balancer goes on forwarding: callers'
 	// packets come until it has missed two readiness checks, half a second
-	// apart.
-	leaveTime = 2 * time.Second
+	// apart. A longer time would keep it out of the rotation for longer, and a
+	// data centre with few balancers in rotation gets packets at all of them,
+	// also at one that is just restarting.
+	leaveTime = 1100 * time.Millisecond
 	// expireInterval is the time between two searches for idle flows.
 	expireInterval = 2 * time.Second
 )
