Reset flows of ended hosts at once; ignore resets of hosts that only were asked

Cause: requests that may not be repeated were lost on flows whose host had ended, as callers learned it only from the reset of that request. Change: the balancer resets flows when their host ends or is lost, but not after a pause of its own or while it hears under a quarter of the hosts; such a reset by a host counts as 'absent'; a balancer takes packets once it knows all agents.

--- a/internal/flow/agholder/holder.go
+++ b/internal/flow/agholder/holder.go
@@ -106,6 +106,8 @@
 	used  time.Time
 	// origin is the balancer that asked for the flow last.
 	origin anvilglade.IPv4
+	// searched is set while origin searches for the holder of the flow.
+	searched bool
 	// informed is set once origin knows that the flow is held here.
 	informed bool
 	// waitingSince is the time of the caller's data that the host has not
@@ -191,6 +193,7 @@
 	if record.origin != forward.Origin {
 		record.origin, record.informed = forward.Origin, false
 	}
+	record.searched = !forward.Held && !packet.Opens()
 	record.acknowledged = packet.Acknowledged
 	h.countCaller(record, packet, now)
 	if record.state == stateOpen && !forward.Held && !record.informed {
@@ -247,6 +250,12 @@
 	if record == nil {
 		record = h.remember(flow, now)
 	}
+	if packet.Flags.Has(anvilglade.FlagRST) && record.state == stateAsked && record.searched {
+		// A host that is starting or ending resets flows that are not its own.
+		h.drop(flow, record)
+		verdict.Action, verdict.To, verdict.Cause = ActionAbsent, record.origin, "host resets a flow that it was asked for"
+		return
+	}
 	record.used = now
 	if packet.Flags.Has(anvilglade.FlagSYN) {
 		h.offered(flow, record, packet, verdict)
--- a/internal/operate/agpacketagent/packets.go
+++ b/internal/operate/agpacketagent/packets.go
@@ -151,6 +151,7 @@
 
 var decisionKinds = map[agholder.Action]agdecision.Kind{
 	agholder.ActionDrop:      agdecision.KindDropped,
+	agholder.ActionAbsent:    agdecision.KindReturned,
 	agholder.ActionPass:      agdecision.KindPassed,
 	agholder.ActionReturn:    agdecision.KindReturned,
 	agholder.ActionExhausted: agdecision.KindRefused,
--- a/internal/operate/agpacketbalancer/packets.go
+++ b/internal/operate/agpacketbalancer/packets.go
@@ -46,6 +46,7 @@
 		}
 		now := time.Now()
 		p.mu.Lock()
+		p.fleet.Tick(now)
 		for i := range batch {
 			if err := p.parts.Codec.Parse(batch[i].Data, &packet); err != nil {
 				continue
@@ -100,6 +101,7 @@
 		}
 		now := time.Now()
 		p.mu.Lock()
+		p.fleet.Tick(now)
 		for i := range batch {
 			from := batch[i].From.Addr()
 			if !from.Is4() {
--- a/internal/operate/agpacketbalancer/process.go
+++ b/internal/operate/agpacketbalancer/process.go
@@ -44,6 +44,9 @@
 	// data centre with few balancers in rotation gets packets at all of them,
 	// also at one that is just restarting.
 	leaveTime = 1100 * time.Millisecond
+	// warmUp is how long a balancer that has just started waits for agents that
+	// it has not heard yet before it takes packets.
+	warmUp = 1500 * time.Millisecond
 	// expireInterval is the time between two searches for idle flows.
 	expireInterval = 2 * time.Second
 )
@@ -169,17 +172,20 @@
 }
 
 // Ready reports whether callers' packets may come here: the desired state and
-// the evacuations are known, and so is a host that was heard recently. A
-// balancer that hears no host is cut off from them.
+// the evacuations are known, and so are the hosts. A balancer that hears none is
+// cut off from them.
 func (p *Process) Ready() bool {
 	if p.leaving.Load() {
 		return false
 	}
+	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	_, known := p.fleet.Desired()
-	heard, _ := p.fleet.HeardHosts(time.Now())
-	return known && p.fleet.Evacuations().Revision > 0 && heard > 0
+	if _, known := p.fleet.Desired(); !known || p.fleet.Evacuations().Revision == 0 {
+		return false
+	}
+	heard, _ := p.fleet.HeardHosts(now)
+	return heard > 0 && (now.Sub(p.started) > warmUp || p.fleet.Complete(p.started, now))
 }
 
 // expire forgets idle flows and silent processes.
--- a/internal/operate/agpacketbalancer/status.go
+++ b/internal/operate/agpacketbalancer/status.go
@@ -14,7 +14,7 @@
 
 const (
 	// statusInterval is the time between two statuses to each other balancer.
-	statusInterval = 500 * time.Millisecond
+	statusInterval = 250 * time.Millisecond
 	// maxListed bounds the balancers that a status names, so that it fits into
 	// one datagram.
 	maxListed = 250
@@ -26,6 +26,7 @@
 	defer ticker.Stop()
 	for {
 		p.broadcast()
+		p.sweep()
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -34,6 +35,24 @@
 	}
 }
 
+// sweep resets the flows whose host has ended.
+func (p *Process) sweep() {
+	now := time.Now()
+	p.mu.Lock()
+	p.fleet.Tick(now)
+	lost := p.dispatcher.Sweep(now)
+	p.mu.Unlock()
+	if len(lost) == 0 {
+		return
+	}
+	for _, flow := range lost {
+		datagram := p.parts.Codec.AppendReset(nil, flow.Flow, flow.Acknowledged)
+		// A caller that does not get the reset gets one for its next packet.
+		_ = p.packets.WriteTo(datagram, p.endpointOf(flow.Flow.Caller.IP, p.settings.PacketPort).AddrPort())
+	}
+	p.log.WithField("Flows", len(lost)).WithField("First", lost[0].Flow.String()).Info("Flows are reset because their hosts have ended.")
+}
+
 // broadcast sends the status to every balancer that is known.
 func (p *Process) broadcast() {
 	now := time.Now()
--- a/internal/routing/agdispatch/dispatch.go
+++ b/internal/routing/agdispatch/dispatch.go
@@ -143,12 +143,47 @@
 // with a reset.
 func (d *Dispatcher) mayHold(entry *flowEntry, holder anvilglade.IPv4, flow anvilglade.Flow, now time.Time, verdict *Verdict) bool {
 	host, known := d.fleet.Host(holder)
-	if !known || !host.Ended && now.Sub(host.Heard) >= agfleet.LostAfter {
+	if !known || host.Lost(now) {
+		if d.fleet.CutOff(now) {
+			// Another balancer may reach the host.
+			return true
+		}
 		verdict.Action, verdict.Reason = ActionReset, ReasonLostHost
 		delete(d.flows, flow)
 		return false
 	}
-	return !host.Ended && (entry.born == 0 || entry.born == host.Born)
+	return host.MayHold(now) && (entry.born == 0 || entry.born == host.Born)
+}
+
+// LostFlow is a flow whose host has ended.
+type LostFlow struct {
+	Flow         anvilglade.Flow
+	Acknowledged uint32
+}
+
+// Sweep forgets the flows whose host has ended or is lost and returns them, so
+// that their callers are told before they send the next request.
+func (d *Dispatcher) Sweep(now time.Time) []LostFlow {
+	if d.fleet.CutOff(now) {
+		return nil
+	}
+	gone := make(map[anvilglade.IPv4]bool)
+	for _, host := range d.fleet.AllHosts() {
+		if !host.MayHold(now) {
+			gone[host.Agent] = true
+		}
+	}
+	if len(gone) == 0 {
+		return nil
+	}
+	var lost []LostFlow
+	for flow, entry := range d.flows {
+		if entry.established && gone[entry.holder] {
+			lost = append(lost, LostFlow{Flow: flow, Acknowledged: entry.acknowledged})
+			delete(d.flows, flow)
+		}
+	}
+	return lost
 }
 
 func (d *Dispatcher) toHolder(entry *flowEntry, holder anvilglade.IPv4, verdict *Verdict) {
@@ -307,7 +342,7 @@
 }
 
 func (d *Dispatcher) concludeSearch(flow anvilglade.Flow, entry *flowEntry, now time.Time, verdict *Verdict) {
-	if !d.fleet.Complete(d.started, now) {
+	if !d.fleet.Complete(d.started, now) || d.fleet.CutOff(now) {
 		return
 	}
 	for _, host := range d.fleet.AllHosts() {
@@ -331,6 +366,7 @@
 	}
 	entry.used = now
 	if established {
+		d.fleet.HearFlow(agent)
 		entry.establish(host)
 		return
 	}
--- a/internal/routing/agdispatch/script_test.go
+++ b/internal/routing/agdispatch/script_test.go
@@ -95,6 +95,10 @@
 		s.dispatcher.FromCaller(packetOf(args, anvilglade.FlagSYN), s.now, &verdict)
 	case "Data":
 		s.dispatcher.FromCaller(packetOf(args, anvilglade.FlagACK), s.now, &verdict)
+	case "Tick":
+		s.fleet.Tick(s.now)
+	case "Sweep":
+		return fmt.Sprint(len(s.dispatcher.Sweep(s.now)))
 	case "Owner":
 		s.dispatcher.Owner(ipOf(args[0]), packetOf(args[1:], 0).FromCaller(), slices.Contains(args, "Established"), option(args, "Seq"), s.now)
 	case "Absent":
--- a/internal/state/agfleet/fleet.go
+++ b/internal/state/agfleet/fleet.go
@@ -35,6 +35,15 @@
 	// ForgetAfter is the silence after which a host or balancer is forgotten.
 	// A partition that heals within it costs no rediscovery.
 	ForgetAfter = 90 * time.Second
+	// endedMargin is how long a host that has said that it ends may still
+	// answer.
+	endedMargin = 250 * time.Millisecond
+	// stallAfter is the time between two Ticks from which on this process was
+	// paused: it has then heard nobody for a reason of its own.
+	stallAfter = 700 * time.Millisecond
+	// cutOffShare is the share of the hosts that a balancer has to hear. Below
+	// it the balancer is more likely cut off than all the others are lost.
+	cutOffShare = 0.25
 	// restartAfter is the silence after which a lower incarnation is believed:
 	// the clock of a VM may have jumped back before its process restarted.
 	restartAfter = 700 * time.Millisecond
@@ -54,11 +63,22 @@
 	Heard  time.Time
 	// Placed counts the flows that this balancer has placed since Heard.
 	Placed int
+	// endedAt is the time at which the host was first known to have ended.
+	endedAt time.Time
 }
 
 // MayHold reports whether the host may be running and hold flows.
 func (h *Host) MayHold(now time.Time) bool {
-	return !h.Ended && now.Sub(h.Heard) < LostAfter
+	if h.Ended && now.Sub(h.endedAt) >= endedMargin {
+		return false
+	}
+	return now.Sub(h.Heard) < LostAfter
+}
+
+// Lost reports whether the host has been silent for so long that it counts as
+// lost with its machine.
+func (h *Host) Lost(now time.Time) bool {
+	return now.Sub(h.Heard) >= LostAfter
 }
 
 // Balancer is another balancer.
@@ -82,7 +102,9 @@
 	told map[anvilglade.IPv4]time.Time
 	// listed is set once all agents have been named by the store or by a
 	// balancer that knows them.
-	listed    bool
+	listed bool
+	// ticked is the time of the last Tick.
+	ticked    time.Time
 	byService map[anvilglade.ServiceID][]*Host
 	balancers map[anvilglade.IPv4]*Balancer
 }
@@ -153,6 +175,9 @@
 		delete(f.told, status.Agent)
 	}
 	moved := host.Service != status.Service
+	if status.Ended && !host.Ended {
+		host.endedAt = now
+	}
 	host.AgentStatus, host.Heard, host.Placed = status, now, 0
 	host.Number = status.Service.Number()
 	if !ok || moved {
@@ -164,6 +189,40 @@
 	return news
 }
 
+// HearFlow takes the news that an agent's host holds a flow, so it runs.
+func (f *Fleet) HearFlow(agent anvilglade.IPv4) {
+	if host, ok := f.hosts[agent]; ok {
+		host.Ended = false
+	}
+}
+
+// Tick tells the time. It is to be called several times a second; after a
+// longer pause of the whole process no host counts as silent for that pause.
+func (f *Fleet) Tick(now time.Time) {
+	if pause := now.Sub(f.ticked); !f.ticked.IsZero() && pause > stallAfter {
+		for _, host := range f.hosts {
+			host.Heard = host.Heard.Add(pause)
+		}
+	}
+	f.ticked = now
+}
+
+// CutOff reports whether this balancer hears so few hosts that it is likely
+// cut off itself.
+func (f *Fleet) CutOff(now time.Time) bool {
+	heard, running := 0, 0
+	for _, host := range f.hosts {
+		if host.Ended {
+			continue
+		}
+		running++
+		if now.Sub(host.Heard) < SilentAfter {
+			heard++
+		}
+	}
+	return float64(heard) < cutOffShare*float64(running)
+}
+
 // HearLoad takes the load of a host as its agent told it with other news.
 func (f *Fleet) HearLoad(agent anvilglade.IPv4, flows, working int) {
 	if host, ok := f.hosts[agent]; ok {
