--- a/caller/client_test.go
+++ b/caller/client_test.go
@@ -26,7 +26,7 @@
 
 	"github.com/anvilglade/anvilglade"
 	"github.com/anvilglade/anvilglade/caller"
-	"github.com/anvilglade/anvilglade/internal/operate/agtask"
+	"github.com/anvilglade/anvilglade/internal/runtime/agtask"
 	"github.com/anvilglade/anvilglade/internal/request/agserve"
 	"github.com/anvilglade/anvilglade/internal/request/agticket"
 )
--- a/internal/config/agedit/model_test.go
+++ b/internal/config/agedit/model_test.go
@@ -21,7 +21,7 @@
 	"github.com/anvilglade/anvilglade"
 	"github.com/anvilglade/anvilglade/internal/config/agconfig"
 	"github.com/anvilglade/anvilglade/internal/config/agedit"
-	"github.com/anvilglade/anvilglade/internal/operate/agtask"
+	"github.com/anvilglade/anvilglade/internal/runtime/agtask"
 	"github.com/anvilglade/anvilglade/internal/stand/agapi"
 )
 
--- a/internal/flow/agflow/arbiter.go
+++ b/internal/flow/agflow/arbiter.go
@@ -33,24 +33,24 @@
 
 // arbitrate decides on a packet that passed every candidate.
 func (m *Machine) arbitrate(now int64, header *agheader.Header, payload []byte, actions []Action) []Action {
-	known := m.views[header.Service]
+	assigned := m.views[header.Service]
 	if entry := m.placements[header.Flow]; entry != nil {
-		if m.stands(entry) {
-			return m.follow(now, entry, settled(header), payload, actions)
+		if m.mayAct(entry) {
+			return m.follow(now, entry, withoutDeclined(header), payload, actions)
 		}
-		if next := m.handOver(entry, header); next >= 0 {
+		if next := m.askFormerHost(entry, header); next >= 0 {
 			header.Step = uint8(next)
 			return send(actions, entry.host, agheader.KindLookup, header, payload)
 		}
 	}
-	arbiter := known.arbiter(m, declined(header))
+	arbiter := assigned.arbiter(m, declinedHosts(header))
 	if arbiter == nil {
 		return drop(actions, anvilglade.DropNoConfiguration)
 	}
 	if arbiter.AgentAddress != m.options.Self {
-		return m.redirect(known, arbiter, header, payload, actions)
+		return m.redirect(assigned, arbiter, header, payload, actions)
 	}
-	if next := m.extend(now, known, header); next >= 0 {
+	if next := m.askMissingMembers(now, assigned, header); next >= 0 {
 		header.Step = uint8(next)
 		return send(actions, header.Candidates[next].Address, agheader.KindLookup, header, payload)
 	}
@@ -61,15 +61,15 @@
 	}
 	m.placements[header.Flow] = entry
 	m.statistics.Decided++
-	return m.place(now, entry, settled(header), payload, actions)
+	return m.place(now, entry, withoutDeclined(header), payload, actions)
 }
 
-// stands reports whether this agent may still act on its decision. It may not
+// mayAct reports whether this agent may still act on its decision. It may not
 // once it has left, works for another service or has announced a later stamp:
 // another host may have decided since.
-func (m *Machine) stands(entry *placement) bool {
-	known := m.views[entry.service]
-	return known != nil && !known.former && !m.left && entry.stamp == m.stamp()
+func (m *Machine) mayAct(entry *placement) bool {
+	assigned := m.views[entry.service]
+	return assigned != nil && !assigned.former && !m.left && entry.stamp == m.stamp()
 }
 
 func (m *Machine) stamp() anvilglade.JoinStamp {
@@ -79,11 +79,11 @@
 	return m.options.Stamp()
 }
 
-// handOver inserts the host of a former decision, which may own the flow by now,
+// askFormerHost inserts the host of a former decision, which may own the flow by now,
 // before the next arbiter. It is asked with a Lookup: a Place could create the
 // flow there after the next arbiter has decided otherwise. It returns the index,
 // or -1 if there is no such host or it has just been asked.
-func (m *Machine) handOver(entry *placement, header *agheader.Header) int {
+func (m *Machine) askFormerHost(entry *placement, header *agheader.Header) int {
 	next := firstDeclined(header)
 	asked := next > 0 && header.Candidates[next-1].Address == entry.host
 	if asked || entry.service != header.Service || !entry.host.IsValid() || entry.host == m.options.Self || len(header.Candidates) > anvilglade.MaxCandidates {
@@ -93,9 +93,9 @@
 	return next
 }
 
-// settled removes the hosts that declined from the list, so that they are no
+// withoutDeclined removes the hosts that declined from the list, so that they are no
 // candidates for a placement.
-func settled(header *agheader.Header) *agheader.Header {
+func withoutDeclined(header *agheader.Header) *agheader.Header {
 	if len(header.Candidates) > 0 {
 		header.Candidates = slices.Delete(header.Candidates, firstDeclined(header), len(header.Candidates)-1)
 	}
@@ -120,7 +120,8 @@
 	return last
 }
 
-func declined(header *agheader.Header) []anvilglade.Candidate {
+// declinedHosts returns the candidates that declined to decide.
+func declinedHosts(header *agheader.Header) []anvilglade.Candidate {
 	return header.Candidates[firstDeclined(header) : len(header.Candidates)-1]
 }
 
@@ -132,11 +133,11 @@
 // has left. Two agents that each take the other one for the arbiter, because one
 // has restarted and the other does not know it yet, decide nothing: the packet
 // is dropped, and a repeated one is decided after the next assignment.
-func (m *Machine) redirect(known *view, arbiter *anvilglade.ServiceMember, header *agheader.Header, payload []byte, actions []Action) []Action {
+func (m *Machine) redirect(assigned *view, arbiter *anvilglade.ServiceMember, header *agheader.Header, payload []byte, actions []Action) []Action {
 	m.statistics.Redirected++
-	left := m.left || known.former
-	again := contains(declined(header), m.options.Self)
-	if (!left || again) && contains(declined(header), arbiter.AgentAddress) {
+	left := m.left || assigned.former
+	again := contains(declinedHosts(header), m.options.Self)
+	if (!left || again) && contains(declinedHosts(header), arbiter.AgentAddress) {
 		return drop(actions, anvilglade.DropNoHost)
 	}
 	last := len(header.Candidates) - 1
@@ -161,16 +162,16 @@
 	return slices.ContainsFunc(candidates, func(c anvilglade.Candidate) bool { return c.Address == address })
 }
 
-// extend inserts the hosts that the balancer's list lacked and that may own the
+// askMissingMembers inserts the hosts that the balancer's list lacked and that may own the
 // flow by a decision of a former arbiter. It returns the index of the first one,
 // or -1 if the list lacked none. They are asked, and get no new flow: other
 // balancers may lack them too.
-func (m *Machine) extend(now int64, known *view, header *agheader.Header) int {
+func (m *Machine) askMissingMembers(now int64, assigned *view, header *agheader.Header) int {
 	at := firstDeclined(header)
 	inserted := at
-	for i := range known.members {
-		member := &known.members[i]
-		if !living(member.State) || member.AgentAddress == m.options.Self || !known.mayBeMissing(member, now) || contains(header.Candidates, member.AgentAddress) {
+	for i := range assigned.members {
+		member := &assigned.members[i]
+		if !living(member.State) || member.AgentAddress == m.options.Self || !assigned.mayBeMissing(member, now) || contains(header.Candidates, member.AgentAddress) {
 			continue
 		}
 		if len(header.Candidates) > anvilglade.MaxCandidates {
@@ -224,8 +225,8 @@
 	if target == m.options.Self {
 		return m.placeHere(now, entry, header, payload, actions)
 	}
-	if known := m.loads[target]; known != nil {
-		known.placed++
+	if assigned := m.loads[target]; assigned != nil {
+		assigned.placed++
 	} else {
 		m.loads[target] = &load{placed: 1}
 	}
@@ -260,7 +261,7 @@
 		return drop(actions, anvilglade.DropMalformed)
 	case entry == nil:
 		return drop(actions, anvilglade.DropRefused)
-	case !m.stands(entry):
+	case !m.mayAct(entry):
 		delete(m.placements, header.Flow)
 		return m.arbitrate(now, header, payload, actions)
 	case entry.attempt != header.Step || entry.host != refuser || entry.refusedUntil != 0:
--- a/internal/flow/agflow/assignment.go
+++ b/internal/flow/agflow/assignment.go
@@ -195,9 +195,9 @@
 }
 
 func (m *Machine) forgetLoads() {
-	known := m.views[m.service]
+	assigned := m.views[m.service]
 	for address := range m.loads {
-		if known.member(address) == nil || known.gone(address) {
+		if assigned.member(address) == nil || assigned.gone(address) {
 			delete(m.loads, address)
 		}
 	}
--- a/internal/flow/agflow/bench_test.go
+++ b/internal/flow/agflow/bench_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/anvilglade/anvilglade"
 	"github.com/anvilglade/anvilglade/internal/flow/agflow"
-	"github.com/anvilglade/anvilglade/internal/operate/agtask"
+	"github.com/anvilglade/anvilglade/internal/runtime/agtask"
 	"github.com/anvilglade/anvilglade/internal/packet/agheader"
 )
 
--- a/internal/flow/agflow/choice.go
+++ b/internal/flow/agflow/choice.go
@@ -33,12 +33,12 @@
 }
 
 func (m *Machine) learn(now int64, header *agheader.Header) {
-	known := m.loads[header.Sender]
-	if known == nil {
-		known = &load{}
-		m.loads[header.Sender] = known
+	assigned := m.loads[header.Sender]
+	if assigned == nil {
+		assigned = &load{}
+		m.loads[header.Sender] = assigned
 	}
-	*known = load{utilisation: header.Utilisation, at: now}
+	*assigned = load{utilisation: header.Utilisation, at: now}
 }
 
 // estimate returns the utilisation of a host in thousandths. A host that is not
@@ -47,32 +47,32 @@
 	if address == m.options.Self {
 		return float64(m.options.Admitter.Utilisation())
 	}
-	known := m.loads[address]
-	if known == nil {
+	assigned := m.loads[address]
+	if assigned == nil {
 		return 0
 	}
-	return float64(known.utilisation) + float64(known.placed)*m.flowCost
+	return float64(assigned.utilisation) + float64(assigned.placed)*m.flowCost
 }
 
 // choose returns the host for the next attempt.
 func (m *Machine) choose(header *agheader.Header, tried []netip.AddrPort) (netip.AddrPort, bool) {
 	var places [PlaceChoices + 1]netip.AddrPort
 	count := m.eligible(header, tried, &places)
-	known := m.views[header.Service]
+	assigned := m.views[header.Service]
 	preferred := m.balancers[header.Balancer]
 	var best, local netip.AddrPort
 	for _, address := range places[:count] {
 		if !best.IsValid() || m.better(address, best) {
 			best = address
 		}
-		if preferred == "" || known.dataCentre(address) != preferred {
+		if preferred == "" || assigned.dataCentre(address) != preferred {
 			continue
 		}
 		if !local.IsValid() || m.better(address, local) {
 			local = address
 		}
 	}
-	if local.IsValid() && m.estimate(local) <= known.meanUtilisation(m)*thresholdFactor+thresholdMargin {
+	if local.IsValid() && m.estimate(local) <= assigned.meanUtilisation(m)*thresholdFactor+thresholdMargin {
 		best = local
 	}
 	return best, best.IsValid()
@@ -88,7 +88,7 @@
 // not replaced by a later candidate, as a later one could be missing in the
 // lists of other balancers.
 func (m *Machine) eligible(header *agheader.Header, tried []netip.AddrPort, places *[PlaceChoices + 1]netip.AddrPort) int {
-	known := m.views[header.Service]
+	assigned := m.views[header.Service]
 	count, seen := 0, 0
 	for _, candidate := range header.Candidates[:max(0, len(header.Candidates)-1)] {
 		if !candidate.Accepts || candidate.Address == m.options.Self {
@@ -97,7 +97,7 @@
 		if seen++; seen > PlaceChoices {
 			break
 		}
-		if known.mayAccept(candidate.Address) && !slices.Contains(tried, candidate.Address) {
+		if assigned.mayAccept(candidate.Address) && !slices.Contains(tried, candidate.Address) {
 			places[count] = candidate.Address
 			count++
 		}
@@ -126,17 +126,17 @@
 func (m *Machine) Spill() (anvilglade.ServiceMember, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	known := m.views[m.service]
-	if known == nil {
+	assigned := m.views[m.service]
+	if assigned == nil {
 		return anvilglade.ServiceMember{}, false
 	}
-	mean := known.meanUtilisation(m)
+	mean := assigned.meanUtilisation(m)
 	if m.estimate(m.options.Self) <= mean*spillFactor+spillMargin {
 		return anvilglade.ServiceMember{}, false
 	}
 	var below []*anvilglade.ServiceMember
-	for i := range known.members {
-		member := &known.members[i]
+	for i := range assigned.members {
+		member := &assigned.members[i]
 		reported := m.loads[member.AgentAddress]
 		if member.Accepts && reported != nil && member.AgentAddress != m.options.Self && m.estimate(member.AgentAddress) < mean {
 			below = append(below, member)
--- a/internal/flow/agflow/expire.go
+++ b/internal/flow/agflow/expire.go
@@ -53,15 +53,15 @@
 // report sends the utilisation to the arbiter. In small services it goes to all
 // hosts, so that each can tell whether it is above the mean.
 func (m *Machine) report(actions []Action) []Action {
-	known := m.views[m.service]
-	arbiter := known.arbiter(m, nil)
+	assigned := m.views[m.service]
+	arbiter := assigned.arbiter(m, nil)
 	if arbiter == nil || m.out {
 		return actions
 	}
 	header := agheader.Header{Service: m.service, Protocol: anvilglade.ProtocolUDP, Sender: m.options.Self, Utilisation: m.options.Admitter.Utilisation()}
-	for i := range known.members {
-		member := &known.members[i]
-		wanted := member == arbiter || len(known.members) <= listAll && living(member.State) && !member.Former
+	for i := range assigned.members {
+		member := &assigned.members[i]
+		wanted := member == arbiter || len(assigned.members) <= listAll && living(member.State) && !member.Former
 		if wanted && member.AgentAddress != m.options.Self {
 			actions = send(actions, member.AgentAddress, agheader.KindUtilisation, &header, nil)
 		}
--- a/internal/flow/agflow/lookup.go
+++ b/internal/flow/agflow/lookup.go
@@ -52,10 +52,10 @@
 // was the last one. Hosts that the assignment knows as gone are passed over: a
 // balancer with older news would let the packet end there.
 func (m *Machine) nextCandidate(header *agheader.Header, from int) int {
-	known := m.views[header.Service]
+	assigned := m.views[header.Service]
 	for i := from; i < len(header.Candidates); i++ {
 		address := header.Candidates[i].Address
-		if address != m.options.Self && !known.gone(address) {
+		if address != m.options.Self && !assigned.gone(address) {
 			return i
 		}
 	}
--- a/internal/flow/agflow/relay.go
+++ b/internal/flow/agflow/relay.go
@@ -18,7 +18,7 @@
 	"syscall"
 
 	"github.com/anvilglade/anvilglade"
-	"github.com/anvilglade/anvilglade/internal/operate/agtask"
+	"github.com/anvilglade/anvilglade/internal/runtime/agtask"
 	"github.com/anvilglade/anvilglade/internal/packet/agheader"
 )
 
--- a/internal/operate/agagent/agent.go
+++ b/internal/operate/agagent/agent.go
@@ -38,7 +38,7 @@
 	"github.com/anvilglade/anvilglade/internal/observe/agadmin"
 	"github.com/anvilglade/anvilglade/internal/observe/agevent"
 	"github.com/anvilglade/anvilglade/internal/observe/aglog"
-	"github.com/anvilglade/anvilglade/internal/operate/agtask"
+	"github.com/anvilglade/anvilglade/internal/runtime/agtask"
 	"github.com/anvilglade/anvilglade/internal/packet/agseal"
 )
 
--- a/internal/operate/agagent/agent_test.go
+++ b/internal/operate/agagent/agent_test.go
@@ -16,7 +16,7 @@
 	"github.com/anvilglade/anvilglade"
 	"github.com/anvilglade/anvilglade/internal/membership/agmember"
 	"github.com/anvilglade/anvilglade/internal/operate/agagent"
-	"github.com/anvilglade/anvilglade/internal/operate/agtask"
+	"github.com/anvilglade/anvilglade/internal/runtime/agtask"
 	"github.com/anvilglade/anvilglade/internal/packet/agheader"
 	"github.com/anvilglade/anvilglade/internal/packet/agseal"
 )
--- a/internal/operate/agbalancer/balancer.go
+++ b/internal/operate/agbalancer/balancer.go
@@ -34,7 +34,7 @@
 	"github.com/anvilglade/anvilglade"
 	"github.com/anvilglade/anvilglade/internal/observe/agevent"
 	"github.com/anvilglade/anvilglade/internal/observe/aglog"
-	"github.com/anvilglade/anvilglade/internal/operate/agtask"
+	"github.com/anvilglade/anvilglade/internal/runtime/agtask"
 	"github.com/anvilglade/anvilglade/internal/packet/agconnid"
 	"github.com/anvilglade/anvilglade/internal/packet/agheader"
 	"github.com/anvilglade/anvilglade/internal/packet/agseal"
--- a/internal/operate/agbalancer/ingress.go
+++ b/internal/operate/agbalancer/ingress.go
@@ -14,7 +14,7 @@
 	"sync/atomic"
 
 	"github.com/anvilglade/anvilglade"
-	"github.com/anvilglade/anvilglade/internal/operate/agtask"
+	"github.com/anvilglade/anvilglade/internal/runtime/agtask"
 	"github.com/anvilglade/anvilglade/internal/packet/agconnid"
 	"github.com/anvilglade/anvilglade/internal/packet/agheader"
 	"github.com/anvilglade/anvilglade/internal/packet/agsocket"
--- a/internal/operate/agcommand/agent_requests.go
+++ b/internal/operate/agcommand/agent_requests.go
@@ -19,7 +19,7 @@
 	"github.com/anvilglade/anvilglade"
 	"github.com/anvilglade/anvilglade/internal/observe/aglog"
 	"github.com/anvilglade/anvilglade/internal/operate/agagent"
-	"github.com/anvilglade/anvilglade/internal/operate/agtask"
+	"github.com/anvilglade/anvilglade/internal/runtime/agtask"
 	"github.com/anvilglade/anvilglade/internal/packet/agconnid"
 	"github.com/anvilglade/anvilglade/internal/request/agserve"
 	"github.com/anvilglade/anvilglade/internal/request/agticket"
--- a/internal/operate/agcommand/balancer_parts.go
+++ b/internal/operate/agcommand/balancer_parts.go
@@ -18,7 +18,7 @@
 	"github.com/anvilglade/anvilglade/internal/membership/agmember"
 	"github.com/anvilglade/anvilglade/internal/observe/agevent"
 	"github.com/anvilglade/anvilglade/internal/operate/agbalancer"
-	"github.com/anvilglade/anvilglade/internal/operate/agtask"
+	"github.com/anvilglade/anvilglade/internal/runtime/agtask"
 	"github.com/anvilglade/anvilglade/internal/packet/agconnid"
 	"github.com/anvilglade/anvilglade/internal/routing/agtable"
 	"github.com/anvilglade/anvilglade/internal/state/agkeys"
--- a/internal/operate/agpacketagent/process.go
+++ b/internal/operate/agpacketagent/process.go
@@ -32,7 +32,7 @@
 	"github.com/anvilglade/anvilglade/internal/membership/agregistry"
 	"github.com/anvilglade/anvilglade/internal/observe/agdecision"
 	"github.com/anvilglade/anvilglade/internal/observe/aglog"
-	"github.com/anvilglade/anvilglade/internal/operate/agtask"
+	"github.com/anvilglade/anvilglade/internal/runtime/agtask"
 	"github.com/anvilglade/anvilglade/internal/packet/agsocket"
 )
 
--- a/internal/operate/agpacketagent/status.go
+++ b/internal/operate/agpacketagent/status.go
@@ -10,7 +10,7 @@
 	"github.com/anvilglade/anvilglade"
 	"github.com/anvilglade/anvilglade/internal/admission/agopen"
 	"github.com/anvilglade/anvilglade/internal/membership/agregistry"
-	"github.com/anvilglade/anvilglade/internal/operate/agtask"
+	"github.com/anvilglade/anvilglade/internal/runtime/agtask"
 	"github.com/anvilglade/anvilglade/internal/packet/agmessage"
 )
 
--- a/internal/operate/agpacketbalancer/state.go
+++ b/internal/operate/agpacketbalancer/state.go
@@ -11,7 +11,7 @@
 
 	"github.com/anvilglade/anvilglade"
 	"github.com/anvilglade/anvilglade/internal/membership/agregistry"
-	"github.com/anvilglade/anvilglade/internal/operate/agtask"
+	"github.com/anvilglade/anvilglade/internal/runtime/agtask"
 	"github.com/anvilglade/anvilglade/internal/state/agtransfer"
 )
 
--- a/internal/operate/agtask/group_test.go
+++ b/internal/runtime/agtask/group_test.go
@@ -8,7 +8,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/anvilglade/anvilglade/internal/operate/agtask"
+	"github.com/anvilglade/anvilglade/internal/runtime/agtask"
 )
 
 func TestGroup(t *testing.T) {
--- a/internal/stand/agbackend/server.go
+++ b/internal/stand/agbackend/server.go
@@ -29,7 +29,7 @@
 	"sync"
 	"time"
 
-	"github.com/anvilglade/anvilglade/internal/operate/agtask"
+	"github.com/anvilglade/anvilglade/internal/runtime/agtask"
 )
 
 // Service is one service address of the host.
--- a/internal/stand/agcaller/caller_test.go
+++ b/internal/stand/agcaller/caller_test.go
@@ -22,7 +22,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/quic-go/quic-go/http3"
 
-	"github.com/anvilglade/anvilglade/internal/operate/agtask"
+	"github.com/anvilglade/anvilglade/internal/runtime/agtask"
 	"github.com/anvilglade/anvilglade/internal/stand/agbackend"
 	"github.com/anvilglade/anvilglade/internal/stand/agcaller"
 )
--- a/internal/stand/agcaller/flows.go
+++ b/internal/stand/agcaller/flows.go
@@ -33,7 +33,7 @@
 
 	"golang.org/x/net/ipv4"
 
-	"github.com/anvilglade/anvilglade/internal/operate/agtask"
+	"github.com/anvilglade/anvilglade/internal/runtime/agtask"
 	"github.com/anvilglade/anvilglade/internal/stand/agbackend"
 )
 
--- a/internal/stand/agcaller/load.go
+++ b/internal/stand/agcaller/load.go
@@ -13,7 +13,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/anvilglade/anvilglade/internal/operate/agtask"
+	"github.com/anvilglade/anvilglade/internal/runtime/agtask"
 )
 
 // LoadOptions describe a stream of requests.
--- a/internal/stand/agfabric/fabric.go
+++ b/internal/stand/agfabric/fabric.go
@@ -32,7 +32,7 @@
 	"sync"
 	"sync/atomic"
 
-	"github.com/anvilglade/anvilglade/internal/operate/agtask"
+	"github.com/anvilglade/anvilglade/internal/runtime/agtask"
 )
 
 const (
--- a/internal/stand/agfabric/fabric_test.go
+++ b/internal/stand/agfabric/fabric_test.go
@@ -15,7 +15,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/anvilglade/anvilglade"
-	"github.com/anvilglade/anvilglade/internal/operate/agtask"
+	"github.com/anvilglade/anvilglade/internal/runtime/agtask"
 	"github.com/anvilglade/anvilglade/internal/stand/agfabric"
 )
 
--- a/internal/stand/agscenario/fleet.go
+++ b/internal/stand/agscenario/fleet.go
@@ -16,7 +16,7 @@
 	"sync"
 	"time"
 
-	"github.com/anvilglade/anvilglade/internal/operate/agtask"
+	"github.com/anvilglade/anvilglade/internal/runtime/agtask"
 	"github.com/anvilglade/anvilglade/internal/stand/agbackend"
 	"github.com/anvilglade/anvilglade/internal/stand/agfabric"
 )
--- a/internal/stand/agscenario/process.go
+++ b/internal/stand/agscenario/process.go
@@ -13,7 +13,7 @@
 	"syscall"
 	"time"
 
-	"github.com/anvilglade/anvilglade/internal/operate/agtask"
+	"github.com/anvilglade/anvilglade/internal/runtime/agtask"
 )
 
 const (
--- a/internal/stand/agscenario/run.go
+++ b/internal/stand/agscenario/run.go
@@ -17,7 +17,7 @@
 	"sync"
 	"time"
 
-	"github.com/anvilglade/anvilglade/internal/operate/agtask"
+	"github.com/anvilglade/anvilglade/internal/runtime/agtask"
 )
 
 // MeasureOptions say what to run.
--- a/internal/stand/agscenario/scene.go
+++ b/internal/stand/agscenario/scene.go
@@ -22,7 +22,7 @@
 	"time"
 
 	"github.com/anvilglade/anvilglade"
-	"github.com/anvilglade/anvilglade/internal/operate/agtask"
+	"github.com/anvilglade/anvilglade/internal/runtime/agtask"
 	"github.com/anvilglade/anvilglade/internal/stand/agbackend"
 	"github.com/anvilglade/anvilglade/internal/stand/agcaller"
 )
--- a/internal/state/agreplica/mesh_test.go
+++ b/internal/state/agreplica/mesh_test.go
@@ -18,7 +18,7 @@
 
 	"github.com/anvilglade/anvilglade"
 	"github.com/anvilglade/anvilglade/internal/observe/agevent"
-	"github.com/anvilglade/anvilglade/internal/operate/agtask"
+	"github.com/anvilglade/anvilglade/internal/runtime/agtask"
 )
 
 // testFleet is a set of meshes on loopback that know each other.
--- a/tools/aghouse/main.go
+++ b/tools/aghouse/main.go
@@ -1,5 +1,6 @@
 // Command aghouse checks rules that the linters do not know: no bare go
-// statement and no generic function or type of the project's own.
+// statement, no generic function or type of the project's own, and no name of
+// the users' platform outside its adapter.
 //
 // Usage: aghouse DIR. It prints file and line of each finding and exits with 1
 // if there is one.
@@ -52,8 +53,15 @@
 	if err != nil {
 		return fmt.Errorf("parse %s: %w", path, err)
 	}
+	slashed := filepath.ToSlash(path)
+	// This check has to name what it looks for.
+	adapter := strings.Contains(slashed, "/platform/") || strings.Contains(slashed, "/aghouse/")
 	ast.Inspect(file, func(node ast.Node) bool {
 		switch n := node.(type) {
+		case *ast.BasicLit:
+			if name, found := platformName(n); found && !adapter {
+				report(files.Position(n.Pos()), fmt.Sprintf("name %q of the platform outside platform/", name))
+			}
 		case *ast.GoStmt:
 			report(files.Position(n.Pos()), "bare go statement; start the task through agtask.Group")
 		case *ast.FuncType:
@@ -69,3 +77,23 @@
 	})
 	return nil
 }
+
+// platformNames are names on the platform's wire and in its settings that mean
+// nothing else in this project.
+var platformNames = []string{
+	"X-Anvilglade", "heartbeat_url", "datagram_addr", "cold_left_ms", "cold_per_s", "path_prefix", "idle_timeout_ms",
+	"current_rev", "deletion_pending", "allow_stale", "wait_ms", "internal_ports", "node_name", "/readiness", "/instances/", "evacuations/",
+}
+
+// platformName returns the platform's name in a string literal.
+func platformName(literal *ast.BasicLit) (string, bool) {
+	if literal.Kind != token.STRING {
+		return "", false
+	}
+	for _, name := range platformNames {
+		if strings.Contains(literal.Value, name) {
+			return name, true
+		}
+	}
+	return "", false
+}
