--- a/caller/client_test.go
+++ b/caller/client_test.go
@@ -26,9 +26,9 @@
 
 	"github.com/anvilglade/anvilglade"
 	"github.com/anvilglade/anvilglade/caller"
-	"github.com/anvilglade/anvilglade/internal/runtime/agtask"
 	"github.com/anvilglade/anvilglade/internal/request/agserve"
 	"github.com/anvilglade/anvilglade/internal/request/agticket"
+	"github.com/anvilglade/anvilglade/internal/runtime/agtask"
 )
 
 type openAdmitter struct{ refusals atomic.Int64 }
--- a/internal/flow/agflow/packetconn_test.go
+++ b/internal/flow/agflow/packetconn_test.go
@@ -15,8 +15,8 @@
 
 	"github.com/anvilglade/anvilglade"
 	"github.com/anvilglade/anvilglade/internal/flow/agflow"
-	"github.com/anvilglade/anvilglade/internal/runtime/agtask"
 	"github.com/anvilglade/anvilglade/internal/packet/agheader"
+	"github.com/anvilglade/anvilglade/internal/runtime/agtask"
 	"github.com/anvilglade/anvilglade/internal/state/agkeys"
 )
 
--- a/internal/flow/agflow/relay.go
+++ b/internal/flow/agflow/relay.go
@@ -18,8 +18,8 @@
 	"syscall"
 
 	"github.com/anvilglade/anvilglade"
-	"github.com/anvilglade/anvilglade/internal/runtime/agtask"
 	"github.com/anvilglade/anvilglade/internal/packet/agheader"
+	"github.com/anvilglade/anvilglade/internal/runtime/agtask"
 )
 
 // maxPayload is the largest UDP payload over IPv4.
--- a/internal/operate/agagent/agent.go
+++ b/internal/operate/agagent/agent.go
@@ -38,8 +38,8 @@
 	"github.com/anvilglade/anvilglade/internal/observe/agadmin"
 	"github.com/anvilglade/anvilglade/internal/observe/agevent"
 	"github.com/anvilglade/anvilglade/internal/observe/aglog"
-	"github.com/anvilglade/anvilglade/internal/runtime/agtask"
 	"github.com/anvilglade/anvilglade/internal/packet/agseal"
+	"github.com/anvilglade/anvilglade/internal/runtime/agtask"
 )
 
 // eventRing is the number of events that an agent keeps, about 1 MB.
--- a/internal/operate/agagent/agent_test.go
+++ b/internal/operate/agagent/agent_test.go
@@ -16,9 +16,9 @@
 	"github.com/anvilglade/anvilglade"
 	"github.com/anvilglade/anvilglade/internal/membership/agmember"
 	"github.com/anvilglade/anvilglade/internal/operate/agagent"
-	"github.com/anvilglade/anvilglade/internal/runtime/agtask"
 	"github.com/anvilglade/anvilglade/internal/packet/agheader"
 	"github.com/anvilglade/anvilglade/internal/packet/agseal"
+	"github.com/anvilglade/anvilglade/internal/runtime/agtask"
 )
 
 func TestAgent(t *testing.T) {
--- a/internal/operate/agbalancer/balancer.go
+++ b/internal/operate/agbalancer/balancer.go
@@ -34,13 +34,13 @@
 	"github.com/anvilglade/anvilglade"
 	"github.com/anvilglade/anvilglade/internal/observe/agevent"
 	"github.com/anvilglade/anvilglade/internal/observe/aglog"
-	"github.com/anvilglade/anvilglade/internal/runtime/agtask"
 	"github.com/anvilglade/anvilglade/internal/packet/agconnid"
 	"github.com/anvilglade/anvilglade/internal/packet/agheader"
 	"github.com/anvilglade/anvilglade/internal/packet/agseal"
 	"github.com/anvilglade/anvilglade/internal/packet/agsocket"
 	"github.com/anvilglade/anvilglade/internal/routing/agbalance"
 	"github.com/anvilglade/anvilglade/internal/routing/agtable"
+	"github.com/anvilglade/anvilglade/internal/runtime/agtask"
 )
 
 // ConfigurationName is the name of the configuration and of the keys record.
--- a/internal/operate/agbalancer/ingress.go
+++ b/internal/operate/agbalancer/ingress.go
@@ -14,11 +14,11 @@
 	"sync/atomic"
 
 	"github.com/anvilglade/anvilglade"
-	"github.com/anvilglade/anvilglade/internal/runtime/agtask"
 	"github.com/anvilglade/anvilglade/internal/packet/agconnid"
 	"github.com/anvilglade/anvilglade/internal/packet/agheader"
 	"github.com/anvilglade/anvilglade/internal/packet/agsocket"
 	"github.com/anvilglade/anvilglade/internal/routing/agtable"
+	"github.com/anvilglade/anvilglade/internal/runtime/agtask"
 )
 
 const (
--- a/internal/operate/agcommand/agent_requests.go
+++ b/internal/operate/agcommand/agent_requests.go
@@ -19,10 +19,10 @@
 	"github.com/anvilglade/anvilglade"
 	"github.com/anvilglade/anvilglade/internal/observe/aglog"
 	"github.com/anvilglade/anvilglade/internal/operate/agagent"
-	"github.com/anvilglade/anvilglade/internal/runtime/agtask"
 	"github.com/anvilglade/anvilglade/internal/packet/agconnid"
 	"github.com/anvilglade/anvilglade/internal/request/agserve"
 	"github.com/anvilglade/anvilglade/internal/request/agticket"
+	"github.com/anvilglade/anvilglade/internal/runtime/agtask"
 	"github.com/anvilglade/anvilglade/internal/state/agkeys"
 )
 
--- a/internal/operate/agpacketagent/host.go
+++ b/internal/operate/agpacketagent/host.go
@@ -12,8 +12,8 @@
 
 	"github.com/anvilglade/anvilglade"
 	"github.com/anvilglade/anvilglade/internal/admission/agopen"
-	"github.com/anvilglade/anvilglade/internal/runtime/agtask"
 	"github.com/anvilglade/anvilglade/internal/packet/agsocket"
+	"github.com/anvilglade/anvilglade/internal/runtime/agtask"
 )
 
 const (
--- a/internal/operate/agpacketagent/process.go
+++ b/internal/operate/agpacketagent/process.go
@@ -32,8 +32,8 @@
 	"github.com/anvilglade/anvilglade/internal/membership/agregistry"
 	"github.com/anvilglade/anvilglade/internal/observe/agdecision"
 	"github.com/anvilglade/anvilglade/internal/observe/aglog"
-	"github.com/anvilglade/anvilglade/internal/runtime/agtask"
 	"github.com/anvilglade/anvilglade/internal/packet/agsocket"
+	"github.com/anvilglade/anvilglade/internal/runtime/agtask"
 )
 
 const (
--- a/internal/operate/agpacketagent/status.go
+++ b/internal/operate/agpacketagent/status.go
@@ -10,8 +10,8 @@
 	"github.com/anvilglade/anvilglade"
 	"github.com/anvilglade/anvilglade/internal/admission/agopen"
 	"github.com/anvilglade/anvilglade/internal/membership/agregistry"
-	"github.com/anvilglade/anvilglade/internal/runtime/agtask"
 	"github.com/anvilglade/anvilglade/internal/packet/agmessage"
+	"github.com/anvilglade/anvilglade/internal/runtime/agtask"
 )
 
 const (
--- a/internal/operate/agpacketbalancer/process.go
+++ b/internal/operate/agpacketbalancer/process.go
@@ -31,9 +31,9 @@
 	"github.com/anvilglade/anvilglade"
 	"github.com/anvilglade/anvilglade/internal/observe/agdecision"
 	"github.com/anvilglade/anvilglade/internal/observe/aglog"
-	"github.com/anvilglade/anvilglade/internal/runtime/agtask"
 	"github.com/anvilglade/anvilglade/internal/packet/agsocket"
 	"github.com/anvilglade/anvilglade/internal/routing/agdispatch"
+	"github.com/anvilglade/anvilglade/internal/runtime/agtask"
 	"github.com/anvilglade/anvilglade/internal/state/agfleet"
 )
 
--- a/internal/request/agserve/harness_test.go
+++ b/internal/request/agserve/harness_test.go
@@ -28,10 +28,10 @@
 	"github.com/quic-go/quic-go/http3"
 
 	"github.com/anvilglade/anvilglade"
-	"github.com/anvilglade/anvilglade/internal/runtime/agtask"
 	"github.com/anvilglade/anvilglade/internal/request/agproblem"
 	"github.com/anvilglade/anvilglade/internal/request/agserve"
 	"github.com/anvilglade/anvilglade/internal/request/agticket"
+	"github.com/anvilglade/anvilglade/internal/runtime/agtask"
 )
 
 const service anvilglade.ServiceID = "alerts"
