--- /dev/null
+++ b/internal/stand/agemulator/caller.go
@@ -0,0 +1,273 @@
+package agemulator
+
+// Callers: each opens flows, sends one request at a time and tries again as the
+// platform's clients do.
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/anvilglade/anvilglade"
+	"github.com/anvilglade/anvilglade/internal/packet/agsocket"
+	"github.com/anvilglade/anvilglade/internal/runtime/agtask"
+	agplatform "github.com/anvilglade/anvilglade/platform"
+)
+
+const (
+	// openLimit is the time in which a flow must open, after copies of the
+	// opening packet at copyTimes.
+	openLimit = 1400 * time.Millisecond
+	// firstRepeat is the pause before a request is sent again; it doubles up
+	// to maxRepeat.
+	firstRepeat = 200 * time.Millisecond
+	maxRepeat   = 1600 * time.Millisecond
+	// retries is the number of further tries of a request.
+	retries = 2
+	// inboxSize bounds the packets that wait for a caller.
+	inboxSize = 64
+	firstPort = 1024
+)
+
+var copyTimes = [...]time.Duration{200 * time.Millisecond, 600 * time.Millisecond}
+
+var (
+	errReset   = errors.New("flow was reset")
+	errTimeout = errors.New("no answer in time")
+	errNotRun  = errors.New("host did not run the request")
+)
+
+// Caller is one caller.
+type Caller struct {
+	fleet      *fleet
+	dataCentre int
+	ip         anvilglade.IPv4
+	socket     *agsocket.Socket
+	service    ServiceSpec
+	address    anvilglade.Endpoint
+	random     *rand.Rand
+
+	mu      sync.Mutex
+	port    uint16
+	inboxes map[uint16]chan arrival
+	flow    *callerFlow
+}
+
+// arrival is a packet for a caller and the process that sent it.
+type arrival struct {
+	packet anvilglade.Packet
+	data   []byte
+	from   anvilglade.IPv4
+}
+
+// callerFlow is an open flow.
+type callerFlow struct {
+	id       anvilglade.Flow
+	inbox    chan arrival
+	sequence uint32
+	host     uint32
+	requests int
+}
+
+// receive hands packets to the flows that wait for them.
+func (c *Caller) receive(context.Context) error {
+	reader := c.socket.NewReader(readBatch, maxDatagram)
+	for {
+		batch, err := reader.Read()
+		if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
+			return nil
+		}
+		if err != nil {
+			continue
+		}
+		for i := range batch {
+			var packet anvilglade.Packet
+			data := batch[i].Data
+			if err := (agplatform.Codec{}).Parse(data, &packet); err != nil || !packet.Flags.Has(anvilglade.FlagRST) && !agplatform.CheckPacket(data, packetKey) {
+				c.fleet.ledger.breaks(PromiseUnaltered, "caller %s got %x", c.ip, data)
+				continue
+			}
+			c.mu.Lock()
+			inbox := c.inboxes[packet.Destination.Port]
+			c.mu.Unlock()
+			if inbox == nil {
+				continue
+			}
+			select {
+			case inbox <- arrival{packet: packet, data: append([]byte(nil), data[len(data)-packet.DataLength:]...), from: batch[i].From.Addr().As4()}:
+			default:
+				// A full inbox is like a packet lost on the way.
+			}
+		}
+	}
+}
+
+// run sends requests until the context ends.
+func (c *Caller) run(ctx context.Context) error {
+	load := &c.fleet.scenario.Load
+	for ctx.Err() == nil {
+		c.request(ctx)
+		pause := time.Duration(float64(load.Pause) * c.random.ExpFloat64())
+		// The end of the wait and of the context both lead on.
+		_ = agtask.Sleep(ctx, pause)
+	}
+	c.close()
+	return nil
+}
+
+// request makes one request with its tries.
+func (c *Caller) request(ctx context.Context) {
+	load := &c.fleet.scenario.Load
+	begun := time.Now()
+	limit := begun.Add(time.Duration(load.Limit))
+	work := time.Duration(float64(c.service.Work) * (0.5 + c.random.Float64()))
+	asked := request{
+		id: c.random.Uint64(), workMicros: uint32(work.Microseconds()),
+		repeatable: c.random.Float64() >= load.Unsafe, service: c.service.Name.Number(),
+	}
+	result := outcomeFailed
+	for try := 0; try <= retries && time.Now().Before(limit) && ctx.Err() == nil; try++ {
+		mayRepeat, err := c.try(ctx, &asked, limit)
+		if err == nil {
+			result = outcomeAnswered
+			break
+		}
+		c.drop()
+		if errors.Is(err, errNotRun) || errors.Is(err, errReset) && mayRepeat {
+			result = outcomeRefused
+		} else {
+			result = outcomeFailed
+		}
+		if !mayRepeat {
+			break
+		}
+	}
+	if ctx.Err() == nil {
+		c.fleet.ledger.ended(begun, result)
+	}
+}
+
+// try makes one try and reports whether a further one is allowed after a
+// failure: one that cannot have run, or one of a repeatable request.
+func (c *Caller) try(ctx context.Context, asked *request, limit time.Time) (bool, error) {
+	if c.flow == nil || c.flow.requests >= c.fleet.scenario.Load.PerFlow {
+		c.close()
+		if err := c.open(ctx); err != nil {
+			return true, err
+		}
+	}
+	c.flow.requests++
+	body := asked.encode()
+	repeat := firstRepeat
+	for time.Now().Before(limit) {
+		c.send(c.flow, anvilglade.FlagACK, c.flow.sequence, c.flow.host+1, body)
+		got, err := c.await(ctx, c.flow, min(repeat, time.Until(limit)), func(a *arrival) bool { return len(a.data) > 0 })
+		if errors.Is(err, errReset) {
+			return asked.repeatable, err
+		}
+		if err != nil {
+			repeat = min(2*repeat, maxRepeat)
+			continue
+		}
+		result, ok := decodeAnswer(got.data)
+		if !ok || result.service != asked.service {
+			c.fleet.ledger.breaks(PromiseOwnAnswer, "request %x got %x", asked.id, got.data)
+			return false, errTimeout
+		}
+		if result.id != asked.id {
+			// An answer that was repeated for the request before.
+			continue
+		}
+		c.flow.sequence += uint32(len(body))
+		if !result.ran {
+			return true, errNotRun
+		}
+		return false, nil
+	}
+	return false, errTimeout
+}
+
+// open opens a flow from a new port.
+func (c *Caller) open(ctx context.Context) error {
+	c.mu.Lock()
+	c.port++
+	if c.port < firstPort {
+		c.port = firstPort
+	}
+	flow := &callerFlow{
+		id:    anvilglade.Flow{Caller: anvilglade.Endpoint{IP: c.ip, Port: c.port}, Service: c.address},
+		inbox: make(chan arrival, inboxSize), sequence: c.random.Uint32(),
+	}
+	c.inboxes[c.port] = flow.inbox
+	c.flow = flow
+	c.mu.Unlock()
+	begun := time.Now()
+	for copies := 0; copies <= len(copyTimes); copies++ {
+		c.send(flow, anvilglade.FlagSYN, flow.sequence, uint32(copies), nil)
+		end := openLimit
+		if copies < len(copyTimes) {
+			end = copyTimes[copies]
+		}
+		got, err := c.await(ctx, flow, end-time.Since(begun), func(a *arrival) bool { return a.packet.Flags.Has(anvilglade.FlagSYN) })
+		if errors.Is(err, errReset) || ctx.Err() != nil {
+			return errReset
+		}
+		if err == nil {
+			flow.sequence++
+			flow.host = got.packet.Sequence
+			return nil
+		}
+	}
+	return errTimeout
+}
+
+// await waits for a packet of a flow that is wanted.
+func (c *Caller) await(ctx context.Context, flow *callerFlow, limit time.Duration, wanted func(*arrival) bool) (*arrival, error) {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	for {
+		select {
+		case got := <-flow.inbox:
+			if got.packet.Flags.Has(anvilglade.FlagRST) {
+				c.fleet.checkReset(flow.id, got.from)
+				return nil, errReset
+			}
+			if wanted(&got) {
+				return &got, nil
+			}
+		case <-timer.C:
+			return nil, errTimeout
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+func (c *Caller) send(flow *callerFlow, flags anvilglade.PacketFlags, sequence, acknowledged uint32, data []byte) {
+	packet := anvilglade.Packet{Source: flow.id.Caller, Destination: flow.id.Service, Flags: flags, Sequence: sequence, Acknowledged: acknowledged}
+	c.fleet.router.forward(c.dataCentre, flow.id, agplatform.AppendPacket(nil, &packet, data, packetKey))
+}
+
+// close ends the flow in the usual way.
+func (c *Caller) close() {
+	if c.flow == nil {
+		return
+	}
+	c.send(c.flow, anvilglade.FlagACK|anvilglade.FlagFIN, c.flow.sequence, c.flow.host+1, nil)
+	c.drop()
+}
+
+// drop forgets the flow.
+func (c *Caller) drop() {
+	if c.flow == nil {
+		return
+	}
+	c.mu.Lock()
+	delete(c.inboxes, c.flow.id.Caller.Port)
+	c.flow = nil
+	c.mu.Unlock()
+}
--- /dev/null
+++ b/internal/stand/agemulator/run.go
@@ -0,0 +1,177 @@
+package agemulator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/anvilglade/anvilglade"
+	"github.com/anvilglade/anvilglade/internal/packet/agsocket"
+	"github.com/anvilglade/anvilglade/internal/runtime/agtask"
+	"github.com/anvilglade/anvilglade/internal/stand/agapi"
+)
+
+const (
+	// startLimit bounds the time until all balancers are in rotation.
+	startLimit = 20 * time.Second
+	startPoll  = 50 * time.Millisecond
+)
+
+// Options say what to run.
+type Options struct {
+	// Anvilglade is the path of the program.
+	Anvilglade string
+	Scenario   Scenario
+	Seed       uint64
+	// Dir takes the settings and logs of the processes.
+	Dir string
+}
+
+// Run plays a scenario. The error means that it could not be played; broken
+// promises are in the report.
+func Run(ctx context.Context, options Options) (*Report, error) {
+	group, stop, err := agtask.NewGroup(ctx)
+	if err != nil {
+		return nil, err
+	}
+	base, err := freeBase(ctx, int(options.Seed)*portCount*7)
+	if err != nil {
+		return nil, err
+	}
+	f := &fleet{
+		options: options, scenario: &options.Scenario, group: group, base: base,
+		ledger: newLedger(time.Duration(options.Scenario.Load.Target)), store: agapi.NewServer(agapi.Options{}),
+		client:    &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 2 * time.Second},
+		random:    rand.New(rand.NewPCG(options.Seed, 1)),
+		evacuated: make(map[anvilglade.DataCentreID]time.Time),
+	}
+	closeSockets, err := f.start(ctx)
+	if err != nil {
+		f.end()
+		stop()
+		return nil, err
+	}
+	err = f.play(ctx)
+	report := newReport(&options, f.ledger)
+	f.end()
+	closeSockets()
+	stop()
+	return report, err
+}
+
+// start starts the store, all processes and hosts, and waits until the balancers
+// are in rotation. The returned function closes the sockets.
+func (f *fleet) start(ctx context.Context) (func(), error) {
+	socket, closeRouter, err := agsocket.Listen(ctx, anvilglade.Endpoint{IP: anvilglade.IPv4{127, 0, 0, 1}}.AddrPort())
+	if err != nil {
+		return nil, err
+	}
+	f.router = &Router{hash: f.scenario.Hash, socket: socket, client: f.client}
+	f.lay()
+	if err := f.putDesired(f.initialState); err != nil {
+		closeRouter()
+		return nil, err
+	}
+	closeCallers, err := f.addCallers(ctx)
+	if err != nil {
+		closeRouter()
+		return nil, err
+	}
+	closeAll := func() { closeCallers(); closeRouter() }
+	if err := f.startMachines(ctx); err != nil {
+		closeAll()
+		return nil, err
+	}
+	return closeAll, nil
+}
+
+func (f *fleet) startMachines(ctx context.Context) error {
+	storeAddress := fmt.Sprintf("127.0.0.1:%d", f.base+portStore)
+	if err := f.group.Start("store", func(ctx context.Context) error { return agtask.ServeHTTP(ctx, storeAddress, f.store) }); err != nil {
+		return err
+	}
+	for _, m := range append(append([]*machine(nil), f.balancers...), f.agents...) {
+		if err := f.launch(m); err != nil {
+			return err
+		}
+	}
+	for _, agent := range f.agents {
+		if err := agent.host.start(ctx, false); err != nil {
+			return err
+		}
+	}
+	for _, balancer := range f.balancers {
+		f.router.add(int(balancer.settings.IP[2])-1, anvilglade.Endpoint{IP: balancer.settings.IP, Port: balancer.settings.PacketPort}, balancer.settings.ReadyAddr)
+	}
+	for _, entry := range f.router.balancers {
+		if err := f.group.Start("router", func(ctx context.Context) error { return f.router.check(ctx, entry) }); err != nil {
+			return err
+		}
+	}
+	deadline := time.Now().Add(startLimit)
+	for f.router.readyCount() < len(f.balancers) {
+		if time.Now().After(deadline) {
+			return fmt.Errorf("%d of %d balancers are ready after %s; logs in %s", f.router.readyCount(), len(f.balancers), startLimit, f.options.Dir)
+		}
+		if err := agtask.Sleep(ctx, startPoll); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// play brings the load and the troubles for the duration of the scenario.
+func (f *fleet) play(ctx context.Context) error {
+	f.ledger.start = time.Now()
+	load, stopLoad := context.WithCancel(ctx)
+	defer stopLoad()
+	var callers, work sync.WaitGroup
+	for _, caller := range f.callers {
+		if err := f.group.Start("receive", caller.receive); err != nil {
+			return err
+		}
+		callers.Add(1)
+		if err := f.group.Start("caller", func(context.Context) error { defer callers.Done(); return caller.run(load) }); err != nil {
+			return err
+		}
+	}
+	var mu sync.Mutex
+	var failures []error
+	for _, trouble := range f.scenario.Troubles {
+		work.Add(1)
+		if err := f.group.Start(trouble.Kind, func(context.Context) error {
+			defer work.Done()
+			if err := agtask.Sleep(load, time.Duration(trouble.At)); err != nil {
+				return nil
+			}
+			if err := troubles[trouble.Kind](load, f, trouble); err != nil {
+				mu.Lock()
+				failures = append(failures, fmt.Errorf("%s at %s: %w", trouble.Kind, time.Duration(trouble.At), err))
+				mu.Unlock()
+			}
+			return nil
+		}); err != nil {
+			return err
+		}
+	}
+	// The end of the wait and of the context both lead to the end.
+	_ = agtask.Sleep(ctx, time.Duration(f.scenario.Duration))
+	stopLoad()
+	callers.Wait()
+	work.Wait()
+	return errors.Join(failures...)
+}
+
+// end stops every process and host.
+func (f *fleet) end() {
+	for _, m := range append(append([]*machine(nil), f.balancers...), f.agents...) {
+		m.kill()
+		if m.host != nil {
+			m.host.crash()
+		}
+	}
+}
--- a/internal/stand/agstand/table.go
+++ b/internal/stand/agstand/table.go
@@ -33,6 +33,7 @@
 	{Name: "fabric", Summary: "network between the processes, with fault injection", Example: "agstand fabric --config fabric.json --control 127.0.0.1:7000", Create: newFabricVerb},
 	{Name: "backend", Summary: "backend server", Example: "agstand backend --host dk1-alerts-01 --services alerts=127.0.0.1:9001 --slots 4", Create: newBackendVerb},
 	{Name: "measure", Summary: "run the cases and print one JSON line per measure", Example: "agstand measure --anvilglade bin/anvilglade --cases test/cases --case ColdStart", Create: newMeasureVerb},
+	{Name: "emulate", Summary: "play packet services on an emulated platform, with troubles", Example: "agstand emulate --anvilglade bin/anvilglade --scenario test/packets/CalmDay.yaml --plot calm.svg", Create: newEmulateVerb},
 	{Name: "demo", Summary: "show a data centre leaving and returning, within 60 s", Example: "agstand demo --anvilglade bin/anvilglade", Create: newDemoVerb},
 }
 
