Explain a failed request from logs; metrics; a node name in every line

Cause: engineers had decisions in logs and no way from a flow to its cause. Change: anvilglade explain reads logs of any processes and prints the time line of a flow, host or moment with inputs, causes and what was left out, through the writers of the time line; metrics in Prometheus' format on port 9464; lines name their node, the age of the state and of the host's status. Conclusion: the way from a user's report to a flow's addresses is an open question, see docs/decisions/platform.md.

--- a/internal/admission/agopen/gate.go
+++ b/internal/admission/agopen/gate.go
@@ -158,6 +158,14 @@
 	return g.coldRate
 }
 
+// Silence returns the time since the newest heartbeat, 0 before the first one.
+func (g *Gate) Silence(now time.Time) time.Duration {
+	if !g.known {
+		return 0
+	}
+	return now.Sub(g.heard)
+}
+
 // Cold reports whether the host is cold.
 func (g *Gate) Cold(now time.Time) bool {
 	return now.Before(g.coldUntil)
--- a/internal/flow/agholder/holder.go
+++ b/internal/flow/agholder/holder.go
@@ -135,13 +135,16 @@
 // Holder keeps the flows of one host.
 type Holder struct {
 	options Options
-	started time.Time
-	flows   map[anvilglade.Flow]*flowRecord
-	pending [pendingPackets]pendingPacket
-	tag     uint32
-	open    int
-	working int
-	latency time.Duration
+	// OnAnswer, if set, gets the time from each request to the first byte of
+	// its answer.
+	OnAnswer func(latency time.Duration)
+	started  time.Time
+	flows    map[anvilglade.Flow]*flowRecord
+	pending  [pendingPackets]pendingPacket
+	tag      uint32
+	open     int
+	working  int
+	latency  time.Duration
 	// waitingFrom is the time of the first packet delivered since the host's
 	// last one; zero if there is none.
 	waitingFrom time.Time
@@ -419,6 +422,9 @@
 			h.latency = took
 		}
 		h.latency += time.Duration(latencyWeight * float64(took-h.latency))
+		if h.OnAnswer != nil {
+			h.OnAnswer(took)
+		}
 		h.setIdle(record)
 	}
 	if packet.Flags.Has(anvilglade.FlagFIN) || packet.Flags.Has(anvilglade.FlagRST) {
--- a/internal/observe/aglog/logger.go
+++ b/internal/observe/aglog/logger.go
@@ -17,6 +17,7 @@
 	"io"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -32,6 +33,8 @@
 	JSON  bool
 	// Output is os.Stderr if nil.
 	Output io.Writer
+	// Node is the name of the machine or VM, which then stands in every line.
+	Node string
 }
 
 var root = newRoot()
@@ -50,6 +53,7 @@
 		return fmt.Errorf("log level %q is not one of trace, debug, info, warning, error: %w", options.Level, err)
 	}
 	root.SetLevel(level)
+	node.Store(&options.Node)
 	root.SetOutput(options.Output)
 	if options.Output == nil {
 		root.SetOutput(os.Stderr)
@@ -67,7 +71,13 @@
 	return root.WithField(prefixField, prefix)
 }
 
-const prefixField = "Part"
+const (
+	prefixField = "Part"
+	nodeField   = "Node"
+)
+
+// node is the Node of the options in effect.
+var node atomic.Pointer[string]
 
 // prefixHook moves the field of the part into the message.
 type prefixHook struct{}
@@ -91,6 +101,9 @@
 			fields[name] = value
 		}
 	}
+	if name := node.Load(); name != nil && *name != "" {
+		fields[nodeField] = *name
+	}
 	entry.Data = fields
 	return nil
 }
--- /dev/null
+++ b/internal/observe/aglog/writer_test.go
@@ -0,0 +1,58 @@
+package aglog_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/anvilglade/anvilglade/internal/observe/aglog"
+)
+
+// Guards against a process that stops because nobody reads its standard output.
+func TestWriterNeverBlocks(t *testing.T) {
+	stuck := make(chan struct{})
+	writer := aglog.NewAsyncWriter(blockedWriter{stuck})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	started := time.AfterFunc(0, func() { done <- writer.Run(ctx) })
+	defer started.Stop()
+	for i := range 100_000 {
+		if _, err := fmt.Fprintf(writer, "line %d\n", i); err != nil {
+			t.Fatal(err)
+		}
+	}
+	cancel()
+	close(stuck)
+	if err := <-done; !errors.Is(err, context.Canceled) {
+		t.Error(err)
+	}
+}
+
+type blockedWriter struct{ until chan struct{} }
+
+func (w blockedWriter) Write(data []byte) (int, error) {
+	<-w.until
+	return len(data), nil
+}
+
+// Guards against lines that are lost without a trace.
+func TestWriterTellsOfDroppedLines(t *testing.T) {
+	var out bytes.Buffer
+	writer := aglog.NewAsyncWriter(&out)
+	for range 1500 {
+		if _, err := writer.Write([]byte("{}\n")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if err := writer.Run(ctx); !errors.Is(err, context.Canceled) {
+		t.Error(err)
+	}
+	if !bytes.Contains(out.Bytes(), []byte(`"Dropped":476`)) || bytes.Count(out.Bytes(), []byte("{}\n")) != 1024 {
+		t.Errorf("%d lines: %s", bytes.Count(out.Bytes(), []byte("\n")), out.Bytes()[:200])
+	}
+}
--- /dev/null
+++ b/internal/observe/agmetric/metric.go
@@ -0,0 +1,81 @@
+// Package agmetric serves the counters, gauges and latency histograms of a
+// process of packet services in Prometheus' text format.
+//
+// Labels are bounded: reasons and outcomes are constants of the code, services
+// and data centres are those of the desired state. Gauges are read from the
+// process when they are asked for, so that nothing is computed in between.
+//
+// # Usage
+//
+//	metrics := agmetric.NewMetrics("packet-balancer")
+//	metrics.Decisions.WithLabelValues("Forward", "Held").Inc()
+//	metrics.Gauge("desired_age_seconds", "Age of the desired state.", age)
+//	mux.Handle(agmetric.Path, metrics.Handler())
+package agmetric
+
+import (
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+// Path is the path of the metrics, Port the TCP port on which every process of
+// packet services serves them.
+const (
+	Path = "/metrics"
+	Port = 9464
+)
+
+const namespace = "anvilglade"
+
+// latencyBuckets are the upper bounds in seconds, from a lookup in one data
+// centre to the time limit of callers.
+var latencyBuckets = []float64{0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5}
+
+// Metrics are the metrics of one process.
+type Metrics struct {
+	registry *prometheus.Registry
+	role     string
+	// Decisions counts decisions on packets by action and reason.
+	Decisions *prometheus.CounterVec
+	// Malformed counts datagrams that could not be decoded, by kind.
+	Malformed *prometheus.CounterVec
+	// StoreCalls counts what became of calls to the platform's store.
+	StoreCalls *prometheus.CounterVec
+	// Latency is the time to the first byte of an answer at an agent, and the
+	// time from an opening packet to the host's answer at a balancer.
+	Latency *prometheus.HistogramVec
+}
+
+// NewMetrics returns the metrics of a process in a role.
+func NewMetrics(role string) *Metrics {
+	labels := prometheus.Labels{"role": role}
+	counter := func(name, help string, names ...string) *prometheus.CounterVec {
+		return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help, ConstLabels: labels}, names)
+	}
+	m := &Metrics{
+		registry:   prometheus.NewRegistry(),
+		role:       role,
+		Decisions:  counter("decisions_total", "Decisions on packets.", "action", "reason"),
+		Malformed:  counter("malformed_total", "Datagrams that could not be decoded.", "kind"),
+		StoreCalls: counter("store_calls_total", "Calls to the platform's store by outcome.", "what", "outcome"),
+		Latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "latency_seconds", Help: "Latency of flows and answers.", ConstLabels: labels, Buckets: latencyBuckets,
+		}, []string{"service"}),
+	}
+	m.registry.MustRegister(m.Decisions, m.Malformed, m.StoreCalls, m.Latency)
+	return m
+}
+
+// Gauge adds a gauge that read is asked for.
+func (m *Metrics) Gauge(name, help string, read func() float64) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Namespace: namespace, Name: name, Help: help, ConstLabels: prometheus.Labels{"role": m.role},
+	}, read))
+}
+
+// Handler returns the HTTP handler of the metrics.
+func (m *Metrics) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
--- /dev/null
+++ b/internal/operate/agcommand/explain.go
@@ -0,0 +1,151 @@
+package agcommand
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/anvilglade/anvilglade/internal/observe/agevent"
+	"github.com/anvilglade/anvilglade/internal/observe/agexplain"
+	"github.com/anvilglade/anvilglade/internal/operate/agsettings"
+)
+
+// explainVerb tells from the logs of processes what happened to a flow or host.
+type explainVerb struct {
+	set    *agsettings.Set
+	logs   string
+	flow   string
+	host   string
+	at     string
+	margin time.Duration
+	format string
+}
+
+func newExplainVerb() Verb {
+	return &explainVerb{}
+}
+
+// Bind adds the flags.
+func (v *explainVerb) Bind(subcommand *flaggy.Subcommand) {
+	v.set = agsettings.NewSet(subcommand)
+	v.set.Text(&v.logs, "logs", "log files separated by commas; - stands for standard input", "-")
+	v.set.Text(&v.flow, "flow", "CALLER:PORT or CALLER:PORT>SERVICE:PORT of a flow", "")
+	v.set.Text(&v.host, "host", "name of a host", "")
+	v.set.Text(&v.at, "at", "a moment, such as 2026-04-17T04:41:25.7Z", "")
+	v.set.Duration(&v.margin, "margin", "time before and after from which the context is taken", "2s", 0, time.Hour)
+	v.set.Text(&v.format, "format", "text, json (one event a line) or html (with a picture)", "text")
+}
+
+// Run reads the logs and prints the story.
+func (v *explainVerb) Run(_ context.Context) int {
+	if err := v.set.Check(); err != nil {
+		fmt.Fprintln(os.Stderr, "anvilglade explain:", err)
+		return ExitUsage
+	}
+	query, err := v.query()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "anvilglade explain:", err)
+		return ExitUsage
+	}
+	if err := v.explain(query, os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "anvilglade explain:", err)
+		return ExitFailed
+	}
+	return ExitDone
+}
+
+func (v *explainVerb) query() (agexplain.Query, error) {
+	query := agexplain.Query{Flow: v.flow, Host: v.host, Margin: v.margin}
+	subjects := 0
+	for _, subject := range []string{v.flow, v.host, v.at} {
+		if subject != "" {
+			subjects++
+		}
+	}
+	if subjects != 1 {
+		return query, errors.New("give one of --flow, --host and --at")
+	}
+	if v.at != "" {
+		at, err := time.Parse(time.RFC3339Nano, v.at)
+		if err != nil {
+			return query, fmt.Errorf("--at: %w", err)
+		}
+		query.At = at
+	}
+	if _, err := writerOf(v.format); err != nil {
+		return query, err
+	}
+	return query, nil
+}
+
+func (v *explainVerb) explain(query agexplain.Query, output io.Writer) error {
+	var readers []io.Reader
+	for path := range strings.SplitSeq(v.logs, ",") {
+		if path == "-" {
+			readers = append(readers, os.Stdin)
+			continue
+		}
+		file, err := os.Open(path) //nolint:gosec // the path is the user's own argument
+		if err != nil {
+			return err
+		}
+		defer func() { _ = file.Close() }()
+		readers = append(readers, file)
+	}
+	log, err := agexplain.Read(readers...)
+	if err != nil {
+		return err
+	}
+	story := log.Explain(query)
+	write, err := writerOf(v.format)
+	if err != nil {
+		return err
+	}
+	if err := write(output, story.Events()); err != nil {
+		return err
+	}
+	if v.format == formatText {
+		return writeSummary(output, log, story)
+	}
+	return nil
+}
+
+// writeSummary writes the causes and what the logs lack.
+func writeSummary(output io.Writer, log *agexplain.Log, story *agexplain.Story) error {
+	var text strings.Builder
+	if len(story.Lines) == 0 {
+		text.WriteString("No line names the subject: it was not logged, or its log is missing.\n")
+	}
+	for _, cause := range story.Causes {
+		fmt.Fprintf(&text, "Cause: %s.\n", cause)
+	}
+	kinds := make([]string, 0, len(story.Omitted))
+	for kind := range story.Omitted {
+		kinds = append(kinds, kind)
+	}
+	slices.Sort(kinds)
+	for _, kind := range kinds {
+		fmt.Fprintf(&text, "Left out of the logs in this time: %d decisions of %s.\n", story.Omitted[kind], kind)
+	}
+	fmt.Fprintf(&text, "Read %d lines, skipped %d that are no log lines.\n", len(log.Lines), log.Skipped)
+	_, err := io.WriteString(output, text.String())
+	return err
+}
+
+const formatText = "text"
+
+// writerOf returns the writer of a format of the time line.
+func writerOf(format string) (agevent.Writer, error) {
+	write, ok := map[string]agevent.Writer{formatText: agevent.WriteText, "json": agevent.WriteJSON, "html": agevent.WriteHTML}[format]
+	if !ok {
+		return nil, fmt.Errorf("%w: --format %q is not text, json or html", errUsage, format)
+	}
+	return write, nil
+}
--- a/internal/operate/agcommand/packet.go
+++ b/internal/operate/agcommand/packet.go
@@ -50,15 +50,15 @@
 	if err := v.set.Check(); err != nil {
 		return anvilglade.PlatformSettings{}, nil, nil, err
 	}
-	v.log = aglog.NewAsyncWriter(os.Stdout)
-	if err := aglog.Configure(aglog.Options{Level: v.level, JSON: true, Output: v.log}); err != nil {
-		return anvilglade.PlatformSettings{}, nil, nil, err
-	}
 	debug.SetGCPercent(gcPercent)
 	settings, err := v.reload()
 	if err != nil {
 		return settings, nil, nil, err
 	}
+	v.log = aglog.NewAsyncWriter(os.Stdout)
+	if err := aglog.Configure(aglog.Options{Level: v.level, JSON: true, Output: v.log, Node: settings.Node}); err != nil {
+		return settings, nil, nil, err
+	}
 	store, stop, err := agplatform.NewStore(agplatform.StoreOptions{URL: "http://" + settings.StoreAddr, Timeout: storeTimeout, WatchWait: watchWait})
 	return settings, store, stop, err
 }
--- a/internal/operate/agcommand/table.go
+++ b/internal/operate/agcommand/table.go
@@ -46,6 +46,7 @@
 	{Name: "apply", Summary: "apply a file of tables", Example: "anvilglade apply tables.yaml --dry-run", Create: newApplyVerb},
 	{Name: "status", Summary: "print the revision in effect at each process", Example: "anvilglade status --admin 10.0.0.1:7900", Create: newStatusVerb},
 	{Name: "timeline", Summary: "merge the events of all processes", Example: "anvilglade timeline --admin 10.0.0.1:7900 --host dk1-a3 --format html > timeline.html", Create: newTimelineVerb},
+	{Name: "explain", Summary: "tell from logs what happened to a flow or host", Example: "anvilglade explain --logs b1.log,a7.log --flow 100.64.0.7:1031", Create: newExplainVerb},
 	{Name: "snapshot", Summary: "save, verify and restore the tables", Example: "anvilglade snapshot save before.json", Create: newSnapshotVerb},
 	{Name: "keys", Summary: "draw, rotate, retire and list keys", Example: "anvilglade keys rotate --admin 10.0.0.1:7900", Create: newKeysVerb},
 	{Name: "teams", Summary: "keep the teams of the administration API", Example: "anvilglade teams add alerts --role Editor --pools alerts --routes '127.100.0.*:7001'", Create: newTeamsVerb},
--- a/internal/operate/agcommand/timeline.go
+++ b/internal/operate/agcommand/timeline.go
@@ -61,9 +61,9 @@
 	if err != nil {
 		return c.fail(err)
 	}
-	write, ok := map[string]agevent.Writer{"text": agevent.WriteText, "json": agevent.WriteJSON, "html": agevent.WriteHTML}[c.timeline.format]
-	if !ok {
-		return c.fail(fmt.Errorf("%w: --format %q is not text, json or html", errUsage, c.timeline.format))
+	write, err := writerOf(c.timeline.format)
+	if err != nil {
+		return c.fail(err)
 	}
 	if c.json {
 		write = agevent.WriteJSON
--- /dev/null
+++ b/internal/operate/agpacketagent/metrics.go
@@ -0,0 +1,42 @@
+package agpacketagent
+
+import (
+	"time"
+
+	"github.com/anvilglade/anvilglade/internal/admission/agopen"
+)
+
+// addMetrics adds the gauges that are read from the process, and the histogram
+// of the host's answers.
+func (p *Process) addMetrics() {
+	locked := func(read func(now time.Time) float64) func() float64 {
+		return func() float64 {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			return read(time.Now())
+		}
+	}
+	p.metrics.Gauge("host_flows", "Open flows of the host.", locked(func(time.Time) float64 {
+		flows, _, _ := p.holder.Load()
+		return float64(flows)
+	}))
+	p.metrics.Gauge("host_working", "Requests in progress at the host.", locked(func(time.Time) float64 {
+		_, working, _ := p.holder.Load()
+		return float64(working)
+	}))
+	p.metrics.Gauge("host_accepts", "1 while the host takes new flows.", locked(func(now time.Time) float64 {
+		if p.gate.Standing(now) == agopen.RefusalNone {
+			return 1
+		}
+		return 0
+	}))
+	p.metrics.Gauge("host_silent_seconds", "Time since the host's last heartbeat.", locked(func(now time.Time) float64 {
+		return p.gate.Silence(now).Seconds()
+	}))
+	p.metrics.Gauge("evacuations_revision", "Revision of the evacuations that are known.", locked(func(time.Time) float64 {
+		return float64(p.evacuations.Revision)
+	}))
+	p.holder.OnAnswer = func(latency time.Duration) {
+		p.metrics.Latency.WithLabelValues(string(p.settings.Service)).Observe(latency.Seconds())
+	}
+}
--- a/internal/operate/agpacketagent/packets.go
+++ b/internal/operate/agpacketagent/packets.go
@@ -75,10 +75,12 @@
 func (p *Process) forwarded(out *writers, datagram []byte, forward *agmessage.Forward, now time.Time, verdict *agholder.Verdict) {
 	raw, err := agmessage.ParseForward(datagram, forward)
 	if err != nil {
+		p.metrics.Malformed.WithLabelValues("Forward").Inc()
 		return
 	}
 	var packet anvilglade.Packet
 	if err := p.parts.Codec.Parse(raw, &packet); err != nil {
+		p.metrics.Malformed.WithLabelValues("Packet").Inc()
 		return
 	}
 	refusal := ""
@@ -104,6 +106,7 @@
 		p.mu.Lock()
 		for i := range batch {
 			if err := p.parts.Codec.Parse(batch[i].Data, &packet); err != nil {
+				p.metrics.Malformed.WithLabelValues("HostPacket").Inc()
 				continue
 			}
 			p.holder.FromHost(&packet, now, &verdict)
@@ -137,6 +140,7 @@
 		p.reset(out.packets, verdict.Flow, packet.Acknowledged)
 	}
 	if verdict.Cause != "" {
+		p.metrics.Decisions.WithLabelValues(string(decisionKinds[verdict.Action]), verdict.Cause).Inc()
 		p.logVerdict(packet, verdict)
 	}
 	if verdict.OwnerTo != (anvilglade.IPv4{}) {
@@ -165,5 +169,6 @@
 		return
 	}
 	line.WithField("Flow", verdict.Flow.String()).WithField("Opens", packet.Opens()).WithField("Cause", verdict.Cause).
-		WithField("To", verdict.To).WithField("Revision", p.evacuations.Revision).WithField("ColdRate", p.gate.ColdRate()).Info("Packet is not taken by the host.")
+		WithField("To", verdict.To).WithField("Revision", p.evacuations.Revision).WithField("ColdRate", p.gate.ColdRate()).
+		WithField("HeartbeatAge", p.gate.Silence(time.Now()).String()).Info("Packet is not taken by the host.")
 }
--- a/internal/operate/agpacketagent/process.go
+++ b/internal/operate/agpacketagent/process.go
@@ -32,6 +32,7 @@
 	"github.com/anvilglade/anvilglade/internal/membership/agregistry"
 	"github.com/anvilglade/anvilglade/internal/observe/agdecision"
 	"github.com/anvilglade/anvilglade/internal/observe/aglog"
+	"github.com/anvilglade/anvilglade/internal/observe/agmetric"
 	"github.com/anvilglade/anvilglade/internal/packet/agsocket"
 	"github.com/anvilglade/anvilglade/internal/runtime/agtask"
 )
@@ -78,6 +79,7 @@
 	evacuations anvilglade.Evacuations
 	balancers   map[anvilglade.IPv4]*knownBalancer
 	decisions   *agdecision.Log
+	metrics     *agmetric.Metrics
 }
 
 // knownBalancer is a balancer that gets this agent's status.
@@ -116,8 +118,10 @@
 		standing:  agopen.RefusalNoHeartbeat,
 		balancers: make(map[anvilglade.IPv4]*knownBalancer),
 		decisions: agdecision.NewLog(aglog.New("packet-agent")),
+		metrics:   agmetric.NewMetrics("packet-agent"),
 	}
 	p.learnSeeds(settings.Seeds)
+	p.addMetrics()
 	return p, func() { closePackets(); closeOutbound() }, nil
 }
 
@@ -141,6 +145,10 @@
 		{"ready", func(ctx context.Context) error {
 			return agtask.ServeHTTP(ctx, p.settings.ReadyAddr, p.parts.ReadyHandler(func() bool { return !p.leaving.Load() }))
 		}},
+		{"metrics", func(ctx context.Context) error {
+			address := anvilglade.Endpoint{IP: p.settings.IP, Port: agmetric.Port}
+			return agtask.ServeHTTP(ctx, address.String(), p.metrics.Handler())
+		}},
 		{"status", p.sendStatus},
 		{"watch", p.watchHost},
 		{"discover", p.discover},
--- /dev/null
+++ b/internal/operate/agpacketbalancer/metrics.go
@@ -0,0 +1,63 @@
+package agpacketbalancer
+
+import (
+	"time"
+
+	"github.com/anvilglade/anvilglade/internal/routing/agdispatch"
+)
+
+var actionNames = map[agdispatch.Action]string{
+	agdispatch.ActionDrop:    "Drop",
+	agdispatch.ActionForward: "Forward",
+	agdispatch.ActionReset:   "Reset",
+}
+
+// count counts a decision. The caller holds the mutex.
+func (p *Process) count(verdict *agdispatch.Verdict) {
+	key := decision{action: verdict.Action, reason: verdict.Reason}
+	counter, ok := p.counters[key]
+	if !ok {
+		counter = p.metrics.Decisions.WithLabelValues(actionNames[key.action], string(key.reason))
+		p.counters[key] = counter
+	}
+	counter.Inc()
+}
+
+// addGauges adds the gauges that are read from the process.
+func (p *Process) addGauges() {
+	locked := func(read func(now time.Time) float64) func() float64 {
+		return func() float64 {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			return read(time.Now())
+		}
+	}
+	p.metrics.Gauge("desired_version", "Version of the desired state in effect, 0 for none.", locked(func(time.Time) float64 {
+		desired, _ := p.fleet.Desired()
+		return float64(desired.Version)
+	}))
+	p.metrics.Gauge("desired_age_seconds", "Time since the desired state came into effect.", locked(func(now time.Time) float64 {
+		return now.Sub(p.adopted).Seconds()
+	}))
+	p.metrics.Gauge("evacuated_data_centres", "Data centres that get no new flows.", locked(func(time.Time) float64 {
+		return float64(len(p.fleet.Evacuations().DataCentres))
+	}))
+	p.metrics.Gauge("hosts_known", "Hosts that are known.", locked(func(now time.Time) float64 {
+		_, known := p.fleet.HeardHosts(now)
+		return float64(known)
+	}))
+	p.metrics.Gauge("hosts_heard", "Hosts that were heard recently.", locked(func(now time.Time) float64 {
+		heard, _ := p.fleet.HeardHosts(now)
+		return float64(heard)
+	}))
+	p.metrics.Gauge("peer_age_seconds", "Time since the balancer that was heard longest ago was heard.", locked(func(now time.Time) float64 {
+		return p.fleet.OldestPeer(now).Seconds()
+	}))
+	p.metrics.Gauge("flows", "Flows that are remembered.", locked(func(time.Time) float64 { return float64(p.dispatcher.Flows()) }))
+	p.metrics.Gauge("ready", "1 while callers' packets may come here.", func() float64 {
+		if p.Ready() {
+			return 1
+		}
+		return 0
+	})
+}
--- a/internal/operate/agpacketbalancer/packets.go
+++ b/internal/operate/agpacketbalancer/packets.go
@@ -49,10 +49,12 @@
 		p.fleet.Tick(now)
 		for i := range batch {
 			if err := p.parts.Codec.Parse(batch[i].Data, &packet); err != nil {
+				p.metrics.Malformed.WithLabelValues("Packet").Inc()
 				continue
 			}
 			p.dispatcher.FromCaller(&packet, now, &verdict)
 			p.carryOut(writer, batch[i].Data, &packet, &verdict)
+			p.count(&verdict)
 			p.logVerdict(&packet, &verdict, now)
 		}
 		p.mu.Unlock()
@@ -121,6 +123,7 @@
 	case agmessage.KindOwner:
 		owner, err := agmessage.ParseOwner(data)
 		if err != nil {
+			p.metrics.Malformed.WithLabelValues("Owner").Inc()
 			return
 		}
 		p.dispatcher.Owner(from, owner.Flow, owner.Established, owner.Sequence, now)
@@ -132,6 +135,7 @@
 	case agmessage.KindAgentStatus:
 		status, err := agmessage.ParseAgentStatus(data)
 		if err != nil || status.Agent != from {
+			p.metrics.Malformed.WithLabelValues("AgentStatus").Inc()
 			return
 		}
 		p.fleet.HearAgent(status, now)
@@ -139,6 +143,7 @@
 	case agmessage.KindBalancerStatus:
 		status, err := agmessage.ParseBalancerStatus(data)
 		if err != nil || status.Balancer != from {
+			p.metrics.Malformed.WithLabelValues("BalancerStatus").Inc()
 			return
 		}
 		p.fleet.HearBalancer(status, now)
@@ -156,6 +161,7 @@
 	if verdict.Action != agdispatch.ActionReset {
 		return
 	}
+	p.count(&verdict)
 	p.reset(writer, flow, verdict.Acknowledged)
 	if line, ok := p.decisions.Line(agdecision.KindReset, now); ok {
 		line.WithField("Flow", flow.String()).WithField("Reason", string(verdict.Reason)).Info("Flow is reset because no host holds it.")
@@ -176,6 +182,7 @@
 		p.dispatcher.Exhausted(&packet, &verdict)
 	}
 	p.carryOut(writer, raw, &packet, &verdict)
+	p.count(&verdict)
 	if line, ok := p.decisions.Line(agdecision.KindReturned, now); ok {
 		line.WithField("Flow", packet.FromCaller().String()).WithField("Agent", from).WithField("Reason", string(verdict.Reason)).
 			WithField("To", verdict.To).Info("Packet has come back from an agent.")
@@ -202,6 +209,13 @@
 	}
 	desired, _ := p.fleet.Desired()
 	heard, known := p.fleet.HeardHosts(now)
+	if len(verdict.To) > 0 {
+		if host, ok := p.fleet.Host(verdict.To[0]); ok {
+			line = line.WithField("HostAge", now.Sub(host.Heard).String()).WithField("Flows", host.Flows).WithField("Working", host.Working).
+				WithField("Host", host.Host)
+		}
+	}
+	line = line.WithField("VersionAge", now.Sub(p.adopted).Round(time.Millisecond).String())
 	line.WithField("Flow", packet.FromCaller().String()).WithField("Reason", string(verdict.Reason)).WithField("To", verdict.To).
 		WithField("Candidates", verdict.Candidates).WithField("Version", desired.Version).WithField("HostsHeard", heard).
 		WithField("HostsKnown", known).Info("Packet of a caller.")
--- a/internal/operate/agpacketbalancer/process.go
+++ b/internal/operate/agpacketbalancer/process.go
@@ -28,9 +28,12 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"github.com/anvilglade/anvilglade"
 	"github.com/anvilglade/anvilglade/internal/observe/agdecision"
 	"github.com/anvilglade/anvilglade/internal/observe/aglog"
+	"github.com/anvilglade/anvilglade/internal/observe/agmetric"
 	"github.com/anvilglade/anvilglade/internal/packet/agsocket"
 	"github.com/anvilglade/anvilglade/internal/routing/agdispatch"
 	"github.com/anvilglade/anvilglade/internal/runtime/agtask"
@@ -81,6 +84,18 @@
 	fleet      *agfleet.Fleet
 	dispatcher *agdispatch.Dispatcher
 	decisions  *agdecision.Log
+	metrics    *agmetric.Metrics
+	// counters holds the counter of each decision, so that the usual packet
+	// costs no search for its labels.
+	counters map[decision]prometheus.Counter
+	// adopted is the time at which the desired state came into effect.
+	adopted time.Time
+}
+
+// decision is what a balancer does with a packet and why.
+type decision struct {
+	action agdispatch.Action
+	reason agdispatch.Reason
 }
 
 // NewProcess opens the sockets. The returned function closes them.
@@ -109,8 +124,11 @@
 		http:        &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
 		fleet:       fleet,
 		decisions:   agdecision.NewLog(aglog.New("packet-balancer")),
+		metrics:     agmetric.NewMetrics("packet-balancer"),
+		counters:    make(map[decision]prometheus.Counter),
 		dispatcher:  agdispatch.NewDispatcher(fleet, rand.New(rand.NewPCG(seed, seed)), now),
 	}
+	p.addGauges()
 	return p, func() { closePackets(); closeInner() }, nil
 }
 
@@ -140,6 +158,9 @@
 			return agtask.ServeHTTP(ctx, p.settings.ReadyAddr, p.parts.ReadyHandler(p.Ready))
 		}},
 		{"transfer", p.serveTransfer},
+		{"metrics", func(ctx context.Context) error {
+			return agtask.ServeHTTP(ctx, p.endpointOf(p.settings.IP, agmetric.Port).String(), p.metrics.Handler())
+		}},
 	}
 	for _, task := range tasks {
 		if err := group.Start(task.name, task.run); err != nil {
--- a/internal/operate/agpacketbalancer/state.go
+++ b/internal/operate/agpacketbalancer/state.go
@@ -88,6 +88,7 @@
 	backoff, reachable := minBackoff, true
 	for ctx.Err() == nil {
 		err := read(ctx)
+		p.metrics.StoreCalls.WithLabelValues(what, outcomeOf(err)).Inc()
 		if ctx.Err() != nil {
 			break
 		}
@@ -110,6 +111,21 @@
 	return ctx.Err()
 }
 
+// outcomeOf names what became of a call to the store.
+func outcomeOf(err error) string {
+	switch {
+	case err == nil:
+		return "Answered"
+	case errors.Is(err, anvilglade.ErrHistoryGone):
+		return "HistoryGone"
+	case errors.Is(err, anvilglade.ErrOverloaded):
+		return "Overloaded"
+	case errors.Is(err, context.DeadlineExceeded):
+		return "TimedOut"
+	}
+	return "Failed"
+}
+
 // adopt puts a desired state into effect if it is newer.
 func (p *Process) adopt(state anvilglade.DesiredState, source string) {
 	if state.Version == 0 {
@@ -117,6 +133,9 @@
 	}
 	p.mu.Lock()
 	adopted := p.fleet.OfferDesired(state)
+	if adopted {
+		p.adopted = time.Now()
+	}
 	p.mu.Unlock()
 	if adopted {
 		p.log.WithField("Version", state.Version).WithField("Routes", len(state.Routes)).WithField("Source", source).Info("Desired state is in effect.")
--- a/internal/stand/agemulator/fleet.go
+++ b/internal/stand/agemulator/fleet.go
@@ -51,9 +51,18 @@
 	name     string
 	verb     string
 	settings anvilglade.PlatformSettings
-	mu       sync.Mutex
-	process  *agprocess.Process
-	host     *Host
+	// life is held while a trouble ends the process and starts it again.
+	life    sync.Mutex
+	mu      sync.Mutex
+	process *agprocess.Process
+	host    *Host
+}
+
+// currentHost returns the host beside an agent.
+func (m *machine) currentHost() *Host {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.host
 }
 
 // fleet is the whole deployment of a run.
@@ -203,15 +212,15 @@
 	m.mu.Lock()
 	process := m.process
 	m.mu.Unlock()
-	if process.Ended() {
-		return nil
-	}
-	if err := process.Signal(syscall.SIGSTOP); err != nil {
+	if err := process.Signal(syscall.SIGSTOP); err != nil && !process.Ended() {
 		return err
 	}
 	// The process goes on also when the run ends.
 	_ = agtask.Sleep(ctx, length)
-	return process.Signal(syscall.SIGCONT)
+	if err := process.Signal(syscall.SIGCONT); err != nil && !process.Ended() {
+		return err
+	}
+	return nil
 }
 
 // putDesired writes the desired state after a change.
@@ -298,9 +307,7 @@
 // that runs undisturbed holds the flow, unless its sender was disturbed.
 func (f *fleet) checkReset(flow anvilglade.Flow, from anvilglade.IPv4) {
 	for _, agent := range f.agents {
-		agent.mu.Lock()
-		host := agent.host
-		agent.mu.Unlock()
+		host := agent.currentHost()
 		if host.holds(flow) && f.ledger.calm(agent.settings.IP) && f.ledger.calm(from) {
 			f.ledger.breaks(PromiseFlowKept, "flow %s of host %s was reset by %s", flow, host.id, from)
 		}
--- a/internal/stand/agemulator/run.go
+++ b/internal/stand/agemulator/run.go
@@ -100,7 +100,7 @@
 		}
 	}
 	for _, agent := range f.agents {
-		if err := agent.host.start(ctx, false); err != nil {
+		if err := agent.currentHost().start(ctx, false); err != nil {
 			return err
 		}
 	}
@@ -170,8 +170,8 @@
 func (f *fleet) end() {
 	for _, m := range append(append([]*machine(nil), f.balancers...), f.agents...) {
 		m.kill()
-		if m.host != nil {
-			m.host.crash()
+		if host := m.currentHost(); host != nil {
+			host.crash()
 		}
 	}
 }
--- a/internal/stand/agemulator/troubles.go
+++ b/internal/stand/agemulator/troubles.go
@@ -68,6 +68,8 @@
 }
 
 func (f *fleet) restart(m *machine) error {
+	m.life.Lock()
+	defer m.life.Unlock()
 	if err := m.stop(); err != nil {
 		return err
 	}
@@ -84,11 +86,12 @@
 
 // killFor kills a process and starts it again after a time.
 func (f *fleet) killFor(ctx context.Context, m *machine, t Trouble) error {
+	m.life.Lock()
+	defer m.life.Unlock()
 	f.ledger.disturb(m.settings.IP, time.Now().Add(time.Duration(t.For)+time.Second))
 	m.kill()
-	if err := agtask.Sleep(ctx, time.Duration(t.For)); err != nil {
-		return nil //nolint:nilerr // the run has ended
-	}
+	// A run that ends cuts the wait short.
+	_ = agtask.Sleep(ctx, time.Duration(t.For))
 	f.ledger.disturb(m.settings.IP, time.Now())
 	return f.launch(m)
 }
@@ -96,12 +99,13 @@
 func killAll(ctx context.Context, f *fleet, t Trouble) error {
 	machines := append(append([]*machine(nil), f.balancers...), f.agents...)
 	for _, m := range machines {
+		m.life.Lock()
+		defer m.life.Unlock()
 		f.ledger.disturb(m.settings.IP, time.Now().Add(time.Duration(t.For)+time.Second))
 		m.kill()
 	}
-	if err := agtask.Sleep(ctx, time.Duration(t.For)); err != nil {
-		return nil //nolint:nilerr // the run has ended
-	}
+	// A run that ends cuts the wait short.
+	_ = agtask.Sleep(ctx, time.Duration(t.For))
 	for _, m := range machines {
 		f.ledger.disturb(m.settings.IP, time.Now())
 		if err := f.launch(m); err != nil {
@@ -128,21 +132,26 @@
 // restartHost lets a host crash and start again under the same name.
 func restartHost(ctx context.Context, f *fleet, t Trouble) error {
 	agent := f.agent(t)
-	agent.host.crash()
-	if err := agtask.Sleep(ctx, time.Duration(t.For)); err != nil {
-		return nil //nolint:nilerr // the run has ended
-	}
-	return agent.host.start(ctx, true)
+	agent.life.Lock()
+	defer agent.life.Unlock()
+	host := agent.currentHost()
+	host.crash()
+	// A run that ends cuts the wait short.
+	_ = agtask.Sleep(ctx, time.Duration(t.For))
+	return host.start(ctx, true)
 }
 
 // replaceHost drains a host and puts a new one with a new agent in its place.
 func replaceHost(ctx context.Context, f *fleet, t Trouble) error {
 	agent := f.agent(t)
-	agent.host.drain(ctx)
+	agent.life.Lock()
+	defer agent.life.Unlock()
+	former := agent.currentHost()
+	former.drain(ctx)
 	if err := agent.stop(); err != nil || ctx.Err() != nil {
 		return err
 	}
-	host := f.newHost(agent, agent.host.spec, fmt.Sprintf("%s-%d", agent.host.id, time.Now().UnixMilli()))
+	host := f.newHost(agent, former.spec, fmt.Sprintf("%s-%d", former.id, time.Now().UnixMilli()))
 	agent.mu.Lock()
 	agent.host = host
 	agent.mu.Unlock()
--- a/internal/state/agfleet/fleet.go
+++ b/internal/state/agfleet/fleet.go
@@ -328,6 +328,18 @@
 	return list
 }
 
+// OldestPeer returns the time since the balancer that was heard longest ago was
+// heard, 0 if there is no other one.
+func (f *Fleet) OldestPeer(now time.Time) time.Duration {
+	var oldest time.Duration
+	for _, balancer := range f.balancers {
+		if balancer.Known && !balancer.Leaving {
+			oldest = max(oldest, now.Sub(balancer.Heard))
+		}
+	}
+	return oldest
+}
+
 // LivingBalancers returns the addresses of balancers that were heard recently,
 // this one included.
 func (f *Fleet) LivingBalancers(now time.Time) []anvilglade.IPv4 {
--- a/packets.go
+++ b/packets.go
@@ -33,6 +33,21 @@
 	return ip.Addr().String()
 }
 
+// MarshalText returns the dotted form, for logs.
+func (ip IPv4) MarshalText() ([]byte, error) {
+	return []byte(ip.String()), nil
+}
+
+// UnmarshalText parses the dotted form.
+func (ip *IPv4) UnmarshalText(text []byte) error {
+	parsed, err := ParseIPv4(string(text))
+	if err != nil {
+		return err
+	}
+	*ip = parsed
+	return nil
+}
+
 // Endpoint is an IPv4 address and port. It is small and cheap to compare, as
 // each packet of a flow carries two.
 type Endpoint struct {
