Ask agents for the holder of a flow instead of sending its packets to all

Ruled out: capacity of the hosts (45% in use), refusals (none). Change: KindFind asks with 13 bytes; an agent that has seen every flow of its host answers by itself, another one says so and gets the packet; the balancer keeps up to four packets of a flow meanwhile.

--- a/internal/admission/agopen/gate.go
+++ b/internal/admission/agopen/gate.go
@@ -51,6 +51,8 @@
 	// silentHeartbeats is the number of missing heartbeats after which the
 	// host's state is not known any more.
 	silentHeartbeats = 3
+	// firstSequence is the sequence number of a host's first heartbeat.
+	firstSequence = 1
 	// coldWindow is the span over which new flows of a cold host are counted.
 	coldWindow = time.Second
 	// coldMargin is kept below the bound for flows that arrive late in one
@@ -83,6 +85,9 @@
 	heard     time.Time
 	known     bool
 	gone      bool
+	// complete is set if the first heartbeat of this boot was heard: the host
+	// has taken no flow through another process.
+	complete  bool
 	coldUntil time.Time
 	coldRate  float64
 	opened    []time.Time
@@ -104,8 +109,9 @@
 	if g.known && g.isOld(&heartbeat) {
 		return HeardOld
 	}
-	if g.known && heartbeat.Born.After(g.heartbeat.Born) {
+	if newBoot := !g.known || heartbeat.Born.After(g.heartbeat.Born); newBoot {
 		g.coldUntil = time.Time{}
+		g.complete = g.known || heartbeat.Sequence <= firstSequence
 	}
 	if heartbeat.ColdLeft > 0 {
 		g.coldUntil = now.Add(heartbeat.ColdLeft + coldTail)
@@ -137,6 +143,11 @@
 	g.gone = true
 }
 
+// Complete reports whether every flow of the host has come through this process.
+func (g *Gate) Complete() bool {
+	return g.known && g.complete
+}
+
 // Ended reports whether it is known that the host does not run any more.
 func (g *Gate) Ended() bool {
 	return g.gone
--- a/internal/operate/agpacketagent/packets.go
+++ b/internal/operate/agpacketagent/packets.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/netip"
 	"os"
 	"time"
 
@@ -51,6 +52,8 @@
 			switch agmessage.KindOf(batch[i].Data) {
 			case agmessage.KindForward:
 				p.forwarded(&out, batch[i].Data, &forward, now, &verdict)
+			case agmessage.KindFind:
+				p.find(&out, batch[i].Data, batch[i].From.Addr(), now, &verdict)
 			case agmessage.KindBalancerStatus:
 				p.hearBalancer(batch[i].Data, now)
 			}
@@ -60,6 +63,17 @@
 	}
 }
 
+// find answers a balancer that searches for the holder of a flow.
+func (p *Process) find(out *writers, datagram []byte, from netip.Addr, now time.Time, verdict *agholder.Verdict) {
+	flow, err := agmessage.ParseFlow(datagram)
+	if err != nil || !from.Is4() {
+		p.metrics.Malformed.WithLabelValues("Find").Inc()
+		return
+	}
+	p.holder.Find(flow, from.As4(), p.gate.Complete(), p.gate.Ended(), now, verdict)
+	p.carryOut(out, nil, nil, verdict)
+}
+
 // writers are the sockets of one task: packets for balancers, agents and
 // callers, and packets for the host.
 type writers struct {
@@ -117,7 +131,8 @@
 	}
 }
 
-// carryOut sends what a verdict asks for.
+// carryOut sends what a verdict asks for. The packet is nil if the verdict is on
+// a message without one.
 func (p *Process) carryOut(out *writers, raw []byte, packet *anvilglade.Packet, verdict *agholder.Verdict) {
 	switch verdict.Action {
 	case agholder.ActionDeliver:
@@ -135,7 +150,9 @@
 		p.parts.Codec.ClearMarks(raw)
 		out.packets.Add(agmessage.AppendPacket(out.packets.Buffer(), agmessage.KindExhausted, raw), p.innerEndpoint(verdict.To).AddrPort())
 	case agholder.ActionAbsent:
-		out.packets.Add(agmessage.AppendAbsent(out.packets.Buffer(), verdict.Flow), p.innerEndpoint(verdict.To).AddrPort())
+		out.packets.Add(agmessage.AppendFlow(out.packets.Buffer(), agmessage.KindAbsent, verdict.Flow), p.innerEndpoint(verdict.To).AddrPort())
+	case agholder.ActionUnsure:
+		out.packets.Add(agmessage.AppendFlow(out.packets.Buffer(), agmessage.KindUnsure, verdict.Flow), p.innerEndpoint(verdict.To).AddrPort())
 	case agholder.ActionReset:
 		p.reset(out.packets, verdict.Flow, packet.Acknowledged)
 	}
--- a/internal/operate/agpacketbalancer/metrics.go
+++ b/internal/operate/agpacketbalancer/metrics.go
@@ -10,6 +10,8 @@
 	agdispatch.ActionDrop:    "Drop",
 	agdispatch.ActionForward: "Forward",
 	agdispatch.ActionReset:   "Reset",
+	agdispatch.ActionFind:    "Find",
+	agdispatch.ActionHold:    "Hold",
 }
 
 // count counts a decision. The caller holds the mutex.
--- a/internal/operate/agpacketbalancer/packets.go
+++ b/internal/operate/agpacketbalancer/packets.go
@@ -62,20 +62,24 @@
 	}
 }
 
-// carryOut sends what a verdict asks for.
+// carryOut sends what a verdict asks for. The packet is needed for searches and
+// resets.
 func (p *Process) carryOut(writer *agsocket.Writer, data []byte, packet *anvilglade.Packet, verdict *agdispatch.Verdict) {
 	switch verdict.Action {
 	case agdispatch.ActionForward:
-		forward := agmessage.Forward{Service: verdict.Service, Origin: p.settings.IP, Held: verdict.Held, Candidates: verdict.Candidates}
-		for i, agent := range verdict.To {
-			forward.Foreign = i >= len(verdict.To)-verdict.Foreign
-			if !verdict.Held && verdict.Service == 0 {
-				// The flow may belong to any service of its route.
-				forward.Service = p.serviceNumber(agent)
-			}
+		forward := agmessage.Forward{Service: verdict.Service, Origin: p.settings.IP, Held: verdict.Held, Foreign: verdict.Foreign, Candidates: verdict.Candidates}
+		for _, agent := range verdict.To {
 			buffer := agmessage.AppendForward(writer.Buffer(), &forward, data)
 			writer.Add(buffer, p.endpointOf(agent, p.settings.PacketPort).AddrPort())
 		}
+	case agdispatch.ActionFind:
+		flow := packet.FromCaller()
+		p.dispatcher.Hold(flow, data)
+		for _, agent := range verdict.To {
+			writer.Add(agmessage.AppendFlow(writer.Buffer(), agmessage.KindFind, flow), p.endpointOf(agent, p.settings.PacketPort).AddrPort())
+		}
+	case agdispatch.ActionHold:
+		p.dispatcher.Hold(packet.FromCaller(), data)
 	case agdispatch.ActionReset:
 		p.reset(writer, packet.FromCaller(), verdict.Acknowledged)
 	}
@@ -86,13 +90,6 @@
 	writer.Add(buffer, p.endpointOf(flow.Caller.IP, p.settings.PacketPort).AddrPort())
 }
 
-func (p *Process) serviceNumber(agent anvilglade.IPv4) anvilglade.ServiceNumber {
-	if host, ok := p.fleet.Host(agent); ok {
-		return host.Number
-	}
-	return 0
-}
-
 // readInner takes messages of agents and balancers.
 func (p *Process) readInner(ctx context.Context) error {
 	reader, writer := p.inner.NewReader(batchSize, maxDatagram), p.packets.NewWriter(batchSize)
@@ -128,6 +125,9 @@
 		}
 		p.dispatcher.Owner(from, owner.Flow, owner.Established, owner.Sequence, now)
 		p.fleet.HearLoad(from, int(owner.Flows), int(owner.Working))
+		p.sendHeld(writer, owner.Flow)
+	case agmessage.KindUnsure:
+		p.unsure(writer, data, from)
 	case agmessage.KindAbsent:
 		p.absent(writer, data, from, now)
 	case agmessage.KindReturned, agmessage.KindExhausted:
@@ -150,9 +150,31 @@
 	}
 }
 
+// sendHeld sends the packets that were kept while a flow's holder was searched.
+func (p *Process) sendHeld(writer *agsocket.Writer, flow anvilglade.Flow) {
+	var verdict agdispatch.Verdict
+	for _, held := range p.dispatcher.TakeHeld(flow, &verdict) {
+		p.carryOut(writer, held, nil, &verdict)
+	}
+}
+
+// unsure sends a packet to an agent whose host has to say whether it holds the
+// flow.
+func (p *Process) unsure(writer *agsocket.Writer, data []byte, from anvilglade.IPv4) {
+	flow, err := agmessage.ParseFlow(data)
+	if err != nil {
+		p.metrics.Malformed.WithLabelValues("Unsure").Inc()
+		return
+	}
+	var verdict agdispatch.Verdict
+	if held := p.dispatcher.Unsure(from, flow, &verdict); held != nil {
+		p.carryOut(writer, held, nil, &verdict)
+	}
+}
+
 // absent takes the news that a host does not hold a flow.
 func (p *Process) absent(writer *agsocket.Writer, data []byte, from anvilglade.IPv4, now time.Time) {
-	flow, err := agmessage.ParseAbsent(data)
+	flow, err := agmessage.ParseFlow(data)
 	if err != nil {
 		return
 	}
--- a/internal/routing/agdispatch/dispatch.go
+++ b/internal/routing/agdispatch/dispatch.go
@@ -1,9 +1,10 @@
 // Package agdispatch decides at a balancer where each packet of a caller goes.
 //
 // The balancer remembers the holder of each flow that it has seen, but never
-// has to: a packet of an unknown flow is sent to every agent of the route's
-// services, the one that holds the flow delivers it and tells the balancer, and
-// the others hand it to hosts that return it. An opening packet goes to the
+// has to: for a packet of an unknown flow it asks every agent, keeps the packet
+// meanwhile and sends it to the one that holds the flow. An agent that has not
+// seen all flows of its host is sent the packet itself, and the host returns it
+// if it does not hold the flow. An opening packet goes to the
 // host that package agplace ranks first, with the next ones as candidates that
 // agents pass it on to. A copy of it, which callers send when no answer has
 // come, goes to a host that has not been tried.
@@ -40,6 +41,11 @@
 	ActionDrop Action = iota
 	ActionForward
 	ActionReset
+	// ActionFind asks the agents To for the holder of the flow and keeps the
+	// packet until it is found.
+	ActionFind
+	// ActionHold keeps the packet, as a search for the holder goes on.
+	ActionHold
 )
 
 // Reason says why a packet was dropped, reset or sent where it was. Its string
@@ -69,6 +75,10 @@
 	settleTime = 2 * time.Second
 	// maxFlows bounds the memory for flows, about 100 bytes each.
 	maxFlows = 400_000
+	// maxHeld bounds the packets that are kept for a flow, maxHeldBytes those
+	// for all flows together.
+	maxHeld      = 4
+	maxHeldBytes = 4 << 20
 	// idleMargin is kept beyond the idle timeout of the desired state.
 	idleMargin = 5 * time.Second
 	// defaultIdle stands in until a desired state names an idle timeout.
@@ -84,9 +94,8 @@
 	Held bool
 	// To are the agents that get the packet.
 	To []anvilglade.IPv4
-	// Foreign is the number of agents at the end of To whose service the route
-	// does not name any more.
-	Foreign int
+	// Foreign is set if the route does not name the service of To any more.
+	Foreign bool
 	// Acknowledged is the caller's newest acknowledgement, for a reset.
 	Acknowledged uint32
 	// Candidates are the agents that an opening packet may be passed on to.
@@ -101,6 +110,8 @@
 	flows   map[anvilglade.Flow]*flowEntry
 	options []agplace.Option
 	ranked  []anvilglade.IPv4
+	// heldBytes is the size of all packets that are kept.
+	heldBytes int
 }
 
 // NewDispatcher returns a Dispatcher that reads the fleet.
@@ -149,7 +160,7 @@
 			return true
 		}
 		verdict.Action, verdict.Reason = ActionReset, ReasonLostHost
-		delete(d.flows, flow)
+		d.forget(flow, entry)
 		return false
 	}
 	return host.MayHold(now) && (entry.born == 0 || entry.born == host.Born)
@@ -180,7 +191,7 @@
 	for flow, entry := range d.flows {
 		if entry.established && gone[entry.holder] {
 			lost = append(lost, LostFlow{Flow: flow, Acknowledged: entry.acknowledged})
-			delete(d.flows, flow)
+			d.forget(flow, entry)
 		}
 	}
 	return lost
@@ -300,26 +311,77 @@
 		entry = d.remember(flow, 0, now)
 	}
 	entry.acknowledged = packet.Acknowledged
-	entry.startSearch(except)
+	entry.route = route
+	if again := entry.startSearch(except, now); !again {
+		verdict.Action = ActionHold
+		return
+	}
 	for _, host := range d.fleet.AllHosts() {
-		if !host.MayHold(now) || host.Agent == except {
-			continue
-		}
-		verdict.To = append(verdict.To, host.Agent)
-		if routeNames(route, host.Service) {
-			last := len(verdict.To) - 1
-			verdict.To[last], verdict.To[last-verdict.Foreign] = verdict.To[last-verdict.Foreign], verdict.To[last]
-			continue
+		if host.MayHold(now) && host.Agent != except {
+			verdict.To = append(verdict.To, host.Agent)
 		}
-		verdict.Foreign++
 	}
 	if len(verdict.To) > 0 {
-		verdict.Action = ActionForward
+		verdict.Action = ActionFind
 		return
 	}
 	d.concludeSearch(flow, entry, now, verdict)
 }
 
+// Hold keeps a packet of a flow whose holder is searched for. The packet is
+// copied.
+func (d *Dispatcher) Hold(flow anvilglade.Flow, packet []byte) {
+	entry := d.flows[flow]
+	if entry == nil || len(entry.packets) >= maxHeld || d.heldBytes+len(packet) > maxHeldBytes {
+		// Its caller sends it again.
+		return
+	}
+	entry.packets = append(entry.packets, append([]byte(nil), packet...))
+	d.heldBytes += len(packet)
+}
+
+// TakeHeld returns the packets that were kept for a flow whose holder has been
+// found, and the verdict to send them with; none while the search goes on.
+func (d *Dispatcher) TakeHeld(flow anvilglade.Flow, verdict *Verdict) [][]byte {
+	*verdict = Verdict{To: verdict.To[:0], Candidates: verdict.Candidates[:0]}
+	entry := d.flows[flow]
+	if entry == nil || !entry.established {
+		return nil
+	}
+	d.toHolder(entry, entry.holder, verdict)
+	return d.release(entry)
+}
+
+// Unsure takes the news that only the host of an agent can say whether it holds
+// a flow. It returns the packet to ask it with, and the verdict to send that.
+func (d *Dispatcher) Unsure(agent anvilglade.IPv4, flow anvilglade.Flow, verdict *Verdict) []byte {
+	*verdict = Verdict{To: verdict.To[:0], Candidates: verdict.Candidates[:0]}
+	entry := d.flows[flow]
+	host, known := d.fleet.Host(agent)
+	if entry == nil || !known || !entry.searching() || len(entry.packets) == 0 {
+		return nil
+	}
+	verdict.Action, verdict.Reason = ActionForward, ReasonLookup
+	verdict.Service, verdict.Foreign = host.Number, !routeNames(entry.route, host.Service)
+	verdict.To = append(verdict.To, agent)
+	return entry.packets[0]
+}
+
+// forget drops a flow with the packets that are kept for it.
+func (d *Dispatcher) forget(flow anvilglade.Flow, entry *flowEntry) {
+	d.release(entry)
+	delete(d.flows, flow)
+}
+
+func (d *Dispatcher) release(entry *flowEntry) [][]byte {
+	packets := entry.packets
+	for _, packet := range packets {
+		d.heldBytes -= len(packet)
+	}
+	entry.packets = nil
+	return packets
+}
+
 func routeNames(route *anvilglade.PacketRoute, service anvilglade.ServiceID) bool {
 	for _, backend := range route.Backends {
 		if backend.Service == service {
@@ -351,7 +413,7 @@
 		}
 	}
 	verdict.Action, verdict.Reason, verdict.Acknowledged = ActionReset, ReasonNowhere, entry.acknowledged
-	delete(d.flows, flow)
+	d.forget(flow, entry)
 }
 
 // Owner takes the news that an agent's host holds a flow or offers to.
@@ -379,7 +441,7 @@
 	*verdict = Verdict{To: verdict.To[:0], Candidates: verdict.Candidates[:0], Acknowledged: packet.Acknowledged}
 	flow := packet.FromCaller()
 	if entry := d.flows[flow]; entry != nil && entry.holder == agent {
-		delete(d.flows, flow)
+		d.forget(flow, entry)
 	}
 	d.lookup(flow, packet, agent, now, verdict)
 }
@@ -394,7 +456,9 @@
 	if entry := d.flows[flow]; entry != nil && (entry.established || len(entry.offers) > 0) {
 		return
 	}
-	delete(d.flows, flow)
+	if entry := d.flows[flow]; entry != nil {
+		d.forget(flow, entry)
+	}
 	verdict.Action, verdict.Reason = ActionReset, ReasonAllRefused
 }
 
@@ -406,15 +470,15 @@
 	}
 	for flow, entry := range d.flows {
 		if now.Sub(entry.used) > idle {
-			delete(d.flows, flow)
+			d.forget(flow, entry)
 		}
 	}
 }
 
 func (d *Dispatcher) remember(flow anvilglade.Flow, service anvilglade.ServiceNumber, now time.Time) *flowEntry {
 	if len(d.flows) >= maxFlows {
-		for other := range d.flows {
-			delete(d.flows, other)
+		for other, entry := range d.flows {
+			d.forget(other, entry)
 			break
 		}
 	}
--- a/internal/routing/agdispatch/flow.go
+++ b/internal/routing/agdispatch/flow.go
@@ -26,8 +26,17 @@
 	// absent are the agents whose hosts do not hold the flow, nil if no search
 	// for its holder is going on.
 	absent map[anvilglade.IPv4]struct{}
+	// asked is the time at which the agents were last asked, route the route
+	// then, and packets are those kept until the holder is found.
+	asked   time.Time
+	route   *anvilglade.PacketRoute
+	packets [][]byte
 }
 
+// askInterval is the least time between two rounds of questions for a flow; the
+// answers of a round take a few milliseconds.
+const askInterval = 50 * time.Millisecond
+
 type offer struct {
 	agent    anvilglade.IPv4
 	sequence uint32
@@ -57,9 +66,11 @@
 	e.absent = nil
 }
 
-// startSearch begins a search for the holder or goes on with it. One agent is
-// known not to hold the flow, unless it is the zero address.
-func (e *flowEntry) startSearch(except anvilglade.IPv4) {
+// startSearch begins a search for the holder or goes on with it, and reports
+// whether agents are to be asked. One agent is known not to hold the flow, unless
+// it is the zero address.
+func (e *flowEntry) startSearch(except anvilglade.IPv4, now time.Time) bool {
+	recent := e.absent != nil && now.Sub(e.asked) < askInterval
 	e.established = false
 	e.offers, e.attempts = nil, nil
 	if e.absent == nil {
@@ -68,6 +79,10 @@
 	if except != (anvilglade.IPv4{}) {
 		e.absent[except] = struct{}{}
 	}
+	if !recent {
+		e.asked = now
+	}
+	return !recent
 }
 
 func (e *flowEntry) searching() bool {
--- a/internal/stand/agemulator/fleet.go
+++ b/internal/stand/agemulator/fleet.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -196,7 +197,11 @@
 	m.mu.Lock()
 	process := m.process
 	m.mu.Unlock()
-	return process.Stop(stopTimeout)
+	// A process that gets the signal before it handles it ends with an error.
+	if err := process.Stop(stopTimeout); errors.Is(err, agprocess.ErrStopTimeout) {
+		return err
+	}
+	return nil
 }
 
 // kill ends the process of a machine at once.
