End searches soon after a power loss of all

Three reasons, each seen by a count of what blocked them: an agent that vanished blocked also the searches that it had answered; a lost answer was asked for again only with the caller's next packet; restarted agents took themselves for ignorant of their restarted hosts (first heartbeat heard was number 3), so packets went to all 60 agents after all.

--- a/internal/admission/agopen/gate.go
+++ b/internal/admission/agopen/gate.go
@@ -51,6 +51,11 @@
 	// silentHeartbeats is the number of missing heartbeats after which the
 	// host's state is not known any more.
 	silentHeartbeats = 3
+	// restartTime is less than the time from the end of a process to the start
+	// of the next one on the same VM.
+	restartTime = 400 * time.Millisecond
+	// bornTolerance covers the rounding of births to milliseconds.
+	bornTolerance = 50 * time.Millisecond
 	// firstSequence is the sequence number of a host's first heartbeat.
 	firstSequence = 1
 	// coldWindow is the span over which new flows of a cold host are counted.
@@ -72,6 +77,8 @@
 	Address           anvilglade.Endpoint
 	DataCentre        anvilglade.DataCentreID
 	HeartbeatInterval time.Duration
+	// Started is the start of this process by the VM's clock.
+	Started time.Time
 	// ColdSlack is the number of flows a second that a cold host may get
 	// beyond its rate.
 	ColdSlack float64
@@ -111,7 +118,7 @@
 	}
 	if newBoot := !g.known || heartbeat.Born.After(g.heartbeat.Born); newBoot {
 		g.coldUntil = time.Time{}
-		g.complete = g.known || heartbeat.Sequence <= firstSequence
+		g.complete = g.known || heartbeat.Sequence <= firstSequence || g.bornWithProcess(heartbeat.Born, now)
 	}
 	if heartbeat.ColdLeft > 0 {
 		g.coldUntil = now.Add(heartbeat.ColdLeft + coldTail)
@@ -120,6 +127,13 @@
 	return HeardNew
 }
 
+// bornWithProcess reports whether a host was born so shortly before this process
+// that no earlier one can have carried its flows. A birth in the future means
+// that the clock has jumped and tells nothing.
+func (g *Gate) bornWithProcess(born, now time.Time) bool {
+	return born.After(g.options.Started.Add(-restartTime)) && !born.After(now.Add(bornTolerance))
+}
+
 func (g *Gate) isOld(heartbeat *anvilglade.HostHeartbeat) bool {
 	if !heartbeat.Born.Equal(g.heartbeat.Born) {
 		return heartbeat.Born.Before(g.heartbeat.Born)
--- a/internal/admission/agopen/gate_test.go
+++ b/internal/admission/agopen/gate_test.go
@@ -73,6 +73,26 @@
 		Expect(gate.Heartbeat(foreign, at(4))).To(Equal(agopen.HeardForeign))
 	})
 
+	// Guards against a search that is answered wrongly by an agent that has
+	// restarted beside a running host, and against one that asks every host
+	// after a power loss of all (diskglas-net-grown trouble-1).
+	It("knows whether it has seen all flows of its host", func() {
+		for _, example := range []struct {
+			born     time.Duration
+			sequence anvilglade.Sequence
+			complete bool
+		}{{-time.Hour, 1, true}, {-time.Hour, 9, false}, {-300 * time.Millisecond, 3, true}, {-time.Second, 3, false}, {time.Second, 3, false}} {
+			gate = agopen.NewGate(agopen.Options{Service: "alerts", Address: address, Started: start, HeartbeatInterval: time.Second})
+			Expect(gate.Complete()).To(BeFalse())
+			heartbeat := anvilglade.HostHeartbeat{Host: "h1", Born: at(example.born), Sequence: example.sequence, Service: "alerts", Address: address}
+			Expect(gate.Heartbeat(heartbeat, at(100*time.Millisecond))).To(Equal(agopen.HeardNew))
+			Expect(gate.Complete()).To(Equal(example.complete), example.born.String())
+			heartbeat.Born, heartbeat.Sequence = at(2*time.Second), 5
+			Expect(gate.Heartbeat(heartbeat, at(3*time.Second))).To(Equal(agopen.HeardNew))
+			Expect(gate.Complete()).To(BeTrue(), "a boot that began under this agent")
+		}
+	})
+
 	// Guards against an evacuated data centre that gets flows from a balancer
 	// with old knowledge.
 	It("refuses in an evacuated data centre and with old knowledge", func() {
--- a/internal/observe/aglog/writer.go
+++ b/internal/observe/aglog/writer.go
@@ -41,14 +41,19 @@
 		case line := <-w.lines:
 			w.pass(line)
 		case <-ctx.Done():
-			for len(w.lines) > 0 {
-				w.pass(<-w.lines)
-			}
+			w.Flush()
 			return ctx.Err()
 		}
 	}
 }
 
+// Flush passes on the lines that wait. Run must have ended.
+func (w *AsyncWriter) Flush() {
+	for len(w.lines) > 0 {
+		w.pass(<-w.lines)
+	}
+}
+
 // pass writes one line and tells of those that were dropped before it. The log
 // has no place for its own failures.
 func (w *AsyncWriter) pass(line []byte) {
--- a/internal/observe/aglog/writer_test.go
+++ b/internal/observe/aglog/writer_test.go
@@ -38,6 +38,26 @@
 	return len(data), nil
 }
 
+// Guards against the line that says why a process has stopped, which comes after
+// the task that passes lines on has ended (soak seed 118: a balancer ended and
+// its log did not say why).
+func TestWriterFlushesLateLines(t *testing.T) {
+	var out bytes.Buffer
+	writer := aglog.NewAsyncWriter(&out)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if err := writer.Run(ctx); !errors.Is(err, context.Canceled) {
+		t.Error(err)
+	}
+	if _, err := writer.Write([]byte("late\n")); err != nil {
+		t.Error(err)
+	}
+	writer.Flush()
+	if out.String() != "late\n" {
+		t.Errorf("%q", out.String())
+	}
+}
+
 // Guards against lines that are lost without a trace.
 func TestWriterTellsOfDroppedLines(t *testing.T) {
 	var out bytes.Buffer
--- a/internal/operate/agcommand/packet.go
+++ b/internal/operate/agcommand/packet.go
@@ -81,11 +81,14 @@
 }
 
 func (v *packetVerb) failed(err error) int {
+	defer v.log.Flush()
 	aglog.New(v.name).WithError(err).Error("Process cannot start.")
 	return ExitFailed
 }
 
 func (v *packetVerb) outcome(err error) int {
+	// The task that passes lines on has ended with the others.
+	defer v.log.Flush()
 	if err != nil {
 		aglog.New(v.name).WithError(err).Error("Process has stopped.")
 		return ExitFailed
--- a/internal/operate/agpacketagent/host.go
+++ b/internal/operate/agpacketagent/host.go
@@ -43,7 +43,7 @@
 	changed := p.noteStanding(now)
 	p.mu.Unlock()
 	if heard == agopen.HeardNew && (!known || !formerBorn.Equal(heartbeat.Born) || formerDraining != heartbeat.Draining) {
-		p.log.WithField("Host", heartbeat.Host).WithField("Born", heartbeat.Born.UnixMilli()).WithField("Draining", heartbeat.Draining).
+		p.log.WithField("Host", heartbeat.Host).WithField("Born", heartbeat.Born.UnixMilli()).WithField("Draining", heartbeat.Draining).WithField("Sequence", heartbeat.Sequence).WithField("Complete", p.complete()).
 			WithField("ColdLeft", heartbeat.ColdLeft.String()).Info("Host has changed its state.")
 	}
 	if changed {
@@ -134,3 +134,10 @@
 	p.log.WithField("Flows", len(lost)).Warn("Host has ended without a word; its flows are reset.")
 	p.wakeStatus()
 }
+
+// complete reports whether this agent has seen every flow of its host.
+func (p *Process) complete() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.gate.Complete()
+}
--- a/internal/operate/agpacketagent/process.go
+++ b/internal/operate/agpacketagent/process.go
@@ -112,6 +112,7 @@
 			Address:           settings.HostAddr,
 			DataCentre:        settings.DataCentre,
 			HeartbeatInterval: settings.HeartbeatInterval,
+			Started:           time.Now(),
 			ColdSlack:         settings.ColdSlack,
 		}),
 		holder:    agholder.NewHolder(agholder.Options{Service: settings.Service.Number(), IdleTimeout: settings.MaxFlowAge}, time.Now()),
--- a/internal/routing/agdispatch/dispatch.go
+++ b/internal/routing/agdispatch/dispatch.go
@@ -110,6 +110,8 @@
 	flows   map[anvilglade.Flow]*flowEntry
 	options []agplace.Option
 	ranked  []anvilglade.IPv4
+	// holders is reused by mayHoldFlows.
+	holders []anvilglade.IPv4
 	// heldBytes is the size of all packets that are kept.
 	heldBytes int
 }
@@ -166,6 +168,50 @@
 	return host.MayHold(now) && (entry.born == 0 || entry.born == host.Born)
 }
 
+// mayHoldFlows returns the agents whose hosts may hold flows. The slice is valid
+// until the next call.
+func (d *Dispatcher) mayHoldFlows(now time.Time) []anvilglade.IPv4 {
+	d.holders = d.holders[:0]
+	for _, host := range d.fleet.AllHosts() {
+		if host.MayHold(now) {
+			d.holders = append(d.holders, host.Agent)
+		}
+	}
+	return d.holders
+}
+
+// Search is a flow whose holder is still searched for.
+type Search struct {
+	Flow anvilglade.Flow
+	// Missing are the agents that have not answered; if there are none, no host
+	// holds the flow, and Acknowledged is for its reset.
+	Missing      []anvilglade.IPv4
+	Acknowledged uint32
+}
+
+// Searches returns the searches that have lasted for a while: an answer may have
+// been lost, or an agent that did not answer may have gone since. Flows without
+// a holder are forgotten.
+func (d *Dispatcher) Searches(now time.Time) []Search {
+	if d.fleet.CutOff(now) || !d.fleet.Complete(d.started, now) {
+		return nil
+	}
+	holders := d.mayHoldFlows(now)
+	var searches []Search
+	for flow, entry := range d.flows {
+		waited := now.Sub(entry.asked)
+		if !entry.searching() || waited < askInterval || waited > searchTime {
+			continue
+		}
+		search := Search{Flow: flow, Missing: entry.missing(holders), Acknowledged: entry.acknowledged}
+		if len(search.Missing) == 0 {
+			d.forget(flow, entry)
+		}
+		searches = append(searches, search)
+	}
+	return searches
+}
+
 // LostFlow is a flow whose host has ended.
 type LostFlow struct {
 	Flow         anvilglade.Flow
@@ -403,15 +449,11 @@
 	d.concludeSearch(flow, entry, now, verdict)
 }
 
+// concludeSearch resets a flow if no host is left that may hold it.
 func (d *Dispatcher) concludeSearch(flow anvilglade.Flow, entry *flowEntry, now time.Time, verdict *Verdict) {
-	if !d.fleet.Complete(d.started, now) || d.fleet.CutOff(now) {
+	if !d.fleet.Complete(d.started, now) || d.fleet.CutOff(now) || len(entry.missing(d.mayHoldFlows(now))) > 0 {
 		return
 	}
-	for _, host := range d.fleet.AllHosts() {
-		if host.MayHold(now) && !entry.isAbsentAt(host.Agent) {
-			return
-		}
-	}
 	verdict.Action, verdict.Reason, verdict.Acknowledged = ActionReset, ReasonNowhere, entry.acknowledged
 	d.forget(flow, entry)
 }
--- a/internal/routing/agdispatch/flow.go
+++ b/internal/routing/agdispatch/flow.go
@@ -37,6 +37,10 @@
 // answers of a round take a few milliseconds.
 const askInterval = 50 * time.Millisecond
 
+// searchTime is how long after its caller's last packet a search goes on by
+// itself. Callers repeat a packet after at most 1.6 s.
+const searchTime = 3 * time.Second
+
 type offer struct {
 	agent    anvilglade.IPv4
 	sequence uint32
@@ -93,9 +97,15 @@
 	e.absent[agent] = struct{}{}
 }
 
-func (e *flowEntry) isAbsentAt(agent anvilglade.IPv4) bool {
-	_, absent := e.absent[agent]
-	return absent
+// missing returns the agents that have not said that they do not hold the flow.
+func (e *flowEntry) missing(agents []anvilglade.IPv4) []anvilglade.IPv4 {
+	var missing []anvilglade.IPv4
+	for _, agent := range agents {
+		if _, absent := e.absent[agent]; !absent {
+			missing = append(missing, agent)
+		}
+	}
+	return missing
 }
 
 func (e *flowEntry) tried(agent anvilglade.IPv4) {
--- a/internal/routing/agdispatch/script_test.go
+++ b/internal/routing/agdispatch/script_test.go
@@ -125,6 +125,14 @@
 	"Sweep": func(s *script, _ *testing.T, _ []string, _ *agdispatch.Verdict) string {
 		return fmt.Sprint(len(s.dispatcher.Sweep(s.now)))
 	},
+	"Searches": func(s *script, _ *testing.T, _ []string, _ *agdispatch.Verdict) string {
+		var words []string
+		for _, search := range s.dispatcher.Searches(s.now) {
+			words = append(words, fmt.Sprintf("c%d:%d", search.Flow.Caller.IP[3], len(search.Missing)))
+		}
+		slices.Sort(words)
+		return strings.Join(words, " ")
+	},
 	"Owner": func(s *script, _ *testing.T, args []string, _ *agdispatch.Verdict) string {
 		s.dispatcher.Owner(ipOf(args[0]), packetOf(args[1:], 0).FromCaller(), slices.Contains(args, "Established"), option(args, "Seq"), s.now)
 		return ""
--- a/internal/stand/agemulator/fleet.go
+++ b/internal/stand/agemulator/fleet.go
@@ -243,7 +243,14 @@
 
 // putObject writes an object as operators do, past the faults of the store.
 func (f *fleet) putObject(object anvilglade.Object) error {
-	stored, _ := f.store.Objects().Get(object.Kind, object.Name, 0)
+	stored, exists := f.store.Objects().Get(object.Kind, object.Name, 0)
+	if !exists {
+		stored.Version = 0
+		if object.Data == nil {
+			// An overlapping trouble has deleted it.
+			return nil
+		}
+	}
 	if _, ok := f.store.Objects().Put(object, stored.Version); !ok {
 		return fmt.Errorf("object %s/%s has changed meanwhile", object.Kind, object.Name)
 	}
--- a/internal/state/agfleet/fleet.go
+++ b/internal/state/agfleet/fleet.go
@@ -35,6 +35,9 @@
 	// ForgetAfter is the silence after which a host or balancer is forgotten.
 	// A partition that heals within it costs no rediscovery.
 	ForgetAfter = 90 * time.Second
+	// introduceTime is the time in which an agent that runs tells its status to
+	// a balancer that others know.
+	introduceTime = 1200 * time.Millisecond
 	// endedMargin is how long a host that has said that it ends may still
 	// answer.
 	endedMargin = 250 * time.Millisecond
@@ -301,20 +304,15 @@
 	return list
 }
 
-// Complete reports whether every host that may hold a flow is in Agents and has
-// been heard recently. It is false while this balancer may not know of all
-// hosts, because it has just started or one of them is silent.
+// Complete reports whether every host that may hold a flow is known. It is false
+// while this balancer has just started, or has been told of an agent that it has
+// not heard yet.
 func (f *Fleet) Complete(started, now time.Time) bool {
 	if !f.Settled(started, now) {
 		return false
 	}
 	for _, told := range f.told {
-		if now.Sub(told) < LostAfter {
-			return false
-		}
-	}
-	for _, host := range f.hosts {
-		if host.MayHold(now) && now.Sub(host.Heard) > SilentAfter {
+		if now.Sub(told) < introduceTime {
 			return false
 		}
 	}
