--- a/fleet.go
+++ b/fleet.go
@@ -130,7 +130,6 @@
 // start.
 type PlatformSettings struct {
 	Node       string
-	Incarnated bool
 	IP         IPv4
 	DataCentre DataCentreID
 	Region     RegionID
--- a/internal/admission/agopen/gate.go
+++ b/internal/admission/agopen/gate.go
@@ -75,7 +75,6 @@
 type Options struct {
 	Service           anvilglade.ServiceID
 	Address           anvilglade.Endpoint
-	DataCentre        anvilglade.DataCentreID
 	HeartbeatInterval time.Duration
 	// Started is the start of this process by the VM's clock.
 	Started time.Time
--- a/internal/admission/agopen/gate_test.go
+++ b/internal/admission/agopen/gate_test.go
@@ -30,7 +30,7 @@
 	}
 
 	BeforeEach(func() {
-		gate = agopen.NewGate(agopen.Options{Service: "alerts", Address: address, DataCentre: "dk1", HeartbeatInterval: time.Second, ColdSlack: 5})
+		gate = agopen.NewGate(agopen.Options{Service: "alerts", Address: address, HeartbeatInterval: time.Second, ColdSlack: 5})
 	})
 
 	// Guards against a restarted agent that sends flows to a host which has
--- a/internal/operate/agpacketagent/process.go
+++ b/internal/operate/agpacketagent/process.go
@@ -110,7 +110,6 @@
 		gate: agopen.NewGate(agopen.Options{
 			Service:           settings.Service,
 			Address:           settings.HostAddr,
-			DataCentre:        settings.DataCentre,
 			HeartbeatInterval: settings.HeartbeatInterval,
 			Started:           time.Now(),
 			ColdSlack:         settings.ColdSlack,
