Send the lists of a status only now and then, answers to agents once a second

Each status carried the lists of balancers and agents, four times a second from everybody to everybody. Change: lists in one of eight statuses, at once to a balancer that has just started, and to agents when something has changed; a new balancer greets the agents that it was told of; a status without the list of agents does not count as complete.

--- a/internal/operate/agpacketagent/status.go
+++ b/internal/operate/agpacketagent/status.go
@@ -27,6 +27,8 @@
 	// discoverInterval is the time between two readings of the store while no
 	// balancer answers.
 	discoverInterval = 2 * time.Second
+	// listEvery is the number of statuses of which one names the balancers.
+	listEvery = 8
 	// maxListed bounds the balancers that a status names.
 	maxListed = 250
 )
@@ -165,6 +167,9 @@
 	if host, known := p.gate.Host(); known {
 		status.Host, status.Born, status.Slots = host.Host, host.Born.UnixMilli(), host.Slots
 	}
+	if p.sequence%listEvery != 1 {
+		return status
+	}
 	for address, balancer := range p.balancers {
 		if !balancer.heard.IsZero() && now.Sub(balancer.heard) < discoverInterval && len(status.Balancers) < maxListed {
 			status.Balancers = append(status.Balancers, address)
--- a/internal/operate/agpacketbalancer/packets.go
+++ b/internal/operate/agpacketbalancer/packets.go
@@ -146,7 +146,9 @@
 			p.metrics.Malformed.WithLabelValues("BalancerStatus").Inc()
 			return
 		}
-		p.fleet.HearBalancer(status, now)
+		if started := p.fleet.HearBalancer(status, now); started {
+			p.welcome(writer, from, now)
+		}
 	}
 }
 
--- a/internal/operate/agpacketbalancer/process.go
+++ b/internal/operate/agpacketbalancer/process.go
@@ -90,6 +90,9 @@
 	// counters holds the counter of each decision, so that the usual packet
 	// costs no search for its labels.
 	counters map[decision]prometheus.Counter
+	// answered is what each agent was told last.
+	answered   map[anvilglade.IPv4]answered
+	broadcasts uint64
 	// adopted is the time at which the desired state came into effect.
 	adopted time.Time
 }
@@ -128,6 +131,7 @@
 		decisions:   agdecision.NewLog(aglog.New("packet-balancer")),
 		metrics:     agmetric.NewMetrics("packet-balancer"),
 		counters:    make(map[decision]prometheus.Counter),
+		answered:    make(map[anvilglade.IPv4]answered),
 		dispatcher:  agdispatch.NewDispatcher(fleet, rand.New(rand.NewPCG(seed, seed)), now),
 	}
 	p.addGauges()
@@ -221,6 +225,11 @@
 			p.mu.Lock()
 			p.dispatcher.Expire(now)
 			p.fleet.Forget(now)
+			for agent := range p.answered {
+				if _, known := p.fleet.Host(agent); !known {
+					delete(p.answered, agent)
+				}
+			}
 			p.mu.Unlock()
 		}
 	}
--- a/internal/operate/agpacketbalancer/status.go
+++ b/internal/operate/agpacketbalancer/status.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/anvilglade/anvilglade"
@@ -23,8 +24,27 @@
 	// maxListed bounds the balancers that a status names, so that it fits into
 	// one datagram.
 	maxListed = 250
+	// listEvery is the number of statuses of which one carries the lists of
+	// balancers and agents. Their size grows with the fleet.
+	listEvery = 8
+	// answerInterval is the time between two answers to an agent while nothing
+	// that it has to know has changed.
+	answerInterval = 900 * time.Millisecond
+	// agentListInterval is the time between two lists of balancers to an agent.
+	agentListInterval = 5 * time.Second
 )
 
+// answered is what an agent was told last.
+type answered struct {
+	at          time.Time
+	listedAt    time.Time
+	incarnation anvilglade.Incarnation
+	evacuated   string
+	balancers   int
+	desired     anvilglade.DesiredVersion
+	leaving     bool
+}
+
 // sendStatus tells the other balancers what this one has.
 func (p *Process) sendStatus(ctx context.Context) error {
 	ticker := time.NewTicker(statusInterval)
@@ -117,11 +137,15 @@
 	now := time.Now()
 	p.mu.Lock()
 	status := p.status(now)
+	if p.broadcasts++; p.broadcasts%listEvery != 1 {
+		withoutLists(&status)
+	}
 	peers := p.fleet.Balancers()
 	addresses := make([]anvilglade.IPv4, 0, len(peers))
 	for _, peer := range peers {
 		addresses = append(addresses, peer.Balancer)
 	}
+	told := p.fleet.Told()
 	p.mu.Unlock()
 	datagram, err := agmessage.AppendBalancerStatus(nil, &status)
 	if err != nil {
@@ -132,6 +156,28 @@
 		// A peer that cannot be reached gets the next status.
 		_ = p.inner.WriteTo(datagram, p.endpointOf(address, p.settings.InnerPort).AddrPort())
 	}
+	for _, agent := range told {
+		// An agent that does not know this balancer tells its own status then.
+		_ = p.packets.WriteTo(datagram, p.endpointOf(agent, p.settings.PacketPort).AddrPort())
+	}
+}
+
+// withoutLists takes the lists out of a status. Without the list of agents the
+// receiver must not take it as complete.
+func withoutLists(status *anvilglade.BalancerStatus) {
+	status.Balancers, status.Agents, status.Settled = nil, nil, false
+}
+
+// welcome sends the whole status to a balancer that has just started. The caller
+// holds the mutex.
+func (p *Process) welcome(writer *agsocket.Writer, balancer anvilglade.IPv4, now time.Time) {
+	status := p.status(now)
+	datagram, err := agmessage.AppendBalancerStatus(writer.Buffer(), &status)
+	if err != nil {
+		p.logFailure(err, "Status cannot be encoded.")
+		return
+	}
+	writer.Add(datagram, p.endpointOf(balancer, p.settings.InnerPort).AddrPort())
 }
 
 // status returns the status of this balancer. The caller holds the mutex.
@@ -145,7 +191,7 @@
 		Sequence:    anvilglade.Sequence(p.sequence.Add(1)),
 		DataCentre:  p.settings.DataCentre,
 		Leaving:     p.leaving.Load(),
-		Settled:     p.fleet.Settled(p.started, now),
+		Settled:     p.fleet.Settled(p.started, now) && len(agents) <= maxListed,
 		Desired:     desired.Version,
 		Evacuations: *p.fleet.Evacuations(),
 		Balancers:   living[:min(len(living), maxListed)],
@@ -155,10 +201,28 @@
 
 // answerAgent tells an agent what it has to know. The caller holds the mutex.
 func (p *Process) answerAgent(writer *agsocket.Writer, agent *anvilglade.AgentStatus, now time.Time) {
+	desired, _ := p.fleet.Desired()
+	living := len(p.fleet.LivingBalancers(now))
+	told := answered{
+		at: now, listedAt: now, incarnation: agent.Incarnation, evacuated: fmt.Sprint(p.fleet.Evacuations().DataCentres),
+		balancers: living, desired: desired.Version, leaving: p.leaving.Load(),
+	}
+	before := p.answered[agent.Agent]
+	told.at, told.listedAt = before.at, before.listedAt
+	changed := told != before
+	if !changed && now.Sub(before.at) < answerInterval {
+		return
+	}
 	status := p.status(now)
 	// Agents have no use for each other's addresses.
-	status.Agents = nil
-	desired, _ := p.fleet.Desired()
+	status.Agents, status.Settled = nil, false
+	told.at = now
+	if changed || now.Sub(before.listedAt) > agentListInterval {
+		told.listedAt = now
+	} else {
+		status.Balancers = nil
+	}
+	p.answered[agent.Agent] = told
 	for _, service := range desired.Services {
 		if service.Service == agent.Service {
 			status.ColdRates = append(status.ColdRates, service)
--- a/internal/state/agfleet/fleet.go
+++ b/internal/state/agfleet/fleet.go
@@ -249,23 +249,26 @@
 	}
 }
 
-// HearBalancer takes the status of a balancer. Evacuations in it are adopted
-// if they are newer; a newer desired state has to be fetched.
-func (f *Fleet) HearBalancer(status anvilglade.BalancerStatus, now time.Time) {
+// HearBalancer takes the status of a balancer and reports whether that is heard
+// for the first time since its start. Evacuations in it are adopted if they are
+// newer; a newer desired state has to be fetched.
+func (f *Fleet) HearBalancer(status anvilglade.BalancerStatus, now time.Time) bool {
 	for _, address := range status.Balancers {
 		f.learnBalancer(address)
 	}
 	if status.Balancer == f.options.Self {
-		return
+		return false
 	}
 	balancer, ok := f.balancers[status.Balancer]
 	if ok && balancer.Known && now.Sub(balancer.Heard) < restartAfter && !newer(status.Incarnation, status.Sequence, balancer.Incarnation, balancer.Sequence) {
-		return
+		return false
 	}
+	started := !ok || !balancer.Known || balancer.Incarnation != status.Incarnation
 	f.balancers[status.Balancer] = &Balancer{BalancerStatus: status, Heard: now, Known: true}
 	f.OfferEvacuations(status.Evacuations)
 	f.learnAgents(status.Agents, now)
 	f.listed = f.listed || status.Settled
+	return started
 }
 
 // ListAgents takes the list of all agents that the store has.
@@ -285,6 +288,15 @@
 	}
 }
 
+// Told returns the agents that have been named and not heard yet.
+func (f *Fleet) Told() []anvilglade.IPv4 {
+	list := make([]anvilglade.IPv4, 0, len(f.told))
+	for address := range f.told {
+		list = append(list, address)
+	}
+	return list
+}
+
 // Settled reports whether every agent that may run has been named: by the
 // store, by a balancer that is settled, or by itself since this balancer
 // started.
