Read the scripts of tests in one place

The scripted tests of agholder and agdispatch each had their own reader of the same format. agscript reads it for both; the scripts are unchanged and pass.

--- a/internal/flow/agholder/script_test.go
+++ b/internal/flow/agholder/script_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"os"
-	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
@@ -13,106 +12,93 @@
 	"github.com/anvilglade/anvilglade"
 	"github.com/anvilglade/anvilglade/internal/flow/agholder"
 	"github.com/anvilglade/anvilglade/internal/packet/agmessage"
+	"github.com/anvilglade/anvilglade/internal/stand/agscript"
 )
 
 // TestScripts plays each file of testdata. A line is a time, a verb with its
 // arguments and, after "=>", the verdict. The comment at the top of a script
 // says which failure it guards against.
 func TestScripts(t *testing.T) {
-	files, err := filepath.Glob("testdata/*.txt")
-	if err != nil || len(files) == 0 {
-		t.Fatalf("scripts: %v, %d files", err, len(files))
+	scripts, err := agscript.Load(os.DirFS("testdata"))
+	if err != nil {
+		t.Fatal(err)
 	}
-	for _, file := range files {
-		t.Run(strings.TrimSuffix(filepath.Base(file), ".txt"), func(t *testing.T) {
-			data, err := os.ReadFile(file)
-			if err != nil {
-				t.Fatal(err)
+	for _, script := range scripts {
+		t.Run(script.Name, func(t *testing.T) {
+			player := newPlayer()
+			for i := range script.Steps {
+				player.play(t, &script.Steps[i])
 			}
-			newScript().play(t, string(data))
 		})
 	}
 }
 
 const service anvilglade.ServiceNumber = 7
 
-type script struct {
+type player struct {
 	start  time.Time
 	now    time.Time
 	holder *agholder.Holder
 	tags   map[string]uint32
 }
 
-func newScript() *script {
+func newPlayer() *player {
 	start := time.Unix(1_000_000, 0)
-	return &script{start: start, holder: agholder.NewHolder(agholder.Options{Service: service, IdleTimeout: time.Minute}, start), tags: map[string]uint32{}}
+	return &player{start: start, holder: agholder.NewHolder(agholder.Options{Service: service, IdleTimeout: time.Minute}, start), tags: map[string]uint32{}}
 }
 
-func (s *script) play(t *testing.T, text string) {
+func (p *player) play(t *testing.T, step *agscript.Step) {
 	t.Helper()
-	for number, line := range strings.Split(text, "\n") {
-		line = strings.TrimSpace(line)
-		if line == "" || strings.HasPrefix(line, "#") {
-			continue
-		}
-		command, want, checked := strings.Cut(line, "=>")
-		words := strings.Fields(command)
-		at, err := time.ParseDuration(words[0])
-		if err != nil {
-			t.Fatalf("line %d: %v", number+1, err)
-		}
-		s.now = s.start.Add(at)
-		got := s.step(t, words[1], words[2:])
-		if checked && got != strings.Join(strings.Fields(want), " ") {
-			t.Errorf("line %d: %s\n got %s", number+1, line, got)
-		}
+	p.now = p.start.Add(step.At)
+	if got := p.step(t, step.Verb, step.Args); !step.Matches(got) {
+		t.Errorf("%s\n got %s", step.Source, got)
 	}
 }
 
 var flagNames = map[string]anvilglade.PacketFlags{"SYN": anvilglade.FlagSYN, "FIN": anvilglade.FlagFIN, "RST": anvilglade.FlagRST}
 
-func (s *script) step(t *testing.T, verb string, args []string) string {
+func (p *player) step(t *testing.T, verb string, args []string) string {
 	t.Helper()
 	var verdict agholder.Verdict
 	switch verb {
 	case "Open", "Data", "Ack":
-		return s.fromBalancer(verb, args)
+		return p.fromBalancer(verb, args)
 	case "Host":
 		packet := hostPacket(args)
-		s.holder.FromHost(packet, s.now, &verdict)
+		p.holder.FromHost(packet, p.now, &verdict)
 	case "Bounce":
 		packet := callerPacket(args[0])
 		packet.Flags = anvilglade.FlagReturned
-		packet.Tag = s.tags[args[0]]
+		packet.Tag = p.tags[args[0]]
 		if slices.Contains(args, "SYN") {
 			packet.Flags |= anvilglade.FlagSYN
 		}
-		s.holder.FromHost(packet, s.now, &verdict)
+		p.holder.FromHost(packet, p.now, &verdict)
 	case "Find":
-		s.holder.Find(callerPacket(args[0]).FromCaller(), ipOf(option(args, "From", "b1")), slices.Contains(args, "Complete"), slices.Contains(args, "Ended"), s.now, &verdict)
+		p.holder.Find(callerPacket(args[0]).FromCaller(), ipOf(agscript.Option(args, "From", "b1")), slices.Contains(args, "Complete"), slices.Contains(args, "Ended"), p.now, &verdict)
 	case "Lost":
-		return fmt.Sprint(len(s.holder.Lost()))
+		return fmt.Sprint(len(p.holder.Lost()))
 	case "Expire":
-		s.holder.Expire(s.now)
+		p.holder.Expire(p.now)
 		return ""
 	case "Load":
-		flows, working, latency := s.holder.Load()
+		flows, working, latency := p.holder.Load()
 		return fmt.Sprintf("%d %d %s", flows, working, latency)
 	case "Unanswered":
-		return s.holder.Unanswered(s.now).String()
+		return p.holder.Unanswered(p.now).String()
 	default:
 		t.Fatalf("unknown verb %s", verb)
 	}
 	return describe(&verdict)
 }
 
-func (s *script) fromBalancer(verb string, args []string) string {
+func (p *player) fromBalancer(verb string, args []string) string {
 	packet := callerPacket(args[0])
-	forward := agmessage.Forward{Service: service, Origin: ipOf(option(args, "From", "b1")), Held: slices.Contains(args, "Held"), Foreign: slices.Contains(args, "Foreign")}
+	forward := agmessage.Forward{Service: service, Origin: ipOf(agscript.Option(args, "From", "b1")), Held: slices.Contains(args, "Held"), Foreign: slices.Contains(args, "Foreign")}
 	if slices.Contains(args, "Moved") {
 		forward.Service++
 	}
-	for _, name := range strings.Split(option(args, "Next", ""), ",") {
+	for _, name := range strings.Split(agscript.Option(args, "Next", ""), ",") {
 		if name != "" {
 			forward.Candidates = append(forward.Candidates, ipOf(name))
 		}
@@ -124,9 +110,9 @@
 		packet.DataLength = 10
 	}
 	var verdict agholder.Verdict
-	s.holder.FromBalancer(&forward, packet, option(args, "Refusal", ""), slices.Contains(args, "Ended"), s.now, &verdict)
+	p.holder.FromBalancer(&forward, packet, agscript.Option(args, "Refusal", ""), slices.Contains(args, "Ended"), p.now, &verdict)
 	if verdict.Action == agholder.ActionDeliver {
-		s.tags[args[0]] = verdict.Tag
+		p.tags[args[0]] = verdict.Tag
 	}
 	return describe(&verdict)
 }
@@ -182,12 +168,3 @@
 func nameOf(ip anvilglade.IPv4) string {
 	return fmt.Sprintf("%c%d", ip[2], ip[3])
 }
-
-func option(args []string, name, fallback string) string {
-	for _, arg := range args {
-		if value, found := strings.CutPrefix(arg, name+"="); found {
-			return value
-		}
-	}
-	return fallback
-}
--- a/internal/routing/agdispatch/script_test.go
+++ b/internal/routing/agdispatch/script_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
-	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
@@ -13,6 +12,7 @@
 
 	"github.com/anvilglade/anvilglade"
 	"github.com/anvilglade/anvilglade/internal/routing/agdispatch"
+	"github.com/anvilglade/anvilglade/internal/stand/agscript"
 	"github.com/anvilglade/anvilglade/internal/state/agfleet"
 )
 
@@ -21,22 +21,21 @@
 // service addresses s1, s2 stand for addresses. The comment at the top of a
 // script says which failure it guards against.
 func TestScripts(t *testing.T) {
-	files, err := filepath.Glob("testdata/*.txt")
-	if err != nil || len(files) == 0 {
-		t.Fatalf("scripts: %v, %d files", err, len(files))
+	scripts, err := agscript.Load(os.DirFS("testdata"))
+	if err != nil {
+		t.Fatal(err)
 	}
-	for _, file := range files {
-		t.Run(strings.TrimSuffix(filepath.Base(file), ".txt"), func(t *testing.T) {
-			data, err := os.ReadFile(file)
-			if err != nil {
-				t.Fatal(err)
+	for _, script := range scripts {
+		t.Run(script.Name, func(t *testing.T) {
+			player := newPlayer()
+			for i := range script.Steps {
+				player.play(t, &script.Steps[i])
 			}
-			newScript().play(t, string(data))
 		})
 	}
 }
 
-type script struct {
+type player struct {
 	start      time.Time
 	now        time.Time
 	fleet      *agfleet.Fleet
@@ -44,124 +43,111 @@
 	sequence   anvilglade.Sequence
 }
 
-func newScript() *script {
+func newPlayer() *player {
 	start := time.Unix(1_000_000, 0)
 	fleet := agfleet.NewFleet(agfleet.Options{Self: ipOf("b1"), DataCentre: "dk1", Regions: map[anvilglade.DataCentreID]anvilglade.RegionID{"dk1": "dk", "dk2": "dk", "uk1": "uk"}})
-	return &script{start: start, fleet: fleet, dispatcher: agdispatch.NewDispatcher(fleet, rand.New(rand.NewPCG(1, 1)), start)}
+	return &player{start: start, fleet: fleet, dispatcher: agdispatch.NewDispatcher(fleet, rand.New(rand.NewPCG(1, 1)), start)}
 }
 
-func (s *script) play(t *testing.T, text string) {
+func (p *player) play(t *testing.T, step *agscript.Step) {
 	t.Helper()
-	for number, line := range strings.Split(text, "\n") {
-		line = strings.TrimSpace(line)
-		if line == "" || strings.HasPrefix(line, "#") {
-			continue
-		}
-		command, want, checked := strings.Cut(line, "=>")
-		words := strings.Fields(command)
-		at, err := time.ParseDuration(words[0])
-		if err != nil {
-			t.Fatalf("line %d: %v", number+1, err)
-		}
-		s.now = s.start.Add(at)
-		got := s.step(t, words[1], words[2:])
-		if checked && got != strings.Join(strings.Fields(want), " ") {
-			t.Errorf("line %d: %s\n got %s", number+1, line, got)
-		}
+	p.now = p.start.Add(step.At)
+	if got := p.step(t, step.Verb, step.Args); !step.Matches(got) {
+		t.Errorf("%s\n got %s", step.Source, got)
 	}
 }
 
 // verbs names the verbs of a script. Each returns what the script compares.
-var verbs = map[string]func(s *script, t *testing.T, args []string, verdict *agdispatch.Verdict) string{
-	"State": func(s *script, t *testing.T, args []string, _ *agdispatch.Verdict) string {
-		s.state(t, args)
+var verbs = map[string]func(p *player, t *testing.T, args []string, verdict *agdispatch.Verdict) string{
+	"State": func(p *player, t *testing.T, args []string, _ *agdispatch.Verdict) string {
+		p.state(t, args)
 		return ""
 	},
-	"Agent": func(s *script, _ *testing.T, args []string, _ *agdispatch.Verdict) string { s.agent(args); return "" },
-	"Peer": func(s *script, _ *testing.T, args []string, _ *agdispatch.Verdict) string {
-		s.sequence++
-		status := anvilglade.BalancerStatus{Balancer: ipOf("b2"), Incarnation: 1, Sequence: s.sequence, Settled: args[0] == "Settled", Agents: ipsOf(args[1:])}
-		s.fleet.HearBalancer(status, s.now)
+	"Agent": func(p *player, _ *testing.T, args []string, _ *agdispatch.Verdict) string { p.agent(args); return "" },
+	"Peer": func(p *player, _ *testing.T, args []string, _ *agdispatch.Verdict) string {
+		p.sequence++
+		status := anvilglade.BalancerStatus{Balancer: ipOf("b2"), Incarnation: 1, Sequence: p.sequence, Settled: args[0] == "Settled", Agents: ipsOf(args[1:])}
+		p.fleet.HearBalancer(status, p.now)
 		return ""
 	},
-	"Listed": func(s *script, _ *testing.T, args []string, _ *agdispatch.Verdict) string {
-		s.fleet.ListAgents(ipsOf(args), s.now)
+	"Listed": func(p *player, _ *testing.T, args []string, _ *agdispatch.Verdict) string {
+		p.fleet.ListAgents(ipsOf(args), p.now)
 		return ""
 	},
-	"Evacuate": func(s *script, _ *testing.T, args []string, _ *agdispatch.Verdict) string {
+	"Evacuate": func(p *player, _ *testing.T, args []string, _ *agdispatch.Verdict) string {
 		evacuations := anvilglade.Evacuations{Revision: anvilglade.StoreRevision(numberOf(args[0]))}
 		for _, name := range args[1:] {
 			evacuations.DataCentres = append(evacuations.DataCentres, anvilglade.DataCentreID(name))
 		}
-		s.fleet.OfferEvacuations(evacuations)
+		p.fleet.OfferEvacuations(evacuations)
 		return ""
 	},
-	"Open": func(s *script, _ *testing.T, args []string, verdict *agdispatch.Verdict) string {
-		s.dispatcher.FromCaller(packetOf(args, anvilglade.FlagSYN), s.now, verdict)
+	"Open": func(p *player, _ *testing.T, args []string, verdict *agdispatch.Verdict) string {
+		p.dispatcher.FromCaller(packetOf(args, anvilglade.FlagSYN), p.now, verdict)
 		return describe(verdict)
 	},
-	"Data": func(s *script, _ *testing.T, args []string, verdict *agdispatch.Verdict) string {
-		s.dispatcher.FromCaller(packetOf(args, anvilglade.FlagACK), s.now, verdict)
+	"Data": func(p *player, _ *testing.T, args []string, verdict *agdispatch.Verdict) string {
+		p.dispatcher.FromCaller(packetOf(args, anvilglade.FlagACK), p.now, verdict)
 		return describe(verdict)
 	},
-	"Hold": func(s *script, _ *testing.T, args []string, _ *agdispatch.Verdict) string {
-		s.dispatcher.Hold(packetOf(args, 0).FromCaller(), []byte("packet"))
+	"Hold": func(p *player, _ *testing.T, args []string, _ *agdispatch.Verdict) string {
+		p.dispatcher.Hold(packetOf(args, 0).FromCaller(), []byte("packet"))
 		return ""
 	},
-	"Take": func(s *script, _ *testing.T, args []string, verdict *agdispatch.Verdict) string {
-		held := s.dispatcher.TakeHeld(packetOf(args, 0).FromCaller(), verdict)
+	"Take": func(p *player, _ *testing.T, args []string, verdict *agdispatch.Verdict) string {
+		held := p.dispatcher.TakeHeld(packetOf(args, 0).FromCaller(), verdict)
 		return fmt.Sprint(len(held), " ", describe(verdict))
 	},
-	"Unsure": func(s *script, _ *testing.T, args []string, verdict *agdispatch.Verdict) string {
-		if s.dispatcher.Unsure(ipOf(args[0]), packetOf(args[1:], 0).FromCaller(), verdict) == nil {
+	"Unsure": func(p *player, _ *testing.T, args []string, verdict *agdispatch.Verdict) string {
+		if p.dispatcher.Unsure(ipOf(args[0]), packetOf(args[1:], 0).FromCaller(), verdict) == nil {
 			return "nothing"
 		}
 		return describe(verdict)
 	},
-	"Tick": func(s *script, _ *testing.T, _ []string, _ *agdispatch.Verdict) string {
-		s.fleet.Tick(s.now)
+	"Tick": func(p *player, _ *testing.T, _ []string, _ *agdispatch.Verdict) string {
+		p.fleet.Tick(p.now)
 		return ""
 	},
-	"Sweep": func(s *script, _ *testing.T, _ []string, _ *agdispatch.Verdict) string {
-		return fmt.Sprint(len(s.dispatcher.Sweep(s.now)))
+	"Sweep": func(p *player, _ *testing.T, _ []string, _ *agdispatch.Verdict) string {
+		return fmt.Sprint(len(p.dispatcher.Sweep(p.now)))
 	},
-	"Searches": func(s *script, _ *testing.T, _ []string, _ *agdispatch.Verdict) string {
+	"Searches": func(p *player, _ *testing.T, _ []string, _ *agdispatch.Verdict) string {
 		var words []string
-		for _, search := range s.dispatcher.Searches(s.now) {
+		for _, search := range p.dispatcher.Searches(p.now) {
 			words = append(words, fmt.Sprintf("c%d:%d", search.Flow.Caller.IP[3], len(search.Missing)))
 		}
 		slices.Sort(words)
 		return strings.Join(words, " ")
 	},
-	"Owner": func(s *script, _ *testing.T, args []string, _ *agdispatch.Verdict) string {
-		s.dispatcher.Owner(ipOf(args[0]), packetOf(args[1:], 0).FromCaller(), slices.Contains(args, "Established"), option(args, "Seq"), s.now)
+	"Owner": func(p *player, _ *testing.T, args []string, _ *agdispatch.Verdict) string {
+		p.dispatcher.Owner(ipOf(args[0]), packetOf(args[1:], 0).FromCaller(), slices.Contains(args, "Established"), option(args, "Seq"), p.now)
 		return ""
 	},
-	"Absent": func(s *script, _ *testing.T, args []string, verdict *agdispatch.Verdict) string {
-		s.dispatcher.Absent(ipOf(args[0]), packetOf(args[1:], 0).FromCaller(), s.now, verdict)
+	"Absent": func(p *player, _ *testing.T, args []string, verdict *agdispatch.Verdict) string {
+		p.dispatcher.Absent(ipOf(args[0]), packetOf(args[1:], 0).FromCaller(), p.now, verdict)
 		return describe(verdict)
 	},
-	"Returned": func(s *script, _ *testing.T, args []string, verdict *agdispatch.Verdict) string {
-		s.dispatcher.Returned(ipOf(args[0]), packetOf(args[1:], anvilglade.FlagACK), s.now, verdict)
+	"Returned": func(p *player, _ *testing.T, args []string, verdict *agdispatch.Verdict) string {
+		p.dispatcher.Returned(ipOf(args[0]), packetOf(args[1:], anvilglade.FlagACK), p.now, verdict)
 		return describe(verdict)
 	},
-	"Exhausted": func(s *script, _ *testing.T, args []string, verdict *agdispatch.Verdict) string {
-		s.dispatcher.Exhausted(packetOf(args, anvilglade.FlagSYN), verdict)
+	"Exhausted": func(p *player, _ *testing.T, args []string, verdict *agdispatch.Verdict) string {
+		p.dispatcher.Exhausted(packetOf(args, anvilglade.FlagSYN), verdict)
 		return describe(verdict)
 	},
 }
 
-func (s *script) step(t *testing.T, verb string, args []string) string {
+func (p *player) step(t *testing.T, verb string, args []string) string {
 	t.Helper()
 	play, known := verbs[verb]
 	if !known {
 		t.Fatalf("unknown verb %s", verb)
 	}
 	var verdict agdispatch.Verdict
-	return play(s, t, args, &verdict)
+	return play(p, t, args, &verdict)
 }
 
-func (s *script) state(t *testing.T, args []string) {
+func (p *player) state(t *testing.T, args []string) {
 	t.Helper()
 	state := anvilglade.DesiredState{Version: anvilglade.DesiredVersion(numberOf(args[0]))}
 	for _, arg := range args[1:] {
@@ -176,16 +162,16 @@
 		}
 		state.Routes = append(state.Routes, route)
 	}
-	s.fleet.OfferDesired(state)
+	p.fleet.OfferDesired(state)
 }
 
-func (s *script) agent(args []string) {
-	s.sequence++
-	s.fleet.HearAgent(anvilglade.AgentStatus{
-		Agent: ipOf(args[0]), Incarnation: 1, Sequence: s.sequence, Service: anvilglade.ServiceID(args[1]),
+func (p *player) agent(args []string) {
+	p.sequence++
+	p.fleet.HearAgent(anvilglade.AgentStatus{
+		Agent: ipOf(args[0]), Incarnation: 1, Sequence: p.sequence, Service: anvilglade.ServiceID(args[1]),
 		DataCentre: anvilglade.DataCentreID(args[2]), Slots: 4, Born: int64(option(args, "Born")),
 		Flows: int(option(args, "Flows")), Ended: slices.Contains(args, "Ended"), Accepts: !slices.Contains(args, "Refuses") && !slices.Contains(args, "Ended"),
-	}, s.now)
+	}, p.now)
 }
 
 func describe(verdict *agdispatch.Verdict) string {
@@ -234,10 +220,5 @@
 }
 
 func option(args []string, name string) uint32 {
-	for _, arg := range args {
-		if value, found := strings.CutPrefix(arg, name+"="); found {
-			return uint32(numberOf(value))
-		}
-	}
-	return 0
+	return uint32(numberOf(agscript.Option(args, name, "0")))
 }
