Report to a balancer that leaves until it has gone

Cause: an agent dropped a balancer from its receivers with the first status that said Leaving, but such a balancer forwards packets for 1.1 s more. Ruled out: a longer time before a host counts as silent, which would send flows to dead hosts for longer everywhere. Change: agroster keeps the receivers, apart from the process, and keeps one that leaves for 2 s. Before: with no time after leaving the script leaving.txt fails at 150 ms and 1.9 s (b1 missing). After: it passes.

--- /dev/null
+++ b/internal/membership/agroster/script_test.go
@@ -0,0 +1,82 @@
+package agroster_test
+
+import (
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/anvilglade/anvilglade"
+	"github.com/anvilglade/anvilglade/internal/membership/agroster"
+	"github.com/anvilglade/anvilglade/internal/stand/agscript"
+)
+
+// TestScripts plays each file of testdata; b1, b2 stand for balancers.
+func TestScripts(t *testing.T) {
+	scripts, err := agscript.Load(os.DirFS("testdata"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, script := range scripts {
+		t.Run(script.Name, func(t *testing.T) {
+			roster, start := agroster.NewRoster(), time.Unix(1_000_000, 0)
+			for i := range script.Steps {
+				step := &script.Steps[i]
+				if got := play(t, roster, step, start.Add(step.At)); !step.Matches(got) {
+					t.Errorf("%s\n got %s", step.Source, got)
+				}
+			}
+		})
+	}
+}
+
+func play(t *testing.T, roster *agroster.Roster, step *agscript.Step, now time.Time) string {
+	t.Helper()
+	switch step.Verb {
+	case "Seeds":
+		roster.LearnSeeds(addresses(step.Args))
+	case "Learn":
+		return news(roster.Learn(addresses(step.Args), now))
+	case "Hear":
+		return news(roster.Hear(&anvilglade.BalancerStatus{Balancer: address(step.Args[0]), Balancers: addresses(step.Args[1:])}, now))
+	case "Leaves":
+		return news(roster.Hear(&anvilglade.BalancerStatus{Balancer: address(step.Args[0]), Leaving: true}, now))
+	case "Receivers":
+		return names(roster.Receivers(now))
+	case "Answering":
+		return names(roster.Answering(now))
+	default:
+		t.Fatalf("unknown verb: %s", step.Source)
+	}
+	return ""
+}
+
+func news(is bool) string {
+	if is {
+		return "News"
+	}
+	return ""
+}
+
+func address(name string) anvilglade.IPv4 {
+	return anvilglade.IPv4{10, 0, 0, name[1] - '0'}
+}
+
+func addresses(names []string) []anvilglade.IPv4 {
+	var list []anvilglade.IPv4
+	for _, name := range names {
+		list = append(list, address(name))
+	}
+	return list
+}
+
+func names(addresses []anvilglade.IPv4) string {
+	list := make([]string, 0, len(addresses))
+	for _, address := range addresses {
+		list = append(list, fmt.Sprintf("b%d", address[3]))
+	}
+	slices.Sort(list)
+	return strings.Join(list, " ")
+}
--- a/internal/operate/agpacketagent/process.go
+++ b/internal/operate/agpacketagent/process.go
@@ -30,6 +30,7 @@
 	"github.com/anvilglade/anvilglade/internal/admission/agopen"
 	"github.com/anvilglade/anvilglade/internal/flow/agholder"
 	"github.com/anvilglade/anvilglade/internal/membership/agregistry"
+	"github.com/anvilglade/anvilglade/internal/membership/agroster"
 	"github.com/anvilglade/anvilglade/internal/observe/agdecision"
 	"github.com/anvilglade/anvilglade/internal/observe/aglog"
 	"github.com/anvilglade/anvilglade/internal/observe/agmetric"
@@ -77,17 +78,11 @@
 	sequence    anvilglade.Sequence
 	standing    agopen.Refusal
 	evacuations anvilglade.Evacuations
-	balancers   map[anvilglade.IPv4]*knownBalancer
+	roster      *agroster.Roster
 	decisions   *agdecision.Log
 	metrics     *agmetric.Metrics
 }
 
-// knownBalancer is a balancer that gets this agent's status.
-type knownBalancer struct {
-	heard time.Time
-	seed  bool
-}
-
 // NewProcess opens the sockets. The returned function closes them.
 func NewProcess(ctx context.Context, settings anvilglade.PlatformSettings, parts Parts) (*Process, func(), error) {
 	packets, closePackets, err := agsocket.Listen(ctx, anvilglade.Endpoint{IP: settings.IP, Port: settings.PacketPort}.AddrPort())
@@ -116,11 +111,11 @@
 		}),
 		holder:    agholder.NewHolder(agholder.Options{Service: settings.Service.Number(), IdleTimeout: settings.MaxFlowAge}, time.Now()),
 		standing:  agopen.RefusalNoHeartbeat,
-		balancers: make(map[anvilglade.IPv4]*knownBalancer),
+		roster:    agroster.NewRoster(),
 		decisions: agdecision.NewLog(aglog.New("packet-agent")),
 		metrics:   agmetric.NewMetrics("packet-agent"),
 	}
-	p.learnSeeds(settings.Seeds)
+	p.roster.LearnSeeds(settings.Seeds)
 	p.addMetrics()
 	return p, func() { closePackets(); closeOutbound() }, nil
 }
@@ -213,7 +208,7 @@
 			continue
 		}
 		p.mu.Lock()
-		p.learnSeeds(settings.Seeds)
+		p.roster.LearnSeeds(settings.Seeds)
 		p.mu.Unlock()
 	}
 }
--- a/internal/operate/agpacketagent/status.go
+++ b/internal/operate/agpacketagent/status.go
@@ -19,9 +19,6 @@
 	statusInterval = 250 * time.Millisecond
 	// startInterval replaces it until a balancer has answered.
 	startInterval = 100 * time.Millisecond
-	// forgetAfter is the silence after which a balancer gets no more statuses,
-	// unless it is a seed.
-	forgetAfter = 30 * time.Second
 	// reloadInterval is the time between two looks at the settings file.
 	reloadInterval = 2 * time.Second
 	// discoverInterval is the time between two readings of the store while no
@@ -33,38 +30,15 @@
 	maxListed = 250
 )
 
-func (p *Process) learnSeeds(seeds []anvilglade.IPv4) {
-	for _, seed := range seeds {
-		p.learnBalancer(seed).seed = true
-	}
-}
-
-func (p *Process) learnBalancer(address anvilglade.IPv4) *knownBalancer {
-	balancer, ok := p.balancers[address]
-	if !ok {
-		balancer = &knownBalancer{}
-		p.balancers[address] = balancer
-	}
-	return balancer
-}
-
 // hearBalancer takes the status of a balancer. The caller holds the mutex.
 func (p *Process) hearBalancer(datagram []byte, now time.Time) {
 	status, err := agmessage.ParseBalancerStatus(datagram)
 	if err != nil {
 		return
 	}
-	for _, address := range status.Balancers {
-		if _, known := p.balancers[address]; !known {
-			p.learnBalancer(address).heard = now
-			p.wakeStatus()
-		}
-	}
-	if status.Leaving {
-		delete(p.balancers, status.Balancer)
-		return
+	if p.roster.Hear(&status, now) {
+		p.wakeStatus()
 	}
-	p.learnBalancer(status.Balancer).heard = now
 	if status.Evacuations.Revision > p.evacuations.Revision {
 		p.evacuations = status.Evacuations
 	}
@@ -113,12 +87,7 @@
 func (p *Process) heardAny(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, balancer := range p.balancers {
-		if !balancer.heard.IsZero() && now.Sub(balancer.heard) < discoverInterval {
-			return true
-		}
-	}
-	return false
+	return len(p.roster.Answering(now)) > 0
 }
 
 // broadcast sends the status to all balancers that are known.
@@ -126,14 +95,7 @@
 	now := time.Now()
 	p.mu.Lock()
 	status := p.status(now)
-	addresses := make([]anvilglade.IPv4, 0, len(p.balancers))
-	for address, balancer := range p.balancers {
-		if !balancer.seed && now.Sub(balancer.heard) > forgetAfter {
-			delete(p.balancers, address)
-			continue
-		}
-		addresses = append(addresses, address)
-	}
+	addresses := p.roster.Receivers(now)
 	p.mu.Unlock()
 	datagram, err := agmessage.AppendAgentStatus(nil, &status)
 	if err != nil {
@@ -170,11 +132,8 @@
 	if p.sequence%listEvery != 1 {
 		return status
 	}
-	for address, balancer := range p.balancers {
-		if !balancer.heard.IsZero() && now.Sub(balancer.heard) < discoverInterval && len(status.Balancers) < maxListed {
-			status.Balancers = append(status.Balancers, address)
-		}
-	}
+	balancers := p.roster.Answering(now)
+	status.Balancers = balancers[:min(len(balancers), maxListed)]
 	return status
 }
 
@@ -211,13 +170,8 @@
 // learnBalancers makes the agent tell its status to balancers that it did not
 // know.
 func (p *Process) learnBalancers(addresses []anvilglade.IPv4) {
-	now := time.Now()
 	p.mu.Lock()
-	for _, address := range addresses {
-		if _, known := p.balancers[address]; !known {
-			p.learnBalancer(address).heard = now
-		}
-	}
+	p.roster.Learn(addresses, time.Now())
 	p.mu.Unlock()
 	p.wakeStatus()
 }
