Encode statuses with numbered fields

Cause: a status named each of its fields, so names were more than half of it. Change: fields have numbers (CBOR keyasint); empty ones are left out.

--- a/fleet.go
+++ b/fleet.go
@@ -40,16 +40,16 @@
 
 // PacketService holds the limits of one service.
 type PacketService struct {
-	Service ServiceID
+	Service ServiceID `cbor:"1,keyasint,omitempty"`
 	// ColdRate is the number of new flows a second that a cold host bears.
-	ColdRate float64
+	ColdRate float64 `cbor:"2,keyasint,omitempty"`
 }
 
 // Evacuations are the data centres that must get no new flows. The revision
 // orders them; a higher one replaces a lower one as a whole.
 type Evacuations struct {
-	Revision    StoreRevision
-	DataCentres []DataCentreID
+	Revision    StoreRevision  `cbor:"1,keyasint,omitempty"`
+	DataCentres []DataCentreID `cbor:"2,keyasint,omitempty"`
 }
 
 // Has reports whether a data centre is evacuated.
@@ -80,50 +80,50 @@
 
 // AgentStatus is what an agent tells balancers of itself and its host.
 type AgentStatus struct {
-	Agent       IPv4
-	Incarnation Incarnation
-	Sequence    Sequence
-	Service     ServiceID
-	DataCentre  DataCentreID
-	Region      RegionID
-	Host        HostID
+	Agent       IPv4         `cbor:"1,keyasint,omitempty"`
+	Incarnation Incarnation  `cbor:"2,keyasint,omitempty"`
+	Sequence    Sequence     `cbor:"3,keyasint,omitempty"`
+	Service     ServiceID    `cbor:"4,keyasint,omitempty"`
+	DataCentre  DataCentreID `cbor:"5,keyasint,omitempty"`
+	Region      RegionID     `cbor:"6,keyasint,omitempty"`
+	Host        HostID       `cbor:"7,keyasint,omitempty"`
 	// Born is the host's start in milliseconds since the Unix epoch.
-	Born int64
+	Born int64 `cbor:"8,keyasint,omitempty"`
 	// Ended is true once it is known that the host does not run any more. Its
 	// flows are lost then.
-	Ended bool
+	Ended bool `cbor:"9,keyasint,omitempty"`
 	// Accepts is true while the host takes new flows.
-	Accepts bool
-	Cold    bool
-	Slots   Slots
+	Accepts bool  `cbor:"10,keyasint,omitempty"`
+	Cold    bool  `cbor:"11,keyasint,omitempty"`
+	Slots   Slots `cbor:"12,keyasint,omitempty"`
 	// Flows and Working count the host's open flows and those with a request
 	// in progress.
-	Flows   int
-	Working int
+	Flows   int `cbor:"13,keyasint,omitempty"`
+	Working int `cbor:"14,keyasint,omitempty"`
 	// Latency is the average time from a request to the first byte of its
 	// answer.
-	Latency time.Duration
+	Latency time.Duration `cbor:"15,keyasint,omitempty"`
 	// Balancers are the balancers that the agent knows.
-	Balancers []IPv4
+	Balancers []IPv4 `cbor:"16,keyasint,omitempty"`
 }
 
 // BalancerStatus is what a balancer tells other balancers and agents.
 type BalancerStatus struct {
-	Balancer    IPv4
-	Incarnation Incarnation
-	Sequence    Sequence
-	DataCentre  DataCentreID
-	Leaving     bool
+	Balancer    IPv4         `cbor:"1,keyasint,omitempty"`
+	Incarnation Incarnation  `cbor:"2,keyasint,omitempty"`
+	Sequence    Sequence     `cbor:"3,keyasint,omitempty"`
+	DataCentre  DataCentreID `cbor:"4,keyasint,omitempty"`
+	Leaving     bool         `cbor:"5,keyasint,omitempty"`
 	// Settled is set once the sender knows every agent that may run.
-	Settled bool
+	Settled bool `cbor:"6,keyasint,omitempty"`
 	// Desired is the version of the desired state in effect; 0 means none.
-	Desired     DesiredVersion
-	Evacuations Evacuations
+	Desired     DesiredVersion `cbor:"7,keyasint,omitempty"`
+	Evacuations Evacuations    `cbor:"8,keyasint,omitempty"`
 	// ColdRates is set for the services of the agents that the status is for.
-	ColdRates []PacketService
+	ColdRates []PacketService `cbor:"9,keyasint,omitempty"`
 	// Balancers and Agents are the ones that the sender knows.
-	Balancers []IPv4
-	Agents    []IPv4
+	Balancers []IPv4 `cbor:"10,keyasint,omitempty"`
+	Agents    []IPv4 `cbor:"11,keyasint,omitempty"`
 }
 
 // PlatformSettings is what a process on the users' platform is told at its
--- a/internal/packet/agmessage/message_test.go
+++ b/internal/packet/agmessage/message_test.go
@@ -39,6 +39,17 @@
 	if got, err := agmessage.ParseAgentStatus(data); err != nil || !reflect.DeepEqual(got, status) {
 		t.Errorf("%+v %v", got, err)
 	}
+	balancer := anvilglade.BalancerStatus{
+		Balancer: anvilglade.IPv4{10, 0, 0, 3}, Incarnation: 1 << 60, Sequence: 9, DataCentre: "dk1", Leaving: true, Settled: true, Desired: 7,
+		Evacuations: anvilglade.Evacuations{Revision: 4, DataCentres: []anvilglade.DataCentreID{"dk2"}},
+		ColdRates:   []anvilglade.PacketService{{Service: "alerts", ColdRate: 0.5}}, Balancers: forward.Candidates, Agents: forward.Candidates,
+	}
+	if data, err = agmessage.AppendBalancerStatus(nil, &balancer); err != nil {
+		t.Fatal(err)
+	}
+	if got, err := agmessage.ParseBalancerStatus(data); err != nil || !reflect.DeepEqual(got, balancer) {
+		t.Errorf("%+v %v", got, err)
+	}
 }
 
 // Guards against a datagram of another sender that ends the process.
