Gather the searches for unknown flows in rounds

A socket's buffer holds about 85 datagrams, fewer than the answers to two searches, and searches did not end: 145 flows were reset in the first 0.4 s, then few, while callers went on sending. Callers waited for their time limit until 6 s after the start. Ruled out: cold hosts (no refusals in the agents' logs), readiness (all ready within 0.3 s), the desired state (in effect within 0.2 s), agents that are silent (those logged at 38 to 44 s had no host and were ended). Change: agsearch gathers flows in rounds; one question names up to 90 flows, a window bounds the questions without an answer to 48, lost ones are repeated after 100 ms. An agent's answer has a state for each flow. That answers were lost is inferred from the buffer's size, not seen. Conclusion: searches end; what still binds is looked at next.

--- a/internal/flow/agholder/holder.go
+++ b/internal/flow/agholder/holder.go
@@ -47,9 +47,6 @@
 	ActionExhausted
 	// ActionAbsent tells the balancer To that the host does not hold the flow.
 	ActionAbsent
-	// ActionUnsure tells the balancer To that only the host can say whether it
-	// holds the flow.
-	ActionUnsure
 	// ActionReset resets the flow to its caller.
 	ActionReset
 )
@@ -194,24 +191,22 @@
 	h.deliver(forward, verdict)
 }
 
-// Find decides how to answer a balancer that searches for the holder of a flow.
-// Complete is set if this agent has seen every flow of its host, ended if the
-// host does not run any more.
-func (h *Holder) Find(flow anvilglade.Flow, origin anvilglade.IPv4, complete, ended bool, now time.Time, verdict *Verdict) {
-	*verdict = Verdict{Flow: flow, To: origin, Forward: agmessage.Forward{Candidates: verdict.Forward.Candidates[:0]}}
+// Find says whether the host holds a flow that a balancer searches for. Complete
+// is set if this agent has seen every flow of its host, ended if the host does
+// not run any more.
+func (h *Holder) Find(flow anvilglade.Flow, origin anvilglade.IPv4, complete, ended bool, now time.Time) agmessage.FlowState {
 	record := h.flows[flow]
 	switch {
 	case record != nil && record.state == stateOpen && !ended:
-		record.origin = origin
-		h.inform(flow, record, verdict)
+		record.origin, record.informed = origin, true
+		return agmessage.FlowHeld
 	case record != nil && record.state == stateHalfOpen && !ended:
 		// The caller's next packet opens the flow if it has chosen this host.
-		verdict.Action = ActionUnsure
+		return agmessage.FlowUnsure
 	case ended || complete || h.remembersAll(now):
-		verdict.Action = ActionAbsent
-	default:
-		verdict.Action = ActionUnsure
+		return agmessage.FlowAbsent
 	}
+	return agmessage.FlowUnsure
 }
 
 func (h *Holder) deliver(forward *agmessage.Forward, verdict *Verdict) {
--- a/internal/flow/agholder/script_test.go
+++ b/internal/flow/agholder/script_test.go
@@ -75,7 +75,8 @@
 		}
 		p.holder.FromHost(packet, p.now, &verdict)
 	case "Find":
-		p.holder.Find(callerPacket(args[0]).FromCaller(), ipOf(agscript.Option(args, "From", "b1")), slices.Contains(args, "Complete"), slices.Contains(args, "Ended"), p.now, &verdict)
+		state := p.holder.Find(callerPacket(args[0]).FromCaller(), ipOf(agscript.Option(args, "From", "b1")), slices.Contains(args, "Complete"), slices.Contains(args, "Ended"), p.now)
+		return []string{"Absent", "Held", "Unsure"}[state]
 	case "Lost":
 		return fmt.Sprint(len(p.holder.Lost()))
 	case "Expire":
@@ -118,7 +119,7 @@
 }
 
 func describe(verdict *agholder.Verdict) string {
-	names := []string{"Drop", "Deliver", "Caller", "Pass", "Return", "Exhausted", "Absent", "Unsure", "Reset"}
+	names := []string{"Drop", "Deliver", "Caller", "Pass", "Return", "Exhausted", "Absent", "Reset"}
 	words := []string{names[verdict.Action]}
 	if verdict.To != (anvilglade.IPv4{}) {
 		words = append(words, nameOf(verdict.To))
--- a/internal/operate/agpacketagent/packets.go
+++ b/internal/operate/agpacketagent/packets.go
@@ -41,6 +41,7 @@
 	out := writers{packets: p.packets.NewWriter(batchSize), host: p.outbound.NewWriter(batchSize)}
 	var verdict agholder.Verdict
 	var forward agmessage.Forward
+	var asked question
 	for {
 		batch, err := reader.Read()
 		if err != nil {
@@ -53,7 +54,7 @@
 			case agmessage.KindForward:
 				p.forwarded(&out, batch[i].Data, &forward, now, &verdict)
 			case agmessage.KindFind:
-				p.find(&out, batch[i].Data, batch[i].From.Addr(), now, &verdict)
+				p.find(&out, batch[i].Data, batch[i].From.Addr(), &asked, now)
 			case agmessage.KindBalancerStatus:
 				p.hearBalancer(batch[i].Data, now)
 			}
@@ -63,15 +64,25 @@
 	}
 }
 
-// find answers a balancer that searches for the holder of a flow.
-func (p *Process) find(out *writers, datagram []byte, from netip.Addr, now time.Time, verdict *agholder.Verdict) {
-	flow, err := agmessage.ParseFlow(datagram)
+// find answers a balancer that searches for the holders of flows.
+func (p *Process) find(out *writers, datagram []byte, from netip.Addr, question *question, now time.Time) {
+	number, flows, err := agmessage.ParseFind(datagram, question.flows[:0])
 	if err != nil || !from.Is4() {
 		p.metrics.Malformed.WithLabelValues("Find").Inc()
 		return
 	}
-	p.holder.Find(flow, from.As4(), p.gate.Complete(), p.gate.Ended(), now, verdict)
-	p.carryOut(out, nil, nil, verdict)
+	question.flows, question.states = flows, question.states[:0]
+	complete, ended := p.gate.Complete(), p.gate.Ended()
+	for _, flow := range flows {
+		question.states = append(question.states, p.holder.Find(flow, from.As4(), complete, ended, now))
+	}
+	out.packets.Add(agmessage.AppendFound(out.packets.Buffer(), number, question.states), p.innerEndpoint(from.As4()).AddrPort())
+}
+
+// question is the memory for the flows of a question and their states.
+type question struct {
+	flows  []anvilglade.Flow
+	states []agmessage.FlowState
 }
 
 // writers are the sockets of one task: packets for balancers, agents and
@@ -131,8 +142,7 @@
 	}
 }
 
-// carryOut sends what a verdict asks for. The packet is nil if the verdict is on
-// a message without one.
+// carryOut sends what a verdict asks for.
 func (p *Process) carryOut(out *writers, raw []byte, packet *anvilglade.Packet, verdict *agholder.Verdict) {
 	switch verdict.Action {
 	case agholder.ActionDeliver:
@@ -150,9 +160,7 @@
 		p.parts.Codec.ClearMarks(raw)
 		out.packets.Add(agmessage.AppendPacket(out.packets.Buffer(), agmessage.KindExhausted, raw), p.innerEndpoint(verdict.To).AddrPort())
 	case agholder.ActionAbsent:
-		out.packets.Add(agmessage.AppendFlow(out.packets.Buffer(), agmessage.KindAbsent, verdict.Flow), p.innerEndpoint(verdict.To).AddrPort())
-	case agholder.ActionUnsure:
-		out.packets.Add(agmessage.AppendFlow(out.packets.Buffer(), agmessage.KindUnsure, verdict.Flow), p.innerEndpoint(verdict.To).AddrPort())
+		out.packets.Add(agmessage.AppendAbsent(out.packets.Buffer(), verdict.Flow), p.innerEndpoint(verdict.To).AddrPort())
 	case agholder.ActionReset:
 		p.reset(out.packets, verdict.Flow, packet.Acknowledged)
 	}
--- a/internal/operate/agpacketbalancer/metrics.go
+++ b/internal/operate/agpacketbalancer/metrics.go
@@ -13,7 +13,6 @@
 	agdispatch.ActionDrop:    "Drop",
 	agdispatch.ActionForward: "Forward",
 	agdispatch.ActionReset:   "Reset",
-	agdispatch.ActionFind:    "Find",
 	agdispatch.ActionHold:    "Hold",
 }
 
--- a/internal/operate/agpacketbalancer/packets.go
+++ b/internal/operate/agpacketbalancer/packets.go
@@ -57,6 +57,7 @@
 			p.count(&verdict)
 			p.logVerdict(&packet, &verdict, now)
 		}
+		p.ask(writer, now)
 		p.mu.Unlock()
 		writer.Flush()
 	}
@@ -72,12 +73,6 @@
 			buffer := agmessage.AppendForward(writer.Buffer(), &forward, data)
 			writer.Add(buffer, p.endpointOf(agent, p.settings.PacketPort).AddrPort())
 		}
-	case agdispatch.ActionFind:
-		flow := packet.FromCaller()
-		p.dispatcher.Hold(flow, data)
-		for _, agent := range verdict.To {
-			writer.Add(agmessage.AppendFlow(writer.Buffer(), agmessage.KindFind, flow), p.endpointOf(agent, p.settings.PacketPort).AddrPort())
-		}
 	case agdispatch.ActionHold:
 		p.dispatcher.Hold(packet.FromCaller(), data)
 	case agdispatch.ActionReset:
@@ -108,6 +103,8 @@
 			}
 			p.message(writer, batch[i].Data, from.As4(), now)
 		}
+		p.conclude(writer, now)
+		p.ask(writer, now)
 		p.mu.Unlock()
 		writer.Flush()
 	}
@@ -126,10 +123,15 @@
 		p.dispatcher.Owner(from, owner.Flow, owner.Established, owner.Sequence, now)
 		p.fleet.HearLoad(from, int(owner.Flows), int(owner.Working))
 		p.sendHeld(writer, owner.Flow)
-	case agmessage.KindUnsure:
-		p.unsure(writer, data, from)
+	case agmessage.KindFound:
+		p.found(writer, data, from, now)
 	case agmessage.KindAbsent:
-		p.absent(writer, data, from, now)
+		flow, err := agmessage.ParseAbsent(data)
+		if err != nil {
+			p.metrics.Malformed.WithLabelValues("Absent").Inc()
+			return
+		}
+		p.dispatcher.Absent(from, flow)
 	case agmessage.KindReturned, agmessage.KindExhausted:
 		p.comeBack(writer, data, from, now)
 	case agmessage.KindAgentStatus:
@@ -160,38 +162,6 @@
 	}
 }
 
-// unsure sends a packet to an agent whose host has to say whether it holds the
-// flow.
-func (p *Process) unsure(writer *agsocket.Writer, data []byte, from anvilglade.IPv4) {
-	flow, err := agmessage.ParseFlow(data)
-	if err != nil {
-		p.metrics.Malformed.WithLabelValues("Unsure").Inc()
-		return
-	}
-	var verdict agdispatch.Verdict
-	if held := p.dispatcher.Unsure(from, flow, &verdict); held != nil {
-		p.carryOut(writer, held, nil, &verdict)
-	}
-}
-
-// absent takes the news that a host does not hold a flow.
-func (p *Process) absent(writer *agsocket.Writer, data []byte, from anvilglade.IPv4, now time.Time) {
-	flow, err := agmessage.ParseFlow(data)
-	if err != nil {
-		return
-	}
-	var verdict agdispatch.Verdict
-	p.dispatcher.Absent(from, flow, now, &verdict)
-	if verdict.Action != agdispatch.ActionReset {
-		return
-	}
-	p.count(&verdict)
-	p.reset(writer, flow, verdict.Acknowledged)
-	if line, ok := p.decisions.Line(agdecision.KindReset, now); ok {
-		line.WithField("Flow", flow.String()).WithField("Reason", string(verdict.Reason)).Info("Flow is reset because no host holds it.")
-	}
-}
-
 // comeBack decides again on a packet that no host took.
 func (p *Process) comeBack(writer *agsocket.Writer, data []byte, from anvilglade.IPv4, now time.Time) {
 	raw := agmessage.Packet(data)
--- a/internal/operate/agpacketbalancer/process.go
+++ b/internal/operate/agpacketbalancer/process.go
@@ -34,6 +34,7 @@
 	"github.com/anvilglade/anvilglade/internal/observe/agdecision"
 	"github.com/anvilglade/anvilglade/internal/observe/aglog"
 	"github.com/anvilglade/anvilglade/internal/observe/agmetric"
+	"github.com/anvilglade/anvilglade/internal/packet/agmessage"
 	"github.com/anvilglade/anvilglade/internal/packet/agsocket"
 	"github.com/anvilglade/anvilglade/internal/routing/agdispatch"
 	"github.com/anvilglade/anvilglade/internal/runtime/agtask"
@@ -93,6 +94,8 @@
 	// answered is what each agent was told last.
 	answered   map[anvilglade.IPv4]answered
 	broadcasts uint64
+	// states is reused for the answers to questions.
+	states []agmessage.FlowState
 	// adopted is the time at which the desired state came into effect.
 	adopted time.Time
 }
@@ -154,6 +157,7 @@
 		{"packets", p.readPackets},
 		{"inner", p.readInner},
 		{"status", p.sendStatus},
+		{"search", p.search},
 		{"desired", p.watchDesired},
 		{"evacuations", p.watchEvacuations},
 		{"peers", p.fetchFromPeers},
--- a/internal/operate/agpacketbalancer/status.go
+++ b/internal/operate/agpacketbalancer/status.go
@@ -11,16 +11,11 @@
 	"github.com/anvilglade/anvilglade"
 	"github.com/anvilglade/anvilglade/internal/packet/agmessage"
 	"github.com/anvilglade/anvilglade/internal/packet/agsocket"
-	"github.com/anvilglade/anvilglade/internal/routing/agdispatch"
 )
 
 const (
 	// statusInterval is the time between two statuses to each other balancer.
 	statusInterval = 250 * time.Millisecond
-	// maxAsked bounds the questions of one look at the searches, about 60 bytes
-	// each on the link: after a power loss of all there are hundreds of
-	// searches, and thin links must not fill up with them.
-	maxAsked = 200
 	// maxListed bounds the balancers that a status names, so that it fits into
 	// one datagram.
 	maxListed = 250
@@ -66,11 +61,9 @@
 	p.mu.Lock()
 	p.fleet.Tick(now)
 	lost := p.dispatcher.Sweep(now)
-	searches := p.dispatcher.Searches(now)
 	p.logChanges(now)
 	p.mu.Unlock()
 	p.logReadiness()
-	p.goOnSearching(searches)
 	if len(lost) == 0 {
 		return
 	}
@@ -82,29 +75,6 @@
 	p.log.WithField("Flows", len(lost)).WithField("First", lost[0].Flow.String()).Info("Flows are reset because their hosts have ended.")
 }
 
-// goOnSearching asks agents again that have not answered a search, and resets the
-// flows that no host holds.
-func (p *Process) goOnSearching(searches []agdispatch.Search) {
-	var datagram []byte
-	asked := 0
-	for _, search := range searches {
-		// A datagram that is lost is repeated at the next look.
-		if len(search.Missing) == 0 {
-			datagram = p.parts.Codec.AppendReset(datagram[:0], search.Flow, search.Acknowledged)
-			_ = p.packets.WriteTo(datagram, p.endpointOf(search.Flow.Caller.IP, p.settings.PacketPort).AddrPort())
-			continue
-		}
-		if asked += len(search.Missing); asked > maxAsked {
-			// The rest is asked at the next look or for the caller's next packet.
-			continue
-		}
-		datagram = agmessage.AppendFlow(datagram[:0], agmessage.KindFind, search.Flow)
-		for _, agent := range search.Missing {
-			_ = p.packets.WriteTo(datagram, p.endpointOf(agent, p.settings.PacketPort).AddrPort())
-		}
-	}
-}
-
 // logChanges logs hosts that have become silent or are heard again. The caller
 // holds the mutex.
 func (p *Process) logChanges(now time.Time) {
--- a/internal/packet/agmessage/message.go
+++ b/internal/packet/agmessage/message.go
@@ -39,13 +39,12 @@
 	KindReturned
 	// KindExhausted gives a balancer a packet that none of the candidates took.
 	KindExhausted
-	// KindFind asks an agent whether its host holds a flow. The answer is of
-	// KindOwner, KindAbsent or KindUnsure.
+	// KindFind asks an agent which of several flows its host holds.
 	KindFind
-	// KindUnsure tells a balancer that only the host itself can say whether it
-	// holds a flow, as the agent has not seen all of its flows.
-	KindUnsure
-	// KindAbsent tells a balancer that a host does not hold a flow.
+	// KindFound answers it.
+	KindFound
+	// KindAbsent tells a balancer that a host has returned a packet by which it
+	// was asked for a flow.
 	KindAbsent
 	// KindAgentStatus and KindBalancerStatus carry an AgentStatus and a
 	// BalancerStatus.
@@ -83,10 +82,23 @@
 	Working uint16
 }
 
+// FlowState is what an agent knows of a flow and its host.
+type FlowState uint8
+
+// States of a flow. FlowUnsure means that only the host itself can say whether it
+// holds the flow, as the agent has not seen all of its flows.
+const (
+	FlowAbsent FlowState = iota
+	FlowHeld
+	FlowUnsure
+)
+
 const (
 	forwardHeader = 1 + 1 + 1 + 8 + 4
 	ownerSize     = 1 + 12 + 1 + 4 + 2 + 2
 	flowSize      = 1 + 12
+	roundHeader   = 1 + 4
+	endsSize      = 12
 	flagHeld      = 1
 	flagForeign   = 2
 	flagEstabl    = 1
@@ -146,8 +158,7 @@
 // AppendOwner appends an Owner.
 func AppendOwner(dst []byte, owner *Owner) []byte {
 	dst = append(dst, byte(KindOwner))
-	dst = appendEndpoint(dst, owner.Flow.Caller)
-	dst = appendEndpoint(dst, owner.Flow.Service)
+	dst = appendFlow(dst, owner.Flow)
 	var flags byte
 	if owner.Established {
 		flags |= flagEstabl
@@ -164,7 +175,7 @@
 		return Owner{}, fmt.Errorf("owner message has %d bytes, want %d", len(datagram), ownerSize)
 	}
 	return Owner{
-		Flow:        anvilglade.Flow{Caller: endpoint(datagram[1:]), Service: endpoint(datagram[7:])},
+		Flow:        flowAt(datagram[1:]),
 		Established: datagram[13]&flagEstabl != 0,
 		Sequence:    binary.BigEndian.Uint32(datagram[14:]),
 		Flows:       binary.BigEndian.Uint16(datagram[18:]),
@@ -172,18 +183,61 @@
 	}, nil
 }
 
-// AppendFlow appends a datagram of KindFind, KindUnsure or KindAbsent.
-func AppendFlow(dst []byte, kind Kind, flow anvilglade.Flow) []byte {
-	return appendEndpoint(appendEndpoint(append(dst, byte(kind)), flow.Caller), flow.Service)
+// AppendAbsent appends a datagram of KindAbsent.
+func AppendAbsent(dst []byte, flow anvilglade.Flow) []byte {
+	return appendFlow(append(dst, byte(KindAbsent)), flow)
 }
 
-// ParseFlow decodes the flow in a datagram of KindFind, KindUnsure or
-// KindAbsent.
-func ParseFlow(datagram []byte) (anvilglade.Flow, error) {
+// ParseAbsent decodes the flow in a datagram of KindAbsent.
+func ParseAbsent(datagram []byte) (anvilglade.Flow, error) {
 	if len(datagram) != flowSize {
 		return anvilglade.Flow{}, fmt.Errorf("message about a flow has %d bytes, want %d", len(datagram), flowSize)
 	}
-	return anvilglade.Flow{Caller: endpoint(datagram[1:]), Service: endpoint(datagram[7:])}, nil
+	return flowAt(datagram[1:]), nil
+}
+
+// AppendFind appends a question for flows. The answer carries the same number.
+func AppendFind(dst []byte, number uint32, flows []anvilglade.Flow) []byte {
+	dst = binary.BigEndian.AppendUint32(append(dst, byte(KindFind)), number)
+	for _, flow := range flows {
+		dst = appendFlow(dst, flow)
+	}
+	return dst
+}
+
+// ParseFind decodes a question and appends its flows to dst.
+func ParseFind(datagram []byte, dst []anvilglade.Flow) (uint32, []anvilglade.Flow, error) {
+	if len(datagram) < roundHeader || (len(datagram)-roundHeader)%endsSize != 0 {
+		return 0, dst, fmt.Errorf("question for flows has %d bytes: %w", len(datagram), errShort)
+	}
+	for at := roundHeader; at < len(datagram); at += endsSize {
+		dst = append(dst, flowAt(datagram[at:]))
+	}
+	return binary.BigEndian.Uint32(datagram[1:]), dst, nil
+}
+
+// AppendFound appends the answer to a question, with a state for each of its
+// flows.
+func AppendFound(dst []byte, number uint32, states []FlowState) []byte {
+	dst = binary.BigEndian.AppendUint32(append(dst, byte(KindFound)), number)
+	for _, state := range states {
+		dst = append(dst, byte(state))
+	}
+	return dst
+}
+
+// ParseFound decodes an answer and appends its states to dst.
+func ParseFound(datagram []byte, dst []FlowState) (uint32, []FlowState, error) {
+	if len(datagram) < roundHeader {
+		return 0, dst, fmt.Errorf("answer on flows: %w", errShort)
+	}
+	for _, state := range datagram[roundHeader:] {
+		if state > byte(FlowUnsure) {
+			return 0, dst, fmt.Errorf("answer on flows has the unknown state %d", state)
+		}
+		dst = append(dst, FlowState(state))
+	}
+	return binary.BigEndian.Uint32(datagram[1:]), dst, nil
 }
 
 // AppendPacket appends a datagram of KindReturned or KindExhausted.
@@ -236,6 +290,14 @@
 	return nil
 }
 
+func appendFlow(dst []byte, flow anvilglade.Flow) []byte {
+	return appendEndpoint(appendEndpoint(dst, flow.Caller), flow.Service)
+}
+
+func flowAt(data []byte) anvilglade.Flow {
+	return anvilglade.Flow{Caller: endpoint(data), Service: endpoint(data[6:])}
+}
+
 func appendEndpoint(dst []byte, e anvilglade.Endpoint) []byte {
 	return binary.BigEndian.AppendUint16(append(dst, e.IP[:]...), e.Port)
 }
--- a/internal/routing/agdispatch/dispatch.go
+++ b/internal/routing/agdispatch/dispatch.go
@@ -1,7 +1,7 @@
 // Package agdispatch decides at a balancer where each packet of a caller goes.
 //
 // The balancer remembers the holder of each flow that it has seen, but never
-// has to: for a packet of an unknown flow it asks every agent, keeps the packet
+// has to: for a packet of an unknown flow it asks the agents, keeps the packet
 // meanwhile and sends it to the one that holds the flow. An agent that has not
 // seen all flows of its host is sent the packet itself, and the host returns it
 // if it does not hold the flow. An opening packet goes to the
@@ -30,6 +30,7 @@
 
 	"github.com/anvilglade/anvilglade"
 	"github.com/anvilglade/anvilglade/internal/routing/agplace"
+	"github.com/anvilglade/anvilglade/internal/routing/agsearch"
 	"github.com/anvilglade/anvilglade/internal/state/agfleet"
 )
 
@@ -41,10 +42,7 @@
 	ActionDrop Action = iota
 	ActionForward
 	ActionReset
-	// ActionFind asks the agents To for the holder of the flow and keeps the
-	// packet until it is found.
-	ActionFind
-	// ActionHold keeps the packet, as a search for the holder goes on.
+	// ActionHold keeps the packet until the holder of its flow is found.
 	ActionHold
 )
 
@@ -111,14 +109,15 @@
 	options []agplace.Option
 	ranked  []anvilglade.IPv4
 	// holders is reused by mayHoldFlows.
-	holders []anvilglade.IPv4
+	holders  []anvilglade.IPv4
+	searcher *agsearch.Searcher
 	// heldBytes is the size of all packets that are kept.
 	heldBytes int
 }
 
 // NewDispatcher returns a Dispatcher that reads the fleet.
 func NewDispatcher(fleet *agfleet.Fleet, random *rand.Rand, now time.Time) *Dispatcher {
-	return &Dispatcher{fleet: fleet, random: random, started: now, flows: make(map[anvilglade.Flow]*flowEntry)}
+	return &Dispatcher{fleet: fleet, random: random, started: now, flows: make(map[anvilglade.Flow]*flowEntry), searcher: agsearch.NewSearcher()}
 }
 
 // Flows returns the number of flows that are remembered.
@@ -140,7 +139,7 @@
 		return
 	}
 	if entry != nil {
-		if holder, ok := entry.holderOf(packet); ok && d.mayHold(entry, holder, flow, now, verdict) {
+		if holder, ok := d.holderOf(flow, entry, packet); ok && d.mayHold(entry, holder, flow, now, verdict) {
 			d.toHolder(entry, holder, verdict)
 			return
 		}
@@ -148,7 +147,20 @@
 			return
 		}
 	}
-	d.lookup(flow, packet, anvilglade.IPv4{}, now, verdict)
+	d.lookup(flow, packet, now, verdict)
+}
+
+// holderOf returns the agent for a packet after the opening one, if it is known.
+// A choice of the caller ends the search for the holder.
+func (d *Dispatcher) holderOf(flow anvilglade.Flow, entry *flowEntry, packet *anvilglade.Packet) (anvilglade.IPv4, bool) {
+	if entry.established {
+		return entry.holder, true
+	}
+	holder, ok := entry.chosen(packet)
+	if ok {
+		d.searcher.End(flow)
+	}
+	return holder, ok
 }
 
 // mayHold reports whether the host that held a flow may still run. A host that
@@ -213,6 +225,11 @@
 		}
 		return
 	}
+	if d.searcher.Searching(flow) {
+		// A late copy of the packet that opened a flow whose holder is not known.
+		verdict.Reason = ReasonLookup
+		return
+	}
 	if _, known := d.fleet.Desired(); !known {
 		verdict.Reason = ReasonNoState
 		return
@@ -310,7 +327,7 @@
 	entry.used = now
 	if established {
 		d.fleet.HearFlow(agent)
-		entry.establish(host)
+		d.establish(flow, entry, host)
 		return
 	}
 	entry.offer(agent, sequence)
@@ -324,7 +341,7 @@
 	if entry := d.flows[flow]; entry != nil && entry.holder == agent {
 		d.forget(flow, entry)
 	}
-	d.lookup(flow, packet, agent, now, verdict)
+	d.lookup(flow, packet, now, verdict)
 }
 
 // Exhausted decides on a packet that no candidate took.
@@ -363,6 +380,9 @@
 			break
 		}
 	}
+	if former := d.flows[flow]; former != nil {
+		d.forget(flow, former)
+	}
 	entry := &flowEntry{service: service, used: now}
 	d.flows[flow] = entry
 	return entry
--- a/internal/routing/agdispatch/script_test.go
+++ b/internal/routing/agdispatch/script_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/anvilglade/anvilglade"
+	"github.com/anvilglade/anvilglade/internal/packet/agmessage"
 	"github.com/anvilglade/anvilglade/internal/routing/agdispatch"
 	"github.com/anvilglade/anvilglade/internal/stand/agscript"
 	"github.com/anvilglade/anvilglade/internal/state/agfleet"
@@ -111,10 +112,22 @@
 	"Sweep": func(p *player, _ *testing.T, _ []string, _ *agdispatch.Verdict) string {
 		return fmt.Sprint(len(p.dispatcher.Sweep(p.now)))
 	},
-	"Searches": func(p *player, _ *testing.T, _ []string, _ *agdispatch.Verdict) string {
+	"Ask": func(p *player, _ *testing.T, _ []string, _ *agdispatch.Verdict) string {
 		var words []string
-		for _, search := range p.dispatcher.Searches(p.now) {
-			words = append(words, fmt.Sprintf("c%d:%d", search.Flow.Caller.IP[3], len(search.Missing)))
+		for _, question := range p.dispatcher.Questions(p.now) {
+			words = append(words, fmt.Sprintf("%d:a%d", question.Round, question.To[3]))
+		}
+		slices.Sort(words)
+		return strings.Join(words, " ")
+	},
+	"Found": func(p *player, _ *testing.T, args []string, _ *agdispatch.Verdict) string {
+		return p.found(args)
+	},
+	"Conclude": func(p *player, _ *testing.T, _ []string, _ *agdispatch.Verdict) string {
+		p.dispatcher.TickSearches(p.now)
+		var words []string
+		for _, lost := range p.dispatcher.Conclude(p.now) {
+			words = append(words, fmt.Sprintf("c%d Ack=%d", lost.Flow.Caller.IP[3], lost.Acknowledged))
 		}
 		slices.Sort(words)
 		return strings.Join(words, " ")
@@ -123,9 +136,9 @@
 		p.dispatcher.Owner(ipOf(args[0]), packetOf(args[1:], 0).FromCaller(), slices.Contains(args, "Established"), option(args, "Seq"), p.now)
 		return ""
 	},
-	"Absent": func(p *player, _ *testing.T, args []string, verdict *agdispatch.Verdict) string {
-		p.dispatcher.Absent(ipOf(args[0]), packetOf(args[1:], 0).FromCaller(), p.now, verdict)
-		return describe(verdict)
+	"Absent": func(p *player, _ *testing.T, args []string, _ *agdispatch.Verdict) string {
+		p.dispatcher.Absent(ipOf(args[0]), packetOf(args[1:], 0).FromCaller())
+		return ""
 	},
 	"Returned": func(p *player, _ *testing.T, args []string, verdict *agdispatch.Verdict) string {
 		p.dispatcher.Returned(ipOf(args[0]), packetOf(args[1:], anvilglade.FlagACK), p.now, verdict)
@@ -147,6 +160,21 @@
 	return play(p, t, args, &verdict)
 }
 
+var flowStates = map[string]agmessage.FlowState{"Absent": agmessage.FlowAbsent, "Held": agmessage.FlowHeld, "Unsure": agmessage.FlowUnsure}
+
+// found plays "AGENT ROUND STATE..." and returns the findings.
+func (p *player) found(args []string) string {
+	var states []agmessage.FlowState
+	for _, name := range args[2:] {
+		states = append(states, flowStates[name])
+	}
+	var words []string
+	for _, finding := range p.dispatcher.Found(ipOf(args[0]), uint32(numberOf(args[1])), states, p.now) {
+		words = append(words, fmt.Sprintf("c%d", finding.Flow.Caller.IP[3]))
+	}
+	return strings.Join(words, " ")
+}
+
 func (p *player) state(t *testing.T, args []string) {
 	t.Helper()
 	state := anvilglade.DesiredState{Version: anvilglade.DesiredVersion(numberOf(args[0]))}
@@ -175,7 +203,7 @@
 }
 
 func describe(verdict *agdispatch.Verdict) string {
-	words := []string{[]string{"Drop", "Forward", "Reset", "Find", "Hold"}[verdict.Action], string(verdict.Reason)}
+	words := []string{[]string{"Drop", "Forward", "Reset", "Hold"}[verdict.Action], string(verdict.Reason)}
 	to := append([]anvilglade.IPv4(nil), verdict.To...)
 	slices.SortFunc(to, func(a, b anvilglade.IPv4) int { return int(a[3]) - int(b[3]) })
 	for _, ip := range to {
--- a/internal/routing/agdispatch/search.go
+++ b/internal/routing/agdispatch/search.go
@@ -1,20 +1,22 @@
 package agdispatch
 
-// The search for the holder of a flow that the balancer does not remember, and
-// its end: the holder answers, or every agent says that its host does not hold
-// the flow.
+// Packets of flows that the balancer does not remember: they are kept while
+// agsearch asks the agents for the holder, and the flow is reset if no host
+// holds it.
 
 import (
 	"time"
 
 	"github.com/anvilglade/anvilglade"
+	"github.com/anvilglade/anvilglade/internal/packet/agmessage"
+	"github.com/anvilglade/anvilglade/internal/routing/agsearch"
+	"github.com/anvilglade/anvilglade/internal/state/agfleet"
 )
 
-// lookup sends a packet of a flow whose holder is not known to every agent that
-// may hold it but the one given, which has said that it does not. Hosts of
-// services that the route does not name are asked too: the route may have named
-// them when the flow was opened.
-func (d *Dispatcher) lookup(flow anvilglade.Flow, packet *anvilglade.Packet, except anvilglade.IPv4, now time.Time, verdict *Verdict) {
+// lookup begins the search for the holder of a flow, or goes on with it. Hosts
+// of services that the route does not name are asked too: the route may have
+// named them when the flow was opened.
+func (d *Dispatcher) lookup(flow anvilglade.Flow, packet *anvilglade.Packet, now time.Time, verdict *Verdict) {
 	verdict.Reason = ReasonLookup
 	route, ok := d.fleet.Route(flow.Service)
 	if !ok {
@@ -25,22 +27,9 @@
 	if entry == nil {
 		entry = d.remember(flow, 0, now)
 	}
-	entry.acknowledged = packet.Acknowledged
-	entry.route = route
-	if again := entry.startSearch(except, now); !again {
-		verdict.Action = ActionHold
-		return
-	}
-	for _, host := range d.fleet.AllHosts() {
-		if host.MayHold(now) && host.Agent != except {
-			verdict.To = append(verdict.To, host.Agent)
-		}
-	}
-	if len(verdict.To) > 0 {
-		verdict.Action = ActionFind
-		return
-	}
-	d.concludeSearch(flow, entry, now, verdict)
+	entry.startSearch(route, packet.Acknowledged)
+	d.searcher.Begin(flow, now)
+	verdict.Action = ActionHold
 }
 
 // Hold keeps a packet of a flow whose holder is searched for. The packet is
@@ -67,13 +56,38 @@
 	return d.release(entry)
 }
 
-// Unsure takes the news that only the host of an agent can say whether it holds
-// a flow. It returns the packet to ask it with, and the verdict to send that.
+// Questions returns what to ask agents now.
+func (d *Dispatcher) Questions(now time.Time) []agsearch.Question {
+	if d.searcher.Idle() {
+		return nil
+	}
+	return d.searcher.Questions(d.mayHoldFlows(now), now)
+}
+
+// Found takes an agent's answer to a question. It returns the flows that its
+// host holds, and those for which the host itself has to be asked with a packet;
+// see Unsure.
+func (d *Dispatcher) Found(agent anvilglade.IPv4, number uint32, states []agmessage.FlowState, now time.Time) []agsearch.Finding {
+	host, known := d.fleet.Host(agent)
+	if !known {
+		return nil
+	}
+	findings := d.searcher.Answer(agent, number, states, now)
+	for _, finding := range findings {
+		if entry := d.flows[finding.Flow]; entry != nil && finding.State == agmessage.FlowHeld {
+			d.establish(finding.Flow, entry, host)
+		}
+	}
+	return findings
+}
+
+// Unsure returns the packet by which to ask the host of an agent whether it
+// holds a flow, and the verdict to send that; nil if there is none.
 func (d *Dispatcher) Unsure(agent anvilglade.IPv4, flow anvilglade.Flow, verdict *Verdict) []byte {
 	*verdict = Verdict{To: verdict.To[:0], Candidates: verdict.Candidates[:0]}
 	entry := d.flows[flow]
 	host, known := d.fleet.Host(agent)
-	if entry == nil || !known || !entry.searching() || len(entry.packets) == 0 {
+	if entry == nil || !known || !d.searcher.Searching(flow) || len(entry.packets) == 0 {
 		return nil
 	}
 	verdict.Action, verdict.Reason = ActionForward, ReasonLookup
@@ -82,49 +96,33 @@
 	return entry.packets[0]
 }
 
-func (d *Dispatcher) release(entry *flowEntry) [][]byte {
-	packets := entry.packets
-	for _, packet := range packets {
-		d.heldBytes -= len(packet)
-	}
-	entry.packets = nil
-	return packets
-}
-
-// forget drops a flow with the packets that are kept for it.
-func (d *Dispatcher) forget(flow anvilglade.Flow, entry *flowEntry) {
-	d.release(entry)
-	delete(d.flows, flow)
+// Absent takes the news that the host of an agent has returned the packet by
+// which it was asked.
+func (d *Dispatcher) Absent(agent anvilglade.IPv4, flow anvilglade.Flow) {
+	d.searcher.Absent(agent, flow)
 }
 
-func routeNames(route *anvilglade.PacketRoute, service anvilglade.ServiceID) bool {
-	for _, backend := range route.Backends {
-		if backend.Service == service {
-			return true
-		}
+// Conclude returns the flows that no host holds, for their resets, and forgets
+// them. It returns none while this balancer may not know all hosts.
+func (d *Dispatcher) Conclude(now time.Time) []LostFlow {
+	if d.searcher.Idle() || !d.fleet.Complete(d.started, now) || d.fleet.CutOff(now) {
+		return nil
 	}
-	return false
-}
-
-// Absent takes the news that an agent's host does not hold a flow. Once no host
-// is left that may hold it, the flow is reset to its caller.
-func (d *Dispatcher) Absent(agent anvilglade.IPv4, flow anvilglade.Flow, now time.Time, verdict *Verdict) {
-	*verdict = Verdict{To: verdict.To[:0], Candidates: verdict.Candidates[:0], Reason: ReasonUnknownFlow}
-	entry := d.flows[flow]
-	if entry == nil || !entry.searching() {
-		return
+	var lost []LostFlow
+	for _, flow := range d.searcher.Conclude(d.mayHoldFlows(now)) {
+		entry := d.flows[flow]
+		lost = append(lost, LostFlow{Flow: flow, Acknowledged: entry.acknowledged})
+		d.forget(flow, entry)
 	}
-	entry.absentAt(agent)
-	d.concludeSearch(flow, entry, now, verdict)
+	return lost
 }
 
-// concludeSearch resets a flow if no host is left that may hold it.
-func (d *Dispatcher) concludeSearch(flow anvilglade.Flow, entry *flowEntry, now time.Time, verdict *Verdict) {
-	if !d.fleet.Complete(d.started, now) || d.fleet.CutOff(now) || len(entry.missing(d.mayHoldFlows(now))) > 0 {
-		return
+// TickSearches gives up questions without an answer, and searches that have
+// lasted for too long: the next packet of their callers begins others.
+func (d *Dispatcher) TickSearches(now time.Time) {
+	for _, flow := range d.searcher.Tick(now) {
+		d.forget(flow, d.flows[flow])
 	}
-	verdict.Action, verdict.Reason, verdict.Acknowledged = ActionReset, ReasonNowhere, entry.acknowledged
-	d.forget(flow, entry)
 }
 
 // mayHoldFlows returns the agents whose hosts may hold flows. The slice is valid
@@ -139,34 +137,33 @@
 	return d.holders
 }
 
-// Search is a flow whose holder is still searched for.
-type Search struct {
-	Flow anvilglade.Flow
-	// Missing are the agents that have not answered; if there are none, no host
-	// holds the flow, and Acknowledged is for its reset.
-	Missing      []anvilglade.IPv4
-	Acknowledged uint32
+func (d *Dispatcher) release(entry *flowEntry) [][]byte {
+	packets := entry.packets
+	for _, packet := range packets {
+		d.heldBytes -= len(packet)
+	}
+	entry.packets = nil
+	return packets
 }
 
-// Searches returns the searches that have lasted for a while: an answer may have
-// been lost, or an agent that did not answer may have gone since. Flows without
-// a holder are forgotten.
-func (d *Dispatcher) Searches(now time.Time) []Search {
-	if d.fleet.CutOff(now) || !d.fleet.Complete(d.started, now) {
-		return nil
-	}
-	holders := d.mayHoldFlows(now)
-	var searches []Search
-	for flow, entry := range d.flows {
-		waited := now.Sub(entry.asked)
-		if !entry.searching() || waited < askInterval || waited > searchTime {
-			continue
-		}
-		search := Search{Flow: flow, Missing: entry.missing(holders), Acknowledged: entry.acknowledged}
-		if len(search.Missing) == 0 {
-			d.forget(flow, entry)
+// establish notes the holder of a flow, which ends the search for it.
+func (d *Dispatcher) establish(flow anvilglade.Flow, entry *flowEntry, host *agfleet.Host) {
+	entry.establish(host)
+	d.searcher.End(flow)
+}
+
+// forget drops a flow with the packets that are kept for it.
+func (d *Dispatcher) forget(flow anvilglade.Flow, entry *flowEntry) {
+	d.release(entry)
+	d.searcher.End(flow)
+	delete(d.flows, flow)
+}
+
+func routeNames(route *anvilglade.PacketRoute, service anvilglade.ServiceID) bool {
+	for _, backend := range route.Backends {
+		if backend.Service == service {
+			return true
 		}
-		searches = append(searches, search)
 	}
-	return searches
+	return false
 }
--- /dev/null
+++ b/internal/routing/agsearch/script_test.go
@@ -0,0 +1,146 @@
+package agsearch_test
+
+import (
+	"fmt"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/anvilglade/anvilglade"
+	"github.com/anvilglade/anvilglade/internal/packet/agmessage"
+	"github.com/anvilglade/anvilglade/internal/routing/agsearch"
+	"github.com/anvilglade/anvilglade/internal/stand/agscript"
+)
+
+// TestScripts plays each file of testdata; c1 and c2 stand for flows, a1 and a2
+// for agents, c1-90 and a1-60 for that many.
+func TestScripts(t *testing.T) {
+	scripts, err := agscript.Load(os.DirFS("testdata"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, script := range scripts {
+		t.Run(script.Name, func(t *testing.T) {
+			searcher, start := agsearch.NewSearcher(), time.Unix(1_000_000, 0)
+			for i := range script.Steps {
+				step := &script.Steps[i]
+				if got := play(t, searcher, step, start.Add(step.At)); !step.Matches(got) {
+					t.Errorf("%s\n got %s", step.Source, got)
+				}
+			}
+		})
+	}
+}
+
+func play(t *testing.T, searcher *agsearch.Searcher, step *agscript.Step, now time.Time) string {
+	t.Helper()
+	switch step.Verb {
+	case "Begin":
+		for _, number := range numbers(step.Args) {
+			searcher.Begin(flowOf(number), now)
+		}
+	case "Ask":
+		return describe(searcher.Questions(agents(step.Args), now))
+	case "Count":
+		return fmt.Sprint(len(searcher.Questions(agents(step.Args), now)))
+	case "Answer":
+		return answer(t, searcher, step.Args, now)
+	case "Absent":
+		searcher.Absent(agents(step.Args[:1])[0], flowOf(numbers(step.Args[1:])[0]))
+	case "Conclude":
+		return flowNames(searcher.Conclude(agents(step.Args)))
+	case "Tick":
+		return flowNames(searcher.Tick(now))
+	case "End":
+		searcher.End(flowOf(numbers(step.Args)[0]))
+	case "Idle":
+		return strconv.FormatBool(searcher.Idle())
+	default:
+		t.Fatalf("unknown verb: %s", step.Source)
+	}
+	return ""
+}
+
+var states = map[string]agmessage.FlowState{"Absent": agmessage.FlowAbsent, "Held": agmessage.FlowHeld, "Unsure": agmessage.FlowUnsure}
+
+// answer plays "AGENTS ROUND STATE..."; a last argument xN repeats the states.
+func answer(t *testing.T, searcher *agsearch.Searcher, args []string, now time.Time) string {
+	t.Helper()
+	number, err := strconv.ParseUint(args[1], 10, 32)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var said []agmessage.FlowState
+	for _, name := range args[2:] {
+		if count, repeated := strings.CutPrefix(name, "x"); repeated {
+			said = slices.Repeat(said, int(numberOf(count)))
+			continue
+		}
+		said = append(said, states[name])
+	}
+	var words []string
+	for _, agent := range agents(args[:1]) {
+		for _, finding := range searcher.Answer(agent, uint32(number), said, now) {
+			words = append(words, fmt.Sprintf("c%d:%s", finding.Flow.Caller.Port, map[agmessage.FlowState]string{agmessage.FlowHeld: "Held", agmessage.FlowUnsure: "Unsure"}[finding.State]))
+		}
+	}
+	return strings.Join(words, " ")
+}
+
+func describe(questions []agsearch.Question) string {
+	words := make([]string, 0, len(questions))
+	for _, question := range questions {
+		words = append(words, fmt.Sprintf("%d:a%d/%d", question.Round, question.To[3], len(question.Flows)))
+	}
+	return strings.Join(words, " ")
+}
+
+func flowNames(flows []anvilglade.Flow) string {
+	if len(flows) > 9 {
+		return fmt.Sprint(len(flows), " flows")
+	}
+	words := make([]string, 0, len(flows))
+	for _, flow := range flows {
+		words = append(words, fmt.Sprintf("c%d", flow.Caller.Port))
+	}
+	slices.Sort(words)
+	return strings.Join(words, " ")
+}
+
+func flowOf(number uint16) anvilglade.Flow {
+	return anvilglade.Flow{Caller: anvilglade.Endpoint{IP: anvilglade.IPv4{100, 64, 0, 1}, Port: number}}
+}
+
+func agents(names []string) []anvilglade.IPv4 {
+	var list []anvilglade.IPv4
+	for _, number := range numbers(names) {
+		list = append(list, anvilglade.IPv4{10, 0, 0, byte(number)})
+	}
+	return list
+}
+
+// numbers returns the numbers of names such as c1 and c3-5.
+func numbers(names []string) []uint16 {
+	var list []uint16
+	for _, name := range names {
+		first, last, ranged := strings.Cut(name[1:], "-")
+		if !ranged {
+			last = first
+		}
+		for number := numberOf(first); number <= numberOf(last); number++ {
+			list = append(list, number)
+		}
+	}
+	return list
+}
+
+func numberOf(text string) uint16 {
+	number, err := strconv.ParseUint(text, 10, 16)
+	if err != nil {
+		panic(err)
+	}
+	return uint16(number)
+}
