Find out at the start of an agent whether its host runs

Change: an agent connects to its host's port at its start; a refused connection means that no host runs, so it holds no flow, and a host that is born later has no flow of an earlier time. One connection to a host more for each start of an agent.

--- a/internal/admission/agopen/gate.go
+++ b/internal/admission/agopen/gate.go
@@ -91,8 +91,8 @@
 	heard     time.Time
 	known     bool
 	gone      bool
-	// complete is set if the first heartbeat of this boot was heard: the host
-	// has taken no flow through another process.
+	// complete is set if the host has taken no flow through another process:
+	// its first heartbeat was heard, or no host ran here before it.
 	complete  bool
 	coldUntil time.Time
 	coldRate  float64
@@ -117,7 +117,7 @@
 	}
 	if newBoot := !g.known || heartbeat.Born.After(g.heartbeat.Born); newBoot {
 		g.coldUntil = time.Time{}
-		g.complete = g.known || heartbeat.Sequence <= firstSequence || g.bornWithProcess(heartbeat.Born, now)
+		g.complete = g.known || g.gone || heartbeat.Sequence <= firstSequence || g.bornWithProcess(heartbeat.Born, now)
 	}
 	if heartbeat.ColdLeft > 0 {
 		g.coldUntil = now.Add(heartbeat.ColdLeft + coldTail)
--- a/internal/admission/agopen/gate_test.go
+++ b/internal/admission/agopen/gate_test.go
@@ -44,6 +44,19 @@
 		Expect(gate.Open(at(3100 * time.Millisecond))).To(Equal(agopen.RefusalNoHeartbeat))
 	})
 
+	// Guards against searches for flows that wait for an agent without a host: all
+	// callers of flows that were lost in an outage waited up to 7 s for a reset
+	// (diskglas-net-grown trouble-2).
+	It("knows from a refused connection that its host holds no flow", func() {
+		Expect(gate.Complete()).To(BeFalse())
+		Expect(gate.Ended()).To(BeFalse())
+		gate.HostDown()
+		Expect(gate.Ended()).To(BeTrue())
+		beat(1, 9, 0)
+		Expect(gate.Ended()).To(BeFalse())
+		Expect(gate.Complete()).To(BeTrue())
+	})
+
 	// Guards against flows for a host that leaves, also when a heartbeat of
 	// before arrives late.
 	It("refuses from the moment that it acknowledges draining", func() {
--- a/internal/operate/agpacketagent/host.go
+++ b/internal/operate/agpacketagent/host.go
@@ -83,10 +83,13 @@
 }
 
 // watchHost checks a host that does not answer packets. If its port refuses a
-// connection, the host has ended, and callers of its flows are told at once.
+// connection, the host has ended, and callers of its flows are told at once. It
+// checks at its start too: an agent without a host knows then that its host
+// holds no flow, and no search waits for it.
 func (p *Process) watchHost(ctx context.Context) error {
-	var checked time.Time
 	writer := p.packets.NewWriter(batchSize)
+	checked := time.Now()
+	p.check(ctx, writer, 0)
 	for {
 		if err := agtask.Sleep(ctx, watchInterval); err != nil {
 			return err
@@ -102,11 +105,16 @@
 			continue
 		}
 		checked = now
-		err := checkHost(ctx, p.settings.HostAddr)
-		p.log.WithError(err).WithField("Silent", silent.String()).Info("Host was checked because it does not answer packets.")
-		if errors.Is(err, syscall.ECONNREFUSED) {
-			p.hostEnded(writer)
-		}
+		p.check(ctx, writer, silent)
+	}
+}
+
+// check finds out whether the host has ended.
+func (p *Process) check(ctx context.Context, writer *agsocket.Writer, silent time.Duration) {
+	err := checkHost(ctx, p.settings.HostAddr)
+	p.log.WithError(err).WithField("Silent", silent.String()).Info("Host was checked because it does not answer packets, or at the start.")
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		p.hostEnded(writer)
 	}
 }
 
