--- a/fleet.go
+++ b/fleet.go
@@ -103,6 +103,9 @@
 	// Latency is the average time from a request to the first byte of its
 	// answer.
 	Latency time.Duration `cbor:"15,keyasint,omitempty"`
+	// Failing is the share of the newest requests that the host has failed, 0
+	// to 1.
+	Failing float32 `cbor:"17,keyasint,omitempty"`
 	// Balancers are the balancers that the agent knows.
 	Balancers []IPv4 `cbor:"16,keyasint,omitempty"`
 }
--- a/internal/flow/agholder/holder.go
+++ b/internal/flow/agholder/holder.go
@@ -127,6 +127,7 @@
 	open     int
 	working  int
 	latency  time.Duration
+	outcomes outcomes
 	// waitingFrom is the time of the first packet delivered since the host's
 	// last one; zero if there is none.
 	waitingFrom time.Time
@@ -149,6 +150,12 @@
 	return h.open, h.working, h.latency
 }
 
+// Failing returns the share of the newest requests that the host has failed, 0
+// to 1.
+func (h *Holder) Failing(now time.Time) float64 {
+	return h.outcomes.share(now)
+}
+
 // FromBalancer decides on a packet that a balancer or an agent has forwarded.
 // Refusal is empty if an opening packet may go to the host; ended is set if the
 // host does not run any more.
--- a/internal/flow/agholder/record.go
+++ b/internal/flow/agholder/record.go
@@ -70,6 +70,11 @@
 }
 
 func (h *Holder) countCaller(record *flowRecord, packet *anvilglade.Packet, now time.Time) {
+	ends := packet.Flags.Has(anvilglade.FlagFIN) || packet.Flags.Has(anvilglade.FlagRST)
+	if ends && !record.waitingSince.IsZero() && now.Sub(record.waitingSince) > patience {
+		// The caller gives up a request.
+		h.outcomes.note(true, now)
+	}
 	if packet.DataLength > 0 && record.waitingSince.IsZero() {
 		record.waitingSince = now
 		h.working++
@@ -91,6 +96,10 @@
 			h.OnAnswer(took)
 		}
 		h.setIdle(record)
+		h.outcomes.note(false, now)
+	}
+	if packet.Flags.Has(anvilglade.FlagRST) && !record.waitingSince.IsZero() {
+		h.outcomes.note(true, now)
 	}
 	if packet.Flags.Has(anvilglade.FlagFIN) || packet.Flags.Has(anvilglade.FlagRST) {
 		record.hostDone = true
--- a/internal/flow/agholder/script_test.go
+++ b/internal/flow/agholder/script_test.go
@@ -61,7 +61,7 @@
 	t.Helper()
 	var verdict agholder.Verdict
 	switch verb {
-	case "Open", "Data", "Ack":
+	case "Open", "Data", "Ack", "Close":
 		return p.fromBalancer(verb, args)
 	case "Host":
 		packet := hostPacket(args)
@@ -85,6 +85,8 @@
 	case "Load":
 		flows, working, latency := p.holder.Load()
 		return fmt.Sprintf("%d %d %s", flows, working, latency)
+	case "Failing":
+		return fmt.Sprintf("%.2f", p.holder.Failing(p.now))
 	case "Unanswered":
 		return p.holder.Unanswered(p.now).String()
 	default:
@@ -105,6 +107,8 @@
 		}
 	}
 	switch verb {
+	case "Close":
+		packet.Flags |= anvilglade.FlagFIN
 	case "Open":
 		packet.Flags = anvilglade.FlagSYN
 	case "Data":
--- a/internal/operate/agpacketagent/host.go
+++ b/internal/operate/agpacketagent/host.go
@@ -28,6 +28,9 @@
 	checkInterval = time.Second
 	// checkTimeout bounds a check; the host is on the same VM.
 	checkTimeout = 200 * time.Millisecond
+	// failingNews is the share of failed requests from which on balancers are
+	// told at once.
+	failingNews = 0.25
 )
 
 var _ anvilglade.HeartbeatListener = (*Process)(nil)
@@ -109,6 +112,19 @@
 	}
 }
 
+// noteFailing reports whether the host began to fail a notable share of its
+// requests. The caller holds the mutex.
+func (p *Process) noteFailing(now time.Time) bool {
+	share := p.holder.Failing(now)
+	failing := share >= failingNews
+	if failing == p.failing {
+		return false
+	}
+	p.failing = failing
+	p.log.WithField("Share", share).WithField("Failing", failing).Info("Share of requests that the host fails has changed.")
+	return failing
+}
+
 // check finds out whether the host has ended.
 func (p *Process) check(ctx context.Context, writer *agsocket.Writer, silent time.Duration) {
 	err := checkHost(ctx, p.settings.HostAddr)
--- a/internal/operate/agpacketagent/metrics.go
+++ b/internal/operate/agpacketagent/metrics.go
@@ -28,6 +28,9 @@
 		_, working, _ := p.holder.Load()
 		return float64(working)
 	}))
+	p.metrics.Gauge("host_failing", "Share of the newest requests that the host has failed.", locked(func(now time.Time) float64 {
+		return p.holder.Failing(now)
+	}))
 	p.metrics.Gauge("host_accepts", "1 while the host takes new flows.", locked(func(now time.Time) float64 {
 		if p.gate.Standing(now) == agopen.RefusalNone {
 			return 1
--- a/internal/operate/agpacketagent/packets.go
+++ b/internal/operate/agpacketagent/packets.go
@@ -137,7 +137,11 @@
 			p.holder.FromHost(&packet, now, &verdict)
 			p.carryOut(&out, batch[i].Data, &packet, &verdict)
 		}
+		news := p.noteFailing(now)
 		p.mu.Unlock()
+		if news {
+			p.wakeStatus()
+		}
 		out.flush()
 	}
 }
--- a/internal/operate/agpacketagent/process.go
+++ b/internal/operate/agpacketagent/process.go
@@ -72,11 +72,13 @@
 	// wake asks for a status out of turn.
 	wake chan struct{}
 
-	mu          sync.Mutex
-	gate        *agopen.Gate
-	holder      *agholder.Holder
-	sequence    anvilglade.Sequence
-	standing    agopen.Refusal
+	mu       sync.Mutex
+	gate     *agopen.Gate
+	holder   *agholder.Holder
+	sequence anvilglade.Sequence
+	standing agopen.Refusal
+	// failing is set while the host fails a notable share of its requests.
+	failing     bool
 	evacuations anvilglade.Evacuations
 	roster      *agroster.Roster
 	decisions   *agdecision.Log
--- a/internal/operate/agpacketagent/status.go
+++ b/internal/operate/agpacketagent/status.go
@@ -125,6 +125,7 @@
 		Flows:       flows,
 		Working:     working,
 		Latency:     latency,
+		Failing:     float32(p.holder.Failing(now)),
 	}
 	if host, known := p.gate.Host(); known {
 		status.Host, status.Born, status.Slots = host.Host, host.Born.UnixMilli(), host.Slots
--- a/internal/packet/agmessage/message_test.go
+++ b/internal/packet/agmessage/message_test.go
@@ -31,6 +31,10 @@
 	if got, err := agmessage.ParseAbsent(agmessage.AppendAbsent(nil, flow)); err != nil || got != flow {
 		t.Errorf("%+v %v", got, err)
 	}
+}
+
+// Guards against answers to other questions than those that were asked.
+func TestQuestionRoundTrip(t *testing.T) {
 	flows := []anvilglade.Flow{flow, {Caller: flow.Service, Service: flow.Caller}}
 	if number, got, err := agmessage.ParseFind(agmessage.AppendFind(nil, 1<<31, flows), nil); err != nil || number != 1<<31 || !reflect.DeepEqual(got, flows) {
 		t.Errorf("%d %+v %v", number, got, err)
@@ -39,6 +43,10 @@
 	if number, got, err := agmessage.ParseFound(agmessage.AppendFound(nil, 7, states), nil); err != nil || number != 7 || !reflect.DeepEqual(got, states) {
 		t.Errorf("%d %v %v", number, got, err)
 	}
+}
+
+// Guards against a status that means something else to its receiver.
+func TestStatusRoundTrip(t *testing.T) {
 	status := anvilglade.AgentStatus{Agent: anvilglade.IPv4{10, 0, 0, 2}, Incarnation: 1 << 60, Service: "alerts", Host: "h", Born: -1, Latency: 3, Balancers: forward.Candidates}
 	data, err := agmessage.AppendAgentStatus(nil, &status)
 	if err != nil {
--- a/internal/routing/agdispatch/dispatch.go
+++ b/internal/routing/agdispatch/dispatch.go
@@ -295,6 +295,7 @@
 			Flows:   host.Flows + host.Placed,
 			Working: host.Working,
 			Latency: host.Latency,
+			Failing: float64(host.Failing),
 			Local:   d.fleet.Local(host.DataCentre),
 			Cold:    host.Cold,
 			Order:   d.random.Uint64(),
--- a/internal/routing/agplace/place.go
+++ b/internal/routing/agplace/place.go
@@ -29,6 +29,9 @@
 	remotePenalty = 0.08
 	// coldPenalty keeps flows off cold hosts while others have capacity.
 	coldPenalty = 0.5
+	// failingPenalty is the utilisation by which a host that fails every request
+	// looks busier than it is.
+	failingPenalty = 4.0
 	// slowLatencyFactor is the multiple of the median latency from which on a
 	// host counts as slow.
 	slowLatencyFactor = 2.0
@@ -42,6 +45,8 @@
 	Working int
 	// Latency is the average time to the first byte of an answer; 0 if unknown.
 	Latency time.Duration
+	// Failing is the share of its requests that the host fails, 0 to 1.
+	Failing float64
 	Local   bool
 	Cold    bool
 	// Order breaks ties, so that balancers with the same knowledge do not all
@@ -82,7 +87,7 @@
 		// A flow occupies a slow host for longer.
 		perFlow *= float64(option.Latency) / float64(median)
 	}
-	score := (float64(option.Working) + perFlow*float64(option.Flows)) / slots
+	score := (float64(option.Working)+perFlow*float64(option.Flows))/slots + failingPenalty*option.Failing
 	if !option.Local {
 		score += remotePenalty
 	}
