Count requests that are about to arrive as work of a host

A host that had just accepted a flow looked idle until the request came, also to the balancer that had placed it: of 31 hosts some had 3, others 29 requests in progress at 35.75 s. Ruled out: zones and prices (hosts of the evacuated zone take nothing, the others are used alike by flows). Change: an agent counts the awaited first request of a new flow as work for up to 500 ms; a balancer counts its own placements as work until the load is told.

--- a/fleet.go
+++ b/fleet.go
@@ -97,7 +97,7 @@
 	Cold    bool  `cbor:"11,keyasint,omitempty"`
 	Slots   Slots `cbor:"12,keyasint,omitempty"`
 	// Flows and Working count the host's open flows and those with a request
-	// in progress.
+	// in progress or about to arrive.
 	Flows   int `cbor:"13,keyasint,omitempty"`
 	Working int `cbor:"14,keyasint,omitempty"`
 	// Latency is the average time from a request to the first byte of its
--- a/internal/flow/agholder/holder.go
+++ b/internal/flow/agholder/holder.go
@@ -64,6 +64,9 @@
 	halfOpenFor = 2 * time.Second
 	// endedFor is kept after both ends have closed, for late packets.
 	endedFor = 3 * time.Second
+	// awaitTime is the longest time in which the first request of a new flow is
+	// expected.
+	awaitTime = 500 * time.Millisecond
 	// lookupFor is the time in which a packet sent to find the holder of a
 	// flow draws an answer of the host.
 	lookupFor = 2 * time.Second
@@ -126,6 +129,8 @@
 	tag      uint32
 	open     int
 	working  int
+	// awaited counts new flows whose first request is on its way.
+	awaited  int
 	latency  time.Duration
 	outcomes outcomes
 	// waitingFrom is the time of the first packet delivered since the host's
@@ -150,6 +155,12 @@
 	return h.open, h.working, h.latency
 }
 
+// Expected returns the requests in progress and the first ones of new flows, which
+// arrive within a round trip.
+func (h *Holder) Expected() int {
+	return h.working + h.awaited
+}
+
 // Failing returns the share of the newest requests that the host has failed, 0
 // to 1.
 func (h *Holder) Failing(now time.Time) float64 {
@@ -283,18 +294,19 @@
 	if record.state == stateAsked {
 		record.state = stateHalfOpen
 		h.open++
+		h.await(record)
 	}
 	if record.origin == (anvilglade.IPv4{}) {
 		return
 	}
 	verdict.OwnerTo = record.origin
-	verdict.Owner = agmessage.Owner{Flow: flow, Sequence: packet.Sequence, Flows: clamp(h.open), Working: clamp(h.working)}
+	verdict.Owner = agmessage.Owner{Flow: flow, Sequence: packet.Sequence, Flows: clamp(h.open), Working: clamp(h.Expected())}
 }
 
 func (h *Holder) inform(flow anvilglade.Flow, record *flowRecord, verdict *Verdict) {
 	record.informed = true
 	verdict.OwnerTo = record.origin
-	verdict.Owner = agmessage.Owner{Flow: flow, Established: true, Flows: clamp(h.open), Working: clamp(h.working)}
+	verdict.Owner = agmessage.Owner{Flow: flow, Established: true, Flows: clamp(h.open), Working: clamp(h.Expected())}
 }
 
 // returned decides on a packet that the host does not take.
@@ -362,6 +374,9 @@
 // Expire forgets flows that have ended or been idle for too long.
 func (h *Holder) Expire(now time.Time) {
 	for flow, record := range h.flows {
+		if now.Sub(record.used) > awaitTime {
+			h.arrived(record)
+		}
 		if now.Sub(record.used) > h.lifetime(record) {
 			h.drop(flow, record)
 		}
--- a/internal/flow/agholder/record.go
+++ b/internal/flow/agholder/record.go
@@ -17,6 +17,8 @@
 	searched bool
 	// informed is set once origin knows that the flow is held here.
 	informed bool
+	// awaited is set while the first request of a new flow is on its way.
+	awaited bool
 	// waitingSince is the time of the caller's data that the host has not
 	// answered; zero if none waits.
 	waitingSince         time.Time
@@ -76,6 +78,7 @@
 		h.outcomes.note(true, now)
 	}
 	if packet.DataLength > 0 && record.waitingSince.IsZero() {
+		h.arrived(record)
 		record.waitingSince = now
 		h.working++
 	}
@@ -108,7 +111,22 @@
 	}
 }
 
+// await counts the first request of a flow that the host has just accepted.
+func (h *Holder) await(record *flowRecord) {
+	record.awaited = true
+	h.awaited++
+}
+
+// arrived ends the wait for the first request.
+func (h *Holder) arrived(record *flowRecord) {
+	if record.awaited {
+		record.awaited = false
+		h.awaited--
+	}
+}
+
 func (h *Holder) setIdle(record *flowRecord) {
+	h.arrived(record)
 	if !record.waitingSince.IsZero() {
 		record.waitingSince = time.Time{}
 		h.working--
--- a/internal/flow/agholder/script_test.go
+++ b/internal/flow/agholder/script_test.go
@@ -85,6 +85,8 @@
 	case "Load":
 		flows, working, latency := p.holder.Load()
 		return fmt.Sprintf("%d %d %s", flows, working, latency)
+	case "Expected":
+		return fmt.Sprint(p.holder.Expected())
 	case "Failing":
 		return fmt.Sprintf("%.2f", p.holder.Failing(p.now))
 	case "Unanswered":
--- a/internal/operate/agpacketagent/status.go
+++ b/internal/operate/agpacketagent/status.go
@@ -111,7 +111,7 @@
 // status returns the status of this agent. The caller holds the mutex.
 func (p *Process) status(now time.Time) anvilglade.AgentStatus {
 	p.sequence++
-	flows, working, latency := p.holder.Load()
+	flows, _, latency := p.holder.Load()
 	status := anvilglade.AgentStatus{
 		Agent:       p.settings.IP,
 		Incarnation: p.incarnation,
@@ -123,7 +123,7 @@
 		Accepts:     p.gate.Standing(now) == agopen.RefusalNone && !p.leaving.Load(),
 		Cold:        p.gate.Cold(now),
 		Flows:       flows,
-		Working:     working,
+		Working:     p.holder.Expected(),
 		Latency:     latency,
 		Failing:     float32(p.holder.Failing(now)),
 	}
--- a/internal/operate/agpacketbalancer/state.go
+++ b/internal/operate/agpacketbalancer/state.go
@@ -20,6 +20,9 @@
 	// failed. The end of an outage is noticed within maxBackoff.
 	minBackoff = 150 * time.Millisecond
 	maxBackoff = 1500 * time.Millisecond
+	// gatherTime is the pause after a read that succeeded. Changes that come in
+	// quick succession are read together, as each read costs a call of the store.
+	gatherTime = 150 * time.Millisecond
 	// peerInterval is the time between two looks for a peer with a newer state.
 	peerInterval = 200 * time.Millisecond
 	// fetchTimeout bounds the transfer of a state.
@@ -97,6 +100,9 @@
 				p.log.WithField("What", what).Info("Store answers again.")
 			}
 			reachable, backoff = true, minBackoff
+			if err := agtask.Sleep(ctx, gatherTime); err != nil {
+				return err
+			}
 			continue
 		}
 		if reachable {
--- a/internal/routing/agdispatch/dispatch.go
+++ b/internal/routing/agdispatch/dispatch.go
@@ -293,7 +293,7 @@
 			Agent:   host.Agent,
 			Slots:   host.Slots,
 			Flows:   host.Flows + host.Placed,
-			Working: host.Working,
+			Working: host.Working + host.Placed,
 			Latency: host.Latency,
 			Failing: float64(host.Failing),
 			Local:   d.fleet.Local(host.DataCentre),
