Label metrics by service and data centre, and bound every log

Change: labels service and data_centre; peer_age_seconds for each peer; the time from an opening packet to the host's answer at balancers; counters of unreadable objects and heartbeats; the writer takes at most 199 lines a second and counts the rest. The integration test reads the logs of all processes of its runs: valid JSON, a subject, at most 200 lines a second. Ruled out: a label for each host, which grows with the fleet.

--- a/internal/membership/agroster/roster.go
+++ b/internal/membership/agroster/roster.go
@@ -129,6 +129,18 @@
 	return list
 }
 
+// Ages returns the time since each balancer that has answered was heard, by its
+// address.
+func (r *Roster) Ages(now time.Time) map[string]time.Duration {
+	ages := make(map[string]time.Duration, len(r.balancers))
+	for address, entry := range r.balancers {
+		if entry.answered {
+			ages[address.String()] = now.Sub(entry.heard)
+		}
+	}
+	return ages
+}
+
 func (r *Roster) entry(address anvilglade.IPv4) *balancer {
 	entry, known := r.balancers[address]
 	if !known {
--- a/internal/observe/aglog/writer_test.go
+++ b/internal/observe/aglog/writer_test.go
@@ -61,7 +61,7 @@
 // Guards against lines that are lost without a trace.
 func TestWriterTellsOfDroppedLines(t *testing.T) {
 	var out bytes.Buffer
-	writer := aglog.NewAsyncWriter(&out)
+	writer := aglog.NewAsyncWriterWithClock(&out, ticking(10*time.Millisecond))
 	for range 1500 {
 		if _, err := writer.Write([]byte("{}\n")); err != nil {
 			t.Fatal(err)
@@ -76,3 +76,30 @@
 		t.Errorf("%d lines: %s", bytes.Count(out.Bytes(), []byte("\n")), out.Bytes()[:200])
 	}
 }
+
+// ticking returns a clock that goes on by a step with each reading.
+func ticking(step time.Duration) func() time.Time {
+	now := time.Unix(1_000_000, 0)
+	return func() time.Time {
+		now = now.Add(step)
+		return now
+	}
+}
+
+// Guards against a log that grows with a trouble whose lines have no budget of
+// their own, such as unreadable objects in the store.
+func TestWriterBoundsLinesOfASecond(t *testing.T) {
+	var out bytes.Buffer
+	writer := aglog.NewAsyncWriterWithClock(&out, ticking(time.Millisecond))
+	for range 3000 {
+		if _, err := writer.Write([]byte("{}\n")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	writer.Flush()
+	lines, dropped := bytes.Count(out.Bytes(), []byte("{}\n")), bytes.Count(out.Bytes(), []byte("Dropped"))
+	// 3,000 lines in steps of 1 ms lie in four seconds by the clock.
+	if lines+dropped > 4*200 || lines == 0 || dropped == 0 {
+		t.Errorf("%d lines and %d counts of dropped ones", lines, dropped)
+	}
+}
--- a/internal/observe/agmetric/metric.go
+++ b/internal/observe/agmetric/metric.go
@@ -7,17 +7,20 @@
 //
 // # Usage
 //
-//	metrics := agmetric.NewMetrics("packet-balancer")
-//	metrics.Decisions.WithLabelValues("Forward", "Held").Inc()
+//	metrics := agmetric.NewMetrics("packet-balancer", "dk1")
+//	metrics.Decisions.WithLabelValues("alerts", "Forward", "Held").Inc()
 //	metrics.Gauge("desired_age_seconds", "Age of the desired state.", age)
 //	mux.Handle(agmetric.Path, metrics.Handler())
 package agmetric
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/anvilglade/anvilglade"
 )
 
 // Path is the path of the metrics, Port the TCP port on which every process of
@@ -36,8 +39,9 @@
 // Metrics are the metrics of one process.
 type Metrics struct {
 	registry *prometheus.Registry
-	role     string
-	// Decisions counts decisions on packets by action and reason.
+	// labels are those of every metric: the role and the data centre.
+	labels prometheus.Labels
+	// Decisions counts decisions on packets by service, action and reason.
 	Decisions *prometheus.CounterVec
 	// Malformed counts datagrams that could not be decoded, by kind.
 	Malformed *prometheus.CounterVec
@@ -48,16 +52,16 @@
 	Latency *prometheus.HistogramVec
 }
 
-// NewMetrics returns the metrics of a process in a role.
-func NewMetrics(role string) *Metrics {
-	labels := prometheus.Labels{"role": role}
+// NewMetrics returns the metrics of a process in a role and a data centre.
+func NewMetrics(role string, dataCentre anvilglade.DataCentreID) *Metrics {
+	labels := prometheus.Labels{"role": role, "data_centre": string(dataCentre)}
 	counter := func(name, help string, names ...string) *prometheus.CounterVec {
 		return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help, ConstLabels: labels}, names)
 	}
 	m := &Metrics{
 		registry:   prometheus.NewRegistry(),
-		role:       role,
-		Decisions:  counter("decisions_total", "Decisions on packets.", "action", "reason"),
+		labels:     labels,
+		Decisions:  counter("decisions_total", "Decisions on packets.", "service", "action", "reason"),
 		Malformed:  counter("malformed_total", "Datagrams that could not be decoded.", "kind"),
 		StoreCalls: counter("store_calls_total", "Calls to the platform's store by outcome.", "what", "outcome"),
 		Latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
@@ -71,10 +75,44 @@
 // Gauge adds a gauge that read is asked for.
 func (m *Metrics) Gauge(name, help string, read func() float64) {
 	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-		Namespace: namespace, Name: name, Help: help, ConstLabels: prometheus.Labels{"role": m.role},
+		Namespace: namespace, Name: name, Help: help, ConstLabels: m.labels,
+	}, read))
+}
+
+// Counter adds a counter that read is asked for.
+func (m *Metrics) Counter(name, help string, read func() float64) {
+	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Namespace: namespace, Name: name, Help: help, ConstLabels: m.labels,
 	}, read))
 }
 
+// Ages adds a gauge in seconds for each peer that read returns. Their number is
+// bounded by the fleet.
+func (m *Metrics) Ages(name, help string, read func() map[string]time.Duration) {
+	m.registry.MustRegister(&ageCollector{
+		description: prometheus.NewDesc(prometheus.BuildFQName(namespace, "", name), help, []string{"peer"}, m.labels),
+		read:        read,
+	})
+}
+
+// ageCollector reads the ages of all peers when they are asked for.
+type ageCollector struct {
+	description *prometheus.Desc
+	read        func() map[string]time.Duration
+}
+
+// Describe implements prometheus.Collector.
+func (c *ageCollector) Describe(descriptions chan<- *prometheus.Desc) {
+	descriptions <- c.description
+}
+
+// Collect implements prometheus.Collector.
+func (c *ageCollector) Collect(metrics chan<- prometheus.Metric) {
+	for peer, age := range c.read() {
+		metrics <- prometheus.MustNewConstMetric(c.description, prometheus.GaugeValue, age.Seconds(), peer)
+	}
+}
+
 // Handler returns the HTTP handler of the metrics.
 func (m *Metrics) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
--- a/internal/operate/agcommand/packet_agent.go
+++ b/internal/operate/agcommand/packet_agent.go
@@ -39,6 +39,7 @@
 		HeartbeatHandler: agplatform.NewHeartbeatHandler,
 		ReadyHandler:     agplatform.NewReadyHandler,
 		Reload:           v.reload,
+		Unreadable:       store.Unreadable,
 		LogWriter:        v.log.Run,
 	})
 	if err != nil {
--- a/internal/operate/agcommand/packet_balancer.go
+++ b/internal/operate/agcommand/packet_balancer.go
@@ -40,6 +40,7 @@
 		Store:        store,
 		ReadyHandler: agplatform.NewReadyHandler,
 		Reload:       v.reload,
+		Unreadable:   store.Unreadable,
 		LogWriter:    v.log.Run,
 	})
 	if err != nil {
--- a/internal/operate/agpacketagent/host.go
+++ b/internal/operate/agpacketagent/host.go
@@ -67,8 +67,9 @@
 	}
 }
 
-// BadHeartbeat logs a heartbeat that cannot be read.
+// BadHeartbeat counts and logs a heartbeat that cannot be read.
 func (p *Process) BadHeartbeat(err error) {
+	p.metrics.Malformed.WithLabelValues("Heartbeat").Inc()
 	p.log.WithError(err).Warn("Heartbeat cannot be read and is ignored.")
 }
 
--- a/internal/operate/agpacketagent/metrics.go
+++ b/internal/operate/agpacketagent/metrics.go
@@ -43,6 +43,14 @@
 	p.metrics.Gauge("evacuations_revision", "Revision of the evacuations that are known.", locked(func(time.Time) float64 {
 		return float64(p.evacuations.Revision)
 	}))
+	p.metrics.Ages("peer_age_seconds", "Time since each balancer was heard.", func() map[string]time.Duration {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return p.roster.Ages(time.Now())
+	})
+	p.metrics.Counter("unreadable_objects_total", "Objects in the store that could not be read.", func() float64 {
+		return float64(p.parts.Unreadable())
+	})
 	p.holder.OnAnswer = func(latency time.Duration) {
 		p.metrics.Latency.WithLabelValues(string(p.settings.Service)).Observe(latency.Seconds())
 	}
--- a/internal/operate/agpacketagent/packets.go
+++ b/internal/operate/agpacketagent/packets.go
@@ -169,7 +169,7 @@
 		p.reset(out.packets, verdict.Flow, packet.Acknowledged)
 	}
 	if verdict.Cause != "" {
-		p.metrics.Decisions.WithLabelValues(string(decisionKinds[verdict.Action]), verdict.Cause).Inc()
+		p.metrics.Decisions.WithLabelValues(string(p.settings.Service), string(decisionKinds[verdict.Action]), verdict.Cause).Inc()
 		p.logVerdict(packet, verdict)
 	}
 	if verdict.OwnerTo != (anvilglade.IPv4{}) {
--- a/internal/operate/agpacketagent/process.go
+++ b/internal/operate/agpacketagent/process.go
@@ -56,6 +56,9 @@
 	ReadyHandler func(ready func() bool) http.Handler
 	// Reload reads the settings again.
 	Reload func() (anvilglade.PlatformSettings, error)
+	// Unreadable returns the number of objects in the store that could not be
+	// read.
+	Unreadable func() uint64
 	// LogWriter passes log lines on while the process runs.
 	LogWriter func(context.Context) error
 }
@@ -115,7 +118,7 @@
 		standing:  agopen.RefusalNoHeartbeat,
 		roster:    agroster.NewRoster(),
 		decisions: agdecision.NewLog(aglog.New("packet-agent")),
-		metrics:   agmetric.NewMetrics("packet-agent"),
+		metrics:   agmetric.NewMetrics("packet-agent", settings.DataCentre),
 	}
 	p.roster.LearnSeeds(settings.Seeds)
 	p.addMetrics()
--- a/internal/operate/agpacketbalancer/metrics.go
+++ b/internal/operate/agpacketbalancer/metrics.go
@@ -18,10 +18,10 @@
 
 // count counts a decision. The caller holds the mutex.
 func (p *Process) count(verdict *agdispatch.Verdict) {
-	key := decision{action: verdict.Action, reason: verdict.Reason}
+	key := decision{service: verdict.Service, action: verdict.Action, reason: verdict.Reason}
 	counter, ok := p.counters[key]
 	if !ok {
-		counter = p.metrics.Decisions.WithLabelValues(actionNames[key.action], string(key.reason))
+		counter = p.metrics.Decisions.WithLabelValues(string(p.fleet.ServiceOf(key.service)), actionNames[key.action], string(key.reason))
 		p.counters[key] = counter
 	}
 	counter.Inc()
@@ -54,9 +54,14 @@
 		heard, _ := p.fleet.HeardHosts(now)
 		return float64(heard)
 	}))
-	p.metrics.Gauge("peer_age_seconds", "Time since the balancer that was heard longest ago was heard.", locked(func(now time.Time) float64 {
-		return p.fleet.OldestPeer(now).Seconds()
-	}))
+	p.metrics.Ages("peer_age_seconds", "Time since each other balancer and each agent was heard.", func() map[string]time.Duration {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return p.fleet.Ages(time.Now())
+	})
+	p.metrics.Counter("unreadable_objects_total", "Objects in the store that could not be read.", func() float64 {
+		return float64(p.parts.Unreadable())
+	})
 	p.metrics.Gauge("flows", "Flows that are remembered.", locked(func(time.Time) float64 { return float64(p.dispatcher.Flows()) }))
 	p.metrics.Gauge("ready", "1 while callers' packets may come here.", func() float64 {
 		if p.Ready() {
--- a/internal/operate/agpacketbalancer/packets.go
+++ b/internal/operate/agpacketbalancer/packets.go
@@ -120,7 +120,9 @@
 			p.metrics.Malformed.WithLabelValues("Owner").Inc()
 			return
 		}
-		p.dispatcher.Owner(from, owner.Flow, owner.Established, owner.Sequence, now)
+		if opening := p.dispatcher.Owner(from, owner.Flow, owner.Established, owner.Sequence, now); opening > 0 {
+			p.noteOpening(from, opening)
+		}
 		p.fleet.HearLoad(from, int(owner.Flows), int(owner.Working))
 		p.sendHeld(writer, owner.Flow)
 	case agmessage.KindFound:
@@ -154,6 +156,13 @@
 	}
 }
 
+// noteOpening measures the time from an opening packet to the host's answer.
+func (p *Process) noteOpening(agent anvilglade.IPv4, took time.Duration) {
+	if host, known := p.fleet.Host(agent); known {
+		p.metrics.Latency.WithLabelValues(string(host.Service)).Observe(took.Seconds())
+	}
+}
+
 // sendHeld sends the packets that were kept while a flow's holder was searched.
 func (p *Process) sendHeld(writer *agsocket.Writer, flow anvilglade.Flow) {
 	var verdict agdispatch.Verdict
--- a/internal/operate/agpacketbalancer/process.go
+++ b/internal/operate/agpacketbalancer/process.go
@@ -64,6 +64,9 @@
 	ReadyHandler func(ready func() bool) http.Handler
 	// Reload reads the settings again.
 	Reload func() (anvilglade.PlatformSettings, error)
+	// Unreadable returns the number of objects in the store that could not be
+	// read.
+	Unreadable func() uint64
 	// LogWriter passes log lines on while the process runs.
 	LogWriter func(context.Context) error
 }
@@ -102,8 +105,9 @@
 
 // decision is what a balancer does with a packet and why.
 type decision struct {
-	action agdispatch.Action
-	reason agdispatch.Reason
+	service anvilglade.ServiceNumber
+	action  agdispatch.Action
+	reason  agdispatch.Reason
 }
 
 // NewProcess opens the sockets. The returned function closes them.
@@ -132,7 +136,7 @@
 		http:        &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
 		fleet:       fleet,
 		decisions:   agdecision.NewLog(aglog.New("packet-balancer")),
-		metrics:     agmetric.NewMetrics("packet-balancer"),
+		metrics:     agmetric.NewMetrics("packet-balancer", settings.DataCentre),
 		counters:    make(map[decision]prometheus.Counter),
 		answered:    make(map[anvilglade.IPv4]answered),
 		dispatcher:  agdispatch.NewDispatcher(fleet, rand.New(rand.NewPCG(seed, seed)), now),
--- a/internal/routing/agdispatch/dispatch.go
+++ b/internal/routing/agdispatch/dispatch.go
@@ -240,6 +240,7 @@
 		return
 	}
 	service := serviceOf(route, flow)
+	verdict.Service = service.Number()
 	if entry == nil || entry.service != service.Number() {
 		entry = d.remember(flow, service.Number(), now)
 	}
@@ -253,7 +254,7 @@
 		d.noHost(now, verdict)
 		return
 	}
-	verdict.Action, verdict.Reason, verdict.Service = ActionForward, ReasonPlaced, service.Number()
+	verdict.Action, verdict.Reason = ActionForward, ReasonPlaced
 	verdict.To = append(verdict.To, d.ranked[0])
 	verdict.Candidates = append(verdict.Candidates, d.ranked[1:min(len(d.ranked), 1+alternatives)]...)
 	entry.tried(d.ranked[0])
@@ -315,11 +316,12 @@
 	return !d.fleet.Evacuations().Has(host.DataCentre) && d.fleet.SameRegion(host.DataCentre, route.Regions)
 }
 
-// Owner takes the news that an agent's host holds a flow or offers to.
-func (d *Dispatcher) Owner(agent anvilglade.IPv4, flow anvilglade.Flow, established bool, sequence uint32, now time.Time) {
+// Owner takes the news that an agent's host holds a flow or offers to. It returns
+// the time since the opening packet for the first offer, and 0 otherwise.
+func (d *Dispatcher) Owner(agent anvilglade.IPv4, flow anvilglade.Flow, established bool, sequence uint32, now time.Time) time.Duration {
 	host, ok := d.fleet.Host(agent)
 	if !ok {
-		return
+		return 0
 	}
 	entry := d.flows[flow]
 	if entry == nil {
@@ -329,9 +331,14 @@
 	if established {
 		d.fleet.HearFlow(agent)
 		d.establish(flow, entry, host)
-		return
+		return 0
 	}
+	first := len(entry.offers) == 0 && len(entry.attempts) > 0
 	entry.offer(agent, sequence)
+	if !first {
+		return 0
+	}
+	return now.Sub(entry.begun)
 }
 
 // Returned decides on a packet that came back from the agent that was believed
@@ -356,6 +363,7 @@
 		return
 	}
 	if entry := d.flows[flow]; entry != nil {
+		verdict.Service = entry.service
 		d.forget(flow, entry)
 	}
 	verdict.Action, verdict.Reason = ActionReset, ReasonAllRefused
@@ -384,7 +392,7 @@
 	if former := d.flows[flow]; former != nil {
 		d.forget(flow, former)
 	}
-	entry := &flowEntry{service: service, used: now}
+	entry := &flowEntry{service: service, begun: now, used: now}
 	d.flows[flow] = entry
 	return entry
 }
--- a/internal/routing/agdispatch/flow.go
+++ b/internal/routing/agdispatch/flow.go
@@ -11,7 +11,10 @@
 // flowEntry is what a balancer remembers of a flow.
 type flowEntry struct {
 	service anvilglade.ServiceNumber
-	used    time.Time
+	// begun is the time at which the balancer first saw the flow, used that of
+	// its newest packet.
+	begun time.Time
+	used  time.Time
 	// holder is the agent whose host holds the flow if established is set, and
 	// otherwise the one that the newest opening packet went to.
 	holder      anvilglade.IPv4
--- a/internal/state/agfleet/fleet.go
+++ b/internal/state/agfleet/fleet.go
@@ -354,16 +354,35 @@
 	return list
 }
 
-// OldestPeer returns the time since the balancer that was heard longest ago was
-// heard, 0 if there is no other one.
-func (f *Fleet) OldestPeer(now time.Time) time.Duration {
-	var oldest time.Duration
-	for _, balancer := range f.balancers {
+// Ages returns the time since each other balancer and each agent was heard, by
+// its address.
+func (f *Fleet) Ages(now time.Time) map[string]time.Duration {
+	ages := make(map[string]time.Duration, len(f.balancers)+len(f.hosts))
+	for address, balancer := range f.balancers {
 		if balancer.Known && !balancer.Leaving {
-			oldest = max(oldest, now.Sub(balancer.Heard))
+			ages[address.String()] = now.Sub(balancer.Heard)
+		}
+	}
+	for address, host := range f.hosts {
+		ages[address.String()] = now.Sub(host.Heard)
+	}
+	return ages
+}
+
+// ServiceOf returns the service of a number, empty if neither a host nor the
+// desired state names it.
+func (f *Fleet) ServiceOf(number anvilglade.ServiceNumber) anvilglade.ServiceID {
+	for _, host := range f.hosts {
+		if host.Number == number {
+			return host.Service
+		}
+	}
+	for _, service := range f.desired.Services {
+		if service.Service.Number() == number {
+			return service.Service
 		}
 	}
-	return oldest
+	return ""
 }
 
 // LivingBalancers returns the addresses of balancers that were heard recently,
--- a/test/integration/packets_test.go
+++ b/test/integration/packets_test.go
@@ -49,6 +49,7 @@
 		Expect(report.WriteTable(GinkgoWriter)).To(Succeed())
 		Expect(report.Notes).To(BeEmpty())
 		Expect(report.BrokenPromises()).To(BeZero())
+		checkLogs(dir)
 		return report
 	}
 
