Pass new flows on from busy hosts to the next candidate

Cause: balancers place by loads that are milliseconds old, and after an outage 17 of them send hundreds of flows in that time: the host that looked idle to all gets them. Change: an agent whose host has two requests for each slot passes an opening packet to the next candidate; the last one takes it. Refusing needs to know how long a caller has waited already.

--- a/internal/admission/agopen/gate.go
+++ b/internal/admission/agopen/gate.go
@@ -34,6 +34,7 @@
 	RefusalEvacuated   Refusal = "Evacuated"
 	RefusalCold        Refusal = "Cold"
 	RefusalStale       Refusal = "StaleState"
+	RefusalBusy        Refusal = "Busy"
 )
 
 // Heard is what became of a heartbeat.
@@ -66,6 +67,9 @@
 	// coldTail is how long a host is still treated as cold after it says that
 	// it is not, as its heartbeat and the meter are not exact.
 	coldTail = 200 * time.Millisecond
+	// busyFactor is the number of requests for each slot from which on another
+	// host is tried first: a request would wait for as long as its work takes.
+	busyFactor = 2
 	// staleAfter is the age of the newest status of a balancer from which on
 	// the agent no longer knows whether its data centre is evacuated.
 	staleAfter = 3 * time.Second
@@ -215,6 +219,13 @@
 	return RefusalNone
 }
 
+// Busy reports whether another host should be tried first, given the requests
+// that the host has or is about to get. Balancers place by loads that are some
+// milliseconds old; after an outage hundreds of flows come in that time.
+func (g *Gate) Busy(expected int) bool {
+	return g.known && g.heartbeat.Slots > 0 && expected >= busyFactor*int(g.heartbeat.Slots)
+}
+
 // Open asks for one new flow and counts it if it is allowed.
 func (g *Gate) Open(now time.Time) Refusal {
 	if refusal := g.Standing(now); refusal != RefusalNone {
--- a/internal/admission/agopen/gate_test.go
+++ b/internal/admission/agopen/gate_test.go
@@ -44,6 +44,17 @@
 		Expect(gate.Open(at(3100 * time.Millisecond))).To(Equal(agopen.RefusalNoHeartbeat))
 	})
 
+	// Guards against flows that pile up on the host that looked idle to all
+	// balancers while others have free slots.
+	It("sends new flows on while its requests would wait", func() {
+		Expect(gate.Busy(100)).To(BeFalse())
+		heartbeat := beat(1, 1, 0)
+		heartbeat.Sequence, heartbeat.Slots = 2, 4
+		Expect(gate.Heartbeat(heartbeat, at(1))).To(Equal(agopen.HeardNew))
+		Expect(gate.Busy(7)).To(BeFalse())
+		Expect(gate.Busy(8)).To(BeTrue())
+	})
+
 	// Guards against searches for flows that wait for an agent without a host: all
 	// callers of flows that were lost in an outage waited up to 7 s for a reset
 	// (diskglas-net-grown trouble-2).
--- a/internal/operate/agpacketagent/packets.go
+++ b/internal/operate/agpacketagent/packets.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/anvilglade/anvilglade"
+	"github.com/anvilglade/anvilglade/internal/admission/agopen"
 	"github.com/anvilglade/anvilglade/internal/flow/agholder"
 	"github.com/anvilglade/anvilglade/internal/observe/agdecision"
 	"github.com/anvilglade/anvilglade/internal/packet/agmessage"
@@ -110,12 +111,21 @@
 	}
 	refusal := ""
 	if packet.Opens() && forward.Service == p.settings.Service.Number() && !p.holder.Holds(packet.FromCaller()) {
-		refusal = string(p.gate.Open(now))
+		refusal = string(p.refusal(forward, now))
 	}
 	p.holder.FromBalancer(forward, &packet, refusal, p.gate.Ended(), now, verdict)
 	p.carryOut(out, raw, &packet, verdict)
 }
 
+// refusal decides on a new flow. A busy host takes it if there is no other one to
+// try.
+func (p *Process) refusal(forward *agmessage.Forward, now time.Time) agopen.Refusal {
+	if len(forward.Candidates) > 0 && p.gate.Busy(p.holder.Expected()) {
+		return agopen.RefusalBusy
+	}
+	return p.gate.Open(now)
+}
+
 // readOutbound takes the packets that the host sends and returns.
 func (p *Process) readOutbound(ctx context.Context) error {
 	reader := p.outbound.NewReader(batchSize, maxDatagram)
