Bound status messages and the cost of a placement in large fleets

Ruled out: reports to a subset of balancers. A balancer would then lack hosts of small services, and could not tell a lost host from one that reports elsewhere. Change: agpace stretches intervals beyond 20 receivers; a status names its interval, and silence is judged by it (three missing statuses: no new flows, four: lost). Changes are told at once as before. A placement compares 64 hosts at most, from a random one on.

--- a/fleet.go
+++ b/fleet.go
@@ -106,6 +106,9 @@
 	// Failing is the share of the newest requests that the host has failed, 0
 	// to 1.
 	Failing float32 `cbor:"17,keyasint,omitempty"`
+	// Interval is the time until the next status at the latest; 0 stands for
+	// that of a small fleet.
+	Interval time.Duration `cbor:"18,keyasint,omitempty"`
 	// Balancers are the balancers that the agent knows.
 	Balancers []IPv4 `cbor:"16,keyasint,omitempty"`
 }
--- /dev/null
+++ b/internal/membership/agpace/pace_test.go
@@ -0,0 +1,25 @@
+package agpace_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/anvilglade/anvilglade/internal/membership/agpace"
+)
+
+// Guards against messages of a process that grow with the fleet: from 30 to 300
+// VMs a balancer's bytes grew 8.8 times (docs/CAPACITY.md).
+func TestMessagesAreBounded(t *testing.T) {
+	const base = 250 * time.Millisecond
+	most := 0.0
+	for receivers := 1; receivers <= 1000; receivers++ {
+		interval := agpace.Interval(base, receivers)
+		if interval < base {
+			t.Fatalf("%d receivers: %s", receivers, interval)
+		}
+		most = max(most, float64(receivers)/interval.Seconds())
+	}
+	if most > 81 {
+		t.Errorf("%.0f messages a second", most)
+	}
+}
--- a/internal/operate/agpacketagent/status.go
+++ b/internal/operate/agpacketagent/status.go
@@ -9,6 +9,7 @@
 
 	"github.com/anvilglade/anvilglade"
 	"github.com/anvilglade/anvilglade/internal/admission/agopen"
+	"github.com/anvilglade/anvilglade/internal/membership/agpace"
 	"github.com/anvilglade/anvilglade/internal/membership/agregistry"
 	"github.com/anvilglade/anvilglade/internal/packet/agmessage"
 	"github.com/anvilglade/anvilglade/internal/runtime/agtask"
@@ -75,8 +76,7 @@
 		case <-p.wake:
 		case <-timer.C:
 		}
-		p.broadcast()
-		interval := statusInterval
+		interval := agpace.Interval(statusInterval, p.broadcast())
 		if !p.heardAny(time.Now()) {
 			interval = startInterval
 		}
@@ -90,22 +90,25 @@
 	return len(p.roster.Answering(now)) > 0
 }
 
-// broadcast sends the status to all balancers that are known.
-func (p *Process) broadcast() {
+// broadcast sends the status to all balancers that are known and returns their
+// number.
+func (p *Process) broadcast() int {
 	now := time.Now()
 	p.mu.Lock()
-	status := p.status(now)
 	addresses := p.roster.Receivers(now)
+	status := p.status(now)
+	status.Interval = agpace.Interval(statusInterval, len(addresses))
 	p.mu.Unlock()
 	datagram, err := agmessage.AppendAgentStatus(nil, &status)
 	if err != nil {
 		p.log.WithError(err).Warn("Status cannot be encoded.")
-		return
+		return len(addresses)
 	}
 	for _, address := range addresses {
 		// A balancer that cannot be reached gets the next status.
 		_ = p.packets.WriteTo(datagram, p.innerEndpoint(address).AddrPort())
 	}
+	return len(addresses)
 }
 
 // status returns the status of this agent. The caller holds the mutex.
--- a/internal/operate/agpacketbalancer/status.go
+++ b/internal/operate/agpacketbalancer/status.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/anvilglade/anvilglade"
+	"github.com/anvilglade/anvilglade/internal/membership/agpace"
 	"github.com/anvilglade/anvilglade/internal/packet/agmessage"
 	"github.com/anvilglade/anvilglade/internal/packet/agsocket"
 )
@@ -44,8 +45,13 @@
 func (p *Process) sendStatus(ctx context.Context) error {
 	ticker := time.NewTicker(statusInterval)
 	defer ticker.Stop()
+	var told time.Time
 	for {
-		p.broadcast()
+		if now := time.Now(); now.Sub(told) >= p.peerInterval() {
+			told = now
+			p.broadcast()
+		}
+		p.introduce()
 		p.sweep()
 		select {
 		case <-ctx.Done():
@@ -55,6 +61,14 @@
 	}
 }
 
+// peerInterval returns the time between two statuses to each other balancer.
+func (p *Process) peerInterval() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	// A tick may come a little early.
+	return agpace.Interval(statusInterval, len(p.fleet.Balancers())) - statusInterval/2
+}
+
 // sweep resets the flows whose host has ended.
 func (p *Process) sweep() {
 	now := time.Now()
@@ -115,7 +129,6 @@
 	for _, peer := range peers {
 		addresses = append(addresses, peer.Balancer)
 	}
-	told := p.fleet.Told()
 	p.mu.Unlock()
 	datagram, err := agmessage.AppendBalancerStatus(nil, &status)
 	if err != nil {
@@ -126,8 +139,27 @@
 		// A peer that cannot be reached gets the next status.
 		_ = p.inner.WriteTo(datagram, p.endpointOf(address, p.settings.InnerPort).AddrPort())
 	}
+}
+
+// introduce sends the status to agents that others have named. An agent that
+// does not know this balancer tells its own status then.
+func (p *Process) introduce() {
+	p.mu.Lock()
+	told := p.fleet.Told()
+	if len(told) == 0 {
+		p.mu.Unlock()
+		return
+	}
+	status := p.status(time.Now())
+	p.mu.Unlock()
+	withoutLists(&status)
+	datagram, err := agmessage.AppendBalancerStatus(nil, &status)
+	if err != nil {
+		p.logFailure(err, "Status cannot be encoded.")
+		return
+	}
 	for _, agent := range told {
-		// An agent that does not know this balancer tells its own status then.
+		// An agent that cannot be reached gets the next status.
 		_ = p.packets.WriteTo(datagram, p.endpointOf(agent, p.settings.PacketPort).AddrPort())
 	}
 }
@@ -180,7 +212,7 @@
 	before := p.answered[agent.Agent]
 	told.at, told.listedAt = before.at, before.listedAt
 	changed := told != before
-	if !changed && now.Sub(before.at) < answerInterval {
+	if !changed && now.Sub(before.at) < agpace.Interval(answerInterval, living) {
 		return
 	}
 	status := p.status(now)
--- a/internal/routing/agdispatch/dispatch.go
+++ b/internal/routing/agdispatch/dispatch.go
@@ -68,6 +68,9 @@
 	// alternatives is the number of hosts that an opening packet may be passed
 	// on to.
 	alternatives = 4
+	// maxOptions bounds the hosts that are compared for a new flow. Among so many
+	// there is one with little work, and the cost does not grow with a service.
+	maxOptions = 64
 	// settleTime is the time after the start in which a balancer may not have
 	// heard of every host yet; it refuses no flow for lack of hosts before.
 	settleTime = 2 * time.Second
@@ -280,12 +283,21 @@
 // rank fills d.ranked with the agents that may take a new flow, those that
 // have been tried for it last.
 func (d *Dispatcher) rank(route *anvilglade.PacketRoute, service anvilglade.ServiceID, entry *flowEntry, now time.Time) {
-	d.options = d.options[:0]
+	d.options, d.ranked = d.options[:0], d.ranked[:0]
 	tried := 0
-	for _, host := range d.fleet.Hosts(service) {
+	hosts := d.fleet.Hosts(service)
+	if len(hosts) == 0 {
+		return
+	}
+	first := d.random.IntN(len(hosts))
+	for i := range hosts {
+		host := hosts[(first+i)%len(hosts)]
 		if !d.usable(host, route, now) {
 			continue
 		}
+		if len(d.options) == maxOptions {
+			break
+		}
 		if entry.wasTried(host.Agent) {
 			tried++
 			continue
@@ -310,7 +322,7 @@
 }
 
 func (d *Dispatcher) usable(host *agfleet.Host, route *anvilglade.PacketRoute, now time.Time) bool {
-	if !host.Accepts || now.Sub(host.Heard) > agfleet.SilentAfter {
+	if !host.Accepts || now.Sub(host.Heard) > host.SilentAfter() {
 		return false
 	}
 	return !d.fleet.Evacuations().Has(host.DataCentre) && d.fleet.SameRegion(host.DataCentre, route.Regions)
--- a/internal/routing/agdispatch/script_test.go
+++ b/internal/routing/agdispatch/script_test.go
@@ -198,7 +198,8 @@
 	p.fleet.HearAgent(anvilglade.AgentStatus{
 		Agent: ipOf(args[0]), Incarnation: 1, Sequence: p.sequence, Service: anvilglade.ServiceID(args[1]),
 		DataCentre: anvilglade.DataCentreID(args[2]), Slots: 4, Born: int64(option(args, "Born")),
-		Flows: int(option(args, "Flows")), Ended: slices.Contains(args, "Ended"), Accepts: !slices.Contains(args, "Refuses") && !slices.Contains(args, "Ended"),
+		Interval: time.Duration(option(args, "Interval")) * time.Millisecond,
+		Flows:    int(option(args, "Flows")), Ended: slices.Contains(args, "Ended"), Accepts: !slices.Contains(args, "Refuses") && !slices.Contains(args, "Ended"),
 	}, p.now)
 }
 
--- a/internal/state/agfleet/fleet.go
+++ b/internal/state/agfleet/fleet.go
@@ -26,12 +26,15 @@
 
 // Times after which a silent process changes its standing.
 const (
-	// SilentAfter is the silence after which a host gets no new flows. Three
-	// statuses in a row are then missing.
-	SilentAfter = 800 * time.Millisecond
-	// LostAfter is the silence after which a host counts as lost together with
-	// its flows. An agent that is restarted is back before.
-	LostAfter = 2 * time.Second
+	// SilentAfter is the least silence after which a host gets no new flows,
+	// missedStatuses the number of statuses that are missing then.
+	SilentAfter    = 800 * time.Millisecond
+	missedStatuses = 3
+	// LostAfter is the least silence after which a host counts as lost together
+	// with its flows, lostStatuses the number of statuses that are missing then.
+	// An agent that is restarted is back before.
+	LostAfter    = 2 * time.Second
+	lostStatuses = 4
 	// ForgetAfter is the silence after which a host or balancer is forgotten.
 	// A partition that heals within it costs no rediscovery.
 	ForgetAfter = 90 * time.Second
@@ -73,18 +76,30 @@
 	endedAt time.Time
 }
 
+// SilentAfter returns the silence after which the host gets no new flows: three
+// statuses in a row are then missing.
+func (h *Host) SilentAfter() time.Duration {
+	return max(SilentAfter, missedStatuses*h.Interval)
+}
+
+// LostAfter returns the silence after which the host counts as lost together with
+// its flows.
+func (h *Host) LostAfter() time.Duration {
+	return max(LostAfter, lostStatuses*h.Interval)
+}
+
 // MayHold reports whether the host may be running and hold flows.
 func (h *Host) MayHold(now time.Time) bool {
 	if h.Ended && now.Sub(h.endedAt) >= endedMargin {
 		return false
 	}
-	return now.Sub(h.Heard) < LostAfter
+	return now.Sub(h.Heard) < h.LostAfter()
 }
 
 // Lost reports whether the host has been silent for so long that it counts as
 // lost with its machine.
 func (h *Host) Lost(now time.Time) bool {
-	return now.Sub(h.Heard) >= LostAfter
+	return now.Sub(h.Heard) >= h.LostAfter()
 }
 
 // Balancer is another balancer.
@@ -218,7 +233,7 @@
 func (f *Fleet) Changes(now time.Time) []*Host {
 	var changed []*Host
 	for _, host := range f.hosts {
-		if silent := now.Sub(host.Heard) > SilentAfter; silent != host.Silent {
+		if silent := now.Sub(host.Heard) > host.SilentAfter(); silent != host.Silent {
 			host.Silent = silent
 			changed = append(changed, host)
 		}
@@ -235,7 +250,7 @@
 			continue
 		}
 		running++
-		if now.Sub(host.Heard) < SilentAfter {
+		if now.Sub(host.Heard) < host.SilentAfter() {
 			heard++
 		}
 	}
@@ -438,7 +453,7 @@
 // the number that is known.
 func (f *Fleet) HeardHosts(now time.Time) (heard, known int) {
 	for _, host := range f.hosts {
-		if now.Sub(host.Heard) < SilentAfter {
+		if now.Sub(host.Heard) < host.SilentAfter() {
 			heard++
 		}
 	}
