Break connections to the store in the soak

Change: processes reach the store through a loopback proxy with these faults for a share of the connections; a quarter as many of them as of the other troubles are drawn after those, so that a seed draws the same others as before.

--- a/internal/stand/agemulator/fleet.go
+++ b/internal/stand/agemulator/fleet.go
@@ -32,6 +32,7 @@
 	portOutbound
 	portHost
 	portStore
+	portProxy
 	portCount
 )
 
@@ -74,6 +75,7 @@
 	ledger   *Ledger
 	router   *Router
 	store    *agapi.Server
+	proxy    *proxy
 	client   *http.Client
 	base     uint16
 	random   *rand.Rand
@@ -119,7 +121,7 @@
 		Regions:    make(map[anvilglade.DataCentreID]anvilglade.RegionID),
 		PacketPort: at(portPacket).Port, InnerPort: at(portInner).Port,
 		ReadyAddr: at(portReady).String(), ControlAddr: at(portControl).String(),
-		StoreAddr:         fmt.Sprintf("127.0.0.1:%d", f.base+portStore),
+		StoreAddr:         fmt.Sprintf("127.0.0.1:%d", f.base+portProxy),
 		HeartbeatInterval: heartbeatInterval, MaxFlowAge: maxFlowAge, StopTimeout: stopTimeout, ColdFactor: 1.5, ColdSlack: 5,
 	}
 	for i := range f.scenario.DataCentres {
--- a/internal/stand/agemulator/run.go
+++ b/internal/stand/agemulator/run.go
@@ -89,11 +89,21 @@
 	return closeAll, nil
 }
 
-func (f *fleet) startMachines(ctx context.Context) error {
+// startStore starts the store and the proxy through which processes reach it.
+func (f *fleet) startStore() error {
 	storeAddress := fmt.Sprintf("127.0.0.1:%d", f.base+portStore)
 	if err := f.group.Start("store", func(ctx context.Context) error { return agtask.ServeHTTP(ctx, storeAddress, f.store) }); err != nil {
 		return err
 	}
+	proxy, err := newProxy(f.group, fmt.Sprintf("127.0.0.1:%d", f.base+portProxy), storeAddress, rand.New(rand.NewPCG(f.options.Seed, 3)))
+	f.proxy = proxy
+	return err
+}
+
+func (f *fleet) startMachines(ctx context.Context) error {
+	if err := f.startStore(); err != nil {
+		return err
+	}
 	for _, m := range append(append([]*machine(nil), f.balancers...), f.agents...) {
 		if err := f.launch(m); err != nil {
 			return err
--- a/internal/stand/agemulator/scenario.go
+++ b/internal/stand/agemulator/scenario.go
@@ -121,9 +121,19 @@
 	return errors.Join(faults...)
 }
 
+// connectionShare is the part of the drawn troubles, added to the others, that
+// breaks connections to the store.
+const connectionShare = 0.25
+
 // DrawTroubles returns troubles of all kinds at random times, several at once.
+// Those that break connections come after the others, so that a seed draws the
+// same others as before there were any.
 func DrawTroubles(random *rand.Rand, duration time.Duration, count int) []Trouble {
-	kinds := troubleKinds()
+	list := draw(random, duration, count, troubleKinds(false))
+	return append(list, draw(random, duration, int(connectionShare*float64(count)), troubleKinds(true))...)
+}
+
+func draw(random *rand.Rand, duration time.Duration, count int, kinds []string) []Trouble {
 	list := make([]Trouble, count)
 	for i := range list {
 		list[i] = Trouble{
--- a/internal/stand/agemulator/troubles.go
+++ b/internal/stand/agemulator/troubles.go
@@ -40,12 +40,29 @@
 		"StoreSlow":     storeSlow,
 		"LosePackets":   losePackets,
 	}
+	for kind, fault := range connectionTroubles {
+		troubles[kind] = func(ctx context.Context, f *fleet, t Trouble) error {
+			f.excuseAgents(t)
+			return f.proxy.strike(ctx, fault, t.Share, time.Duration(t.For))
+		}
+	}
 }
 
-func troubleKinds() []string {
+// connectionTroubles names the kinds that break connections to the store.
+var connectionTroubles = map[string]connectionFault{
+	"StoreReset":  faultReset,
+	"StoreSilent": faultSilent,
+	"StoreOneWay": faultOneWay,
+}
+
+// troubleKinds returns the sorted kinds that break connections to the store, or
+// all others.
+func troubleKinds(connections bool) []string {
 	kinds := make([]string, 0, len(troubles))
 	for kind := range troubles {
-		kinds = append(kinds, kind)
+		if _, is := connectionTroubles[kind]; is == connections {
+			kinds = append(kinds, kind)
+		}
 	}
 	slices.Sort(kinds)
 	return kinds
@@ -192,12 +209,17 @@
 	return f.faultStore(t, agapi.Faults{Delay: anvilglade.Duration(storeDelay), LostAnswers: t.Share})
 }
 
-// faultStore puts faults of the store in force for a time. While it is faulty,
-// and a while longer, an evacuation may take longer.
-func (f *fleet) faultStore(t Trouble, faults agapi.Faults) error {
+// excuseAgents notes that an evacuation may take longer while the store cannot be
+// read, and a while longer.
+func (f *fleet) excuseAgents(t Trouble) {
 	for _, agent := range f.agents {
 		f.ledger.disturb(agent.settings.IP, time.Now().Add(time.Duration(t.For)))
 	}
+}
+
+// faultStore puts faults of the store in force for a time.
+func (f *fleet) faultStore(t Trouble, faults agapi.Faults) error {
+	f.excuseAgents(t)
 	return f.store.Play(agapi.Script{Seed: f.options.Seed, Steps: []agapi.Step{{Faults: faults}, {After: t.For}}})
 }
 
