Avoid hosts that may have gone, and send lists more rarely in large fleets

Lists of processes were half of a balancer's bytes. Change: when a copy of an opening packet comes and the agent of the first try has not been heard since, its host is the last choice until it is heard again. Lists are as rare as the square of the receivers beyond 20 of them.

--- a/internal/membership/agpace/pace.go
+++ b/internal/membership/agpace/pace.go
@@ -16,6 +16,16 @@
 // fullPace is the number of receivers up to which intervals are not stretched.
 const fullPace = 20
 
+// Every returns of how many messages to each of the receivers one carries a list of
+// them. In a large fleet the list is long and lists come from many senders; it
+// only repairs what was missed.
+func Every(base uint64, receivers int) uint64 {
+	if receivers <= fullPace {
+		return base
+	}
+	return base * uint64(receivers) / fullPace
+}
+
 // Interval returns the interval between two messages to each of the receivers.
 func Interval(base time.Duration, receivers int) time.Duration {
 	if receivers <= fullPace {
--- a/internal/membership/agpace/pace_test.go
+++ b/internal/membership/agpace/pace_test.go
@@ -17,6 +17,11 @@
 		if interval < base {
 			t.Fatalf("%d receivers: %s", receivers, interval)
 		}
+		// Each list has an entry for each of its receivers.
+		every := agpace.Every(8, receivers)
+		if entries := float64(receivers*receivers) / interval.Seconds() / float64(every); entries > 220 {
+			t.Fatalf("%d receivers: %.0f entries of lists a second", receivers, entries)
+		}
 		most = max(most, float64(receivers)/interval.Seconds())
 	}
 	if most > 81 {
--- a/internal/operate/agpacketagent/status.go
+++ b/internal/operate/agpacketagent/status.go
@@ -96,7 +96,7 @@
 	now := time.Now()
 	p.mu.Lock()
 	addresses := p.roster.Receivers(now)
-	status := p.status(now)
+	status := p.status(now, len(addresses))
 	status.Interval = agpace.Interval(statusInterval, len(addresses))
 	p.mu.Unlock()
 	datagram, err := agmessage.AppendAgentStatus(nil, &status)
@@ -111,8 +111,9 @@
 	return len(addresses)
 }
 
-// status returns the status of this agent. The caller holds the mutex.
-func (p *Process) status(now time.Time) anvilglade.AgentStatus {
+// status returns the status of this agent for a number of balancers. The caller
+// holds the mutex.
+func (p *Process) status(now time.Time, receivers int) anvilglade.AgentStatus {
 	p.sequence++
 	flows, _, latency := p.holder.Load()
 	status := anvilglade.AgentStatus{
@@ -133,7 +134,7 @@
 	if host, known := p.gate.Host(); known {
 		status.Host, status.Born, status.Slots = host.Host, host.Born.UnixMilli(), host.Slots
 	}
-	if p.sequence%listEvery != 1 {
+	if uint64(p.sequence)%agpace.Every(listEvery, receivers) != 1 {
 		return status
 	}
 	balancers := p.roster.Answering(now)
--- a/internal/operate/agpacketbalancer/status.go
+++ b/internal/operate/agpacketbalancer/status.go
@@ -121,10 +121,10 @@
 	now := time.Now()
 	p.mu.Lock()
 	status := p.status(now)
-	if p.broadcasts++; p.broadcasts%listEvery != 1 {
+	peers := p.fleet.Balancers()
+	if p.broadcasts++; p.broadcasts%agpace.Every(listEvery, len(peers)) != 1 {
 		withoutLists(&status)
 	}
-	peers := p.fleet.Balancers()
 	addresses := make([]anvilglade.IPv4, 0, len(peers))
 	for _, peer := range peers {
 		addresses = append(addresses, peer.Balancer)
@@ -219,7 +219,7 @@
 	// Agents have no use for each other's addresses.
 	status.Agents, status.Settled = nil, false
 	told.at = now
-	if changed || now.Sub(before.listedAt) > agentListInterval {
+	if changed || now.Sub(before.listedAt) > agpace.Interval(agentListInterval, living) {
 		told.listedAt = now
 	} else {
 		status.Balancers = nil
--- a/internal/routing/agdispatch/dispatch.go
+++ b/internal/routing/agdispatch/dispatch.go
@@ -252,6 +252,10 @@
 		d.toOffering(entry, verdict)
 		return
 	}
+	if len(entry.attempts) > 0 {
+		// A copy comes when no host has answered.
+		d.fleet.Suspect(entry.holder, entry.sent)
+	}
 	d.rank(route, service, entry, now)
 	if len(d.ranked) == 0 {
 		d.noHost(now, verdict)
@@ -260,7 +264,7 @@
 	verdict.Action, verdict.Reason = ActionForward, ReasonPlaced
 	verdict.To = append(verdict.To, d.ranked[0])
 	verdict.Candidates = append(verdict.Candidates, d.ranked[1:min(len(d.ranked), 1+alternatives)]...)
-	entry.tried(d.ranked[0])
+	entry.tried(d.ranked[0], now)
 	if host, ok := d.fleet.Host(d.ranked[0]); ok {
 		host.Placed++
 	}
@@ -309,6 +313,7 @@
 			Working: host.Working + host.Placed,
 			Latency: host.Latency,
 			Failing: float64(host.Failing),
+			Suspect: host.Suspect,
 			Local:   d.fleet.Local(host.DataCentre),
 			Cold:    host.Cold,
 			Order:   d.random.Uint64(),
@@ -335,6 +340,7 @@
 	if !ok {
 		return 0
 	}
+	host.Suspect = false
 	entry := d.flows[flow]
 	if entry == nil {
 		entry = d.remember(flow, host.Number, now)
--- a/internal/routing/agdispatch/flow.go
+++ b/internal/routing/agdispatch/flow.go
@@ -22,6 +22,8 @@
 	// born is the start of the holder's host, 0 if unknown.
 	born     int64
 	attempts []anvilglade.IPv4
+	// sent is the time of the newest attempt.
+	sent time.Time
 	// offers are the hosts that have answered the opening packet.
 	offers []offer
 	// acknowledged is the caller's newest acknowledgement.
@@ -64,8 +66,8 @@
 	e.route, e.acknowledged = route, acknowledged
 }
 
-func (e *flowEntry) tried(agent anvilglade.IPv4) {
-	e.holder = agent
+func (e *flowEntry) tried(agent anvilglade.IPv4, now time.Time) {
+	e.holder, e.sent = agent, now
 	e.attempts = append(e.attempts, agent)
 }
 
--- a/internal/routing/agplace/place.go
+++ b/internal/routing/agplace/place.go
@@ -32,6 +32,9 @@
 	// failingPenalty is the utilisation by which a host that fails every request
 	// looks busier than it is.
 	failingPenalty = 4.0
+	// suspectPenalty keeps flows off hosts that may have gone while there are
+	// others.
+	suspectPenalty = 8.0
 	// slowLatencyFactor is the multiple of the median latency from which on a
 	// host counts as slow.
 	slowLatencyFactor = 2.0
@@ -47,6 +50,8 @@
 	Latency time.Duration
 	// Failing is the share of its requests that the host fails, 0 to 1.
 	Failing float64
+	// Suspect is set if the host may have gone.
+	Suspect bool
 	Local   bool
 	Cold    bool
 	// Order breaks ties, so that balancers with the same knowledge do not all
@@ -94,6 +99,9 @@
 	if option.Cold {
 		score += coldPenalty
 	}
+	if option.Suspect {
+		score += suspectPenalty
+	}
 	return score
 }
 
--- a/internal/state/agfleet/fleet.go
+++ b/internal/state/agfleet/fleet.go
@@ -72,6 +72,9 @@
 	// Silent is set while the host gets no new flows because its agent has not
 	// been heard; see Changes.
 	Silent bool
+	// Suspect is set if an opening packet drew no answer and the agent has not
+	// been heard since.
+	Suspect bool
 	// endedAt is the time at which the host was first known to have ended.
 	endedAt time.Time
 }
@@ -199,7 +202,7 @@
 	if status.Ended && !host.Ended {
 		host.endedAt = now
 	}
-	host.AgentStatus, host.Heard, host.Placed = status, now, 0
+	host.AgentStatus, host.Heard, host.Placed, host.Suspect = status, now, 0, false
 	host.Number = status.Service.Number()
 	if !ok || moved {
 		f.index()
@@ -217,6 +220,15 @@
 	}
 }
 
+// Suspect notes that an opening packet that was sent to an agent drew no answer.
+// If the agent has not been heard since, its VM may have gone, which its silence
+// shows only later.
+func (f *Fleet) Suspect(agent anvilglade.IPv4, sent time.Time) {
+	if host, ok := f.hosts[agent]; ok && host.Heard.Before(sent) {
+		host.Suspect = true
+	}
+}
+
 // Tick tells the time. It is to be called several times a second; after a
 // longer pause of the whole process no host counts as silent for that pause.
 func (f *Fleet) Tick(now time.Time) {
@@ -260,7 +272,7 @@
 // HearLoad takes the load of a host as its agent told it with other news.
 func (f *Fleet) HearLoad(agent anvilglade.IPv4, flows, working int) {
 	if host, ok := f.hosts[agent]; ok {
-		host.Flows, host.Working, host.Placed = flows, working, 0
+		host.Flows, host.Working, host.Placed, host.Suspect = flows, working, 0, false
 	}
 }
 
