Share the loops of the two packet processes, and split agfleet

The ends of reads, the reload of the settings, the start of tasks and the service of metrics stood in both processes; agpackettask has them once. agfleet had one file of 500 lines: balancers.go and agents.go take what is known of balancers and which agents may run.

--- a/internal/operate/agpacketagent/metrics.go
+++ b/internal/operate/agpacketagent/metrics.go
@@ -1,13 +1,9 @@
 package agpacketagent
 
 import (
-	"context"
 	"time"
 
-	"github.com/anvilglade/anvilglade"
 	"github.com/anvilglade/anvilglade/internal/admission/agopen"
-	"github.com/anvilglade/anvilglade/internal/observe/agmetric"
-	"github.com/anvilglade/anvilglade/internal/runtime/agtask"
 )
 
 // addMetrics adds the gauges that are read from the process, and the histogram
@@ -55,13 +51,3 @@
 		p.metrics.Latency.WithLabelValues(string(p.settings.Service)).Observe(latency.Seconds())
 	}
 }
-
-// serveMetrics serves the metrics. Packets are carried also without them.
-func (p *Process) serveMetrics(ctx context.Context) error {
-	err := agtask.ServeHTTP(ctx, anvilglade.Endpoint{IP: p.settings.IP, Port: agmetric.Port}.String(), p.metrics.Handler())
-	if err != nil && ctx.Err() == nil {
-		p.log.WithError(err).Warn("Metrics cannot be served.")
-		return nil
-	}
-	return err
-}
--- a/internal/operate/agpacketagent/packets.go
+++ b/internal/operate/agpacketagent/packets.go
@@ -4,17 +4,14 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
-	"net"
 	"net/netip"
-	"os"
 	"time"
 
 	"github.com/anvilglade/anvilglade"
 	"github.com/anvilglade/anvilglade/internal/admission/agopen"
 	"github.com/anvilglade/anvilglade/internal/flow/agholder"
 	"github.com/anvilglade/anvilglade/internal/observe/agdecision"
+	"github.com/anvilglade/anvilglade/internal/operate/agpackettask"
 	"github.com/anvilglade/anvilglade/internal/packet/agmessage"
 	"github.com/anvilglade/anvilglade/internal/packet/agsocket"
 )
@@ -27,14 +24,6 @@
 	batchSize = 32
 )
 
-// endRead turns the end of a read into the end of its task.
-func endRead(ctx context.Context, err error) error {
-	if ctx.Err() != nil || errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
-		return ctx.Err()
-	}
-	return fmt.Errorf("read datagrams: %w", err)
-}
-
 // readPackets takes packets that balancers and agents forward, and statuses of
 // balancers.
 func (p *Process) readPackets(ctx context.Context) error {
@@ -46,7 +35,7 @@
 	for {
 		batch, err := reader.Read()
 		if err != nil {
-			return endRead(ctx, err)
+			return agpackettask.EndRead(ctx, err)
 		}
 		now := time.Now()
 		p.mu.Lock()
@@ -135,7 +124,7 @@
 	for {
 		batch, err := reader.Read()
 		if err != nil {
-			return endRead(ctx, err)
+			return agpackettask.EndRead(ctx, err)
 		}
 		now := time.Now()
 		p.mu.Lock()
--- a/internal/operate/agpacketagent/process.go
+++ b/internal/operate/agpacketagent/process.go
@@ -34,6 +34,7 @@
 	"github.com/anvilglade/anvilglade/internal/observe/agdecision"
 	"github.com/anvilglade/anvilglade/internal/observe/aglog"
 	"github.com/anvilglade/anvilglade/internal/observe/agmetric"
+	"github.com/anvilglade/anvilglade/internal/operate/agpackettask"
 	"github.com/anvilglade/anvilglade/internal/packet/agsocket"
 	"github.com/anvilglade/anvilglade/internal/runtime/agtask"
 )
@@ -132,30 +133,27 @@
 		return err
 	}
 	defer stop()
-	tasks := []struct {
-		name string
-		run  func(context.Context) error
-	}{
-		{"log", p.parts.LogWriter},
-		{"packets", p.readPackets},
-		{"outbound", p.readOutbound},
-		{"heartbeats", func(ctx context.Context) error {
+	tasks := []agpackettask.Task{
+		{Name: "log", Run: p.parts.LogWriter},
+		{Name: "packets", Run: p.readPackets},
+		{Name: "outbound", Run: p.readOutbound},
+		{Name: "heartbeats", Run: func(ctx context.Context) error {
 			return agtask.ServeHTTP(ctx, p.settings.ControlAddr, p.parts.HeartbeatHandler(p))
 		}},
-		{"ready", func(ctx context.Context) error {
+		{Name: "ready", Run: func(ctx context.Context) error {
 			return agtask.ServeHTTP(ctx, p.settings.ReadyAddr, p.parts.ReadyHandler(func() bool { return !p.leaving.Load() }))
 		}},
-		{"metrics", p.serveMetrics},
-		{"status", p.sendStatus},
-		{"watch", p.watchHost},
-		{"discover", p.discover},
-		{"expire", p.expire},
-		{"reload", p.reload},
+		{Name: "metrics", Run: func(ctx context.Context) error {
+			return agpackettask.ServeMetrics(ctx, p.log, p.settings.IP, p.metrics)
+		}},
+		{Name: "status", Run: p.sendStatus},
+		{Name: "watch", Run: p.watchHost},
+		{Name: "discover", Run: p.discover},
+		{Name: "expire", Run: p.expire},
+		{Name: "reload", Run: p.reload},
 	}
-	for _, task := range tasks {
-		if err := group.Start(task.name, task.run); err != nil {
-			return err
-		}
+	if err := agpackettask.Start(group, tasks); err != nil {
+		return err
 	}
 	p.log.WithField("Node", p.settings.Node).WithField("Address", p.settings.IP).WithField("Service", p.settings.Service).Info("Agent has started.")
 	select {
@@ -203,19 +201,11 @@
 
 // reload takes changes of the seeds from the settings file.
 func (p *Process) reload(ctx context.Context) error {
-	for {
-		if err := agtask.Sleep(ctx, reloadInterval); err != nil {
-			return err
-		}
-		settings, err := p.parts.Reload()
-		if err != nil {
-			p.log.WithError(err).Warn("Settings cannot be read; the last ones stay in effect.")
-			continue
-		}
+	return agpackettask.Reload(ctx, p.log, p.parts.Reload, func(settings anvilglade.PlatformSettings) {
 		p.mu.Lock()
+		defer p.mu.Unlock()
 		p.roster.LearnSeeds(settings.Seeds)
-		p.mu.Unlock()
-	}
+	})
 }
 
 func (p *Process) innerEndpoint(ip anvilglade.IPv4) anvilglade.Endpoint {
--- a/internal/operate/agpacketagent/status.go
+++ b/internal/operate/agpacketagent/status.go
@@ -20,8 +20,6 @@
 	statusInterval = 250 * time.Millisecond
 	// startInterval replaces it until a balancer has answered.
 	startInterval = 100 * time.Millisecond
-	// reloadInterval is the time between two looks at the settings file.
-	reloadInterval = 2 * time.Second
 	// discoverInterval is the time between two readings of the store while no
 	// balancer answers.
 	discoverInterval = 2 * time.Second
--- a/internal/operate/agpacketbalancer/metrics.go
+++ b/internal/operate/agpacketbalancer/metrics.go
@@ -1,12 +1,9 @@
 package agpacketbalancer
 
 import (
-	"context"
 	"time"
 
-	"github.com/anvilglade/anvilglade/internal/observe/agmetric"
 	"github.com/anvilglade/anvilglade/internal/routing/agdispatch"
-	"github.com/anvilglade/anvilglade/internal/runtime/agtask"
 )
 
 var actionNames = map[agdispatch.Action]string{
@@ -70,13 +67,3 @@
 		return 0
 	})
 }
-
-// serveMetrics serves the metrics. Packets are carried also without them.
-func (p *Process) serveMetrics(ctx context.Context) error {
-	err := agtask.ServeHTTP(ctx, p.endpointOf(p.settings.IP, agmetric.Port).String(), p.metrics.Handler())
-	if err != nil && ctx.Err() == nil {
-		p.log.WithError(err).Warn("Metrics cannot be served.")
-		return nil
-	}
-	return err
-}
--- a/internal/operate/agpacketbalancer/packets.go
+++ b/internal/operate/agpacketbalancer/packets.go
@@ -5,14 +5,11 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
-	"net"
-	"os"
 	"time"
 
 	"github.com/anvilglade/anvilglade"
 	"github.com/anvilglade/anvilglade/internal/observe/agdecision"
+	"github.com/anvilglade/anvilglade/internal/operate/agpackettask"
 	"github.com/anvilglade/anvilglade/internal/packet/agmessage"
 	"github.com/anvilglade/anvilglade/internal/packet/agsocket"
 	"github.com/anvilglade/anvilglade/internal/routing/agdispatch"
@@ -26,14 +23,6 @@
 	batchSize = 32
 )
 
-// endRead turns the end of a read into the end of its task.
-func endRead(ctx context.Context, err error) error {
-	if ctx.Err() != nil || errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
-		return ctx.Err()
-	}
-	return fmt.Errorf("read datagrams: %w", err)
-}
-
 // readPackets dispatches packets of callers.
 func (p *Process) readPackets(ctx context.Context) error {
 	reader, writer := p.packets.NewReader(batchSize, maxDatagram), p.packets.NewWriter(batchSize)
@@ -42,7 +31,7 @@
 	for {
 		batch, err := reader.Read()
 		if err != nil {
-			return endRead(ctx, err)
+			return agpackettask.EndRead(ctx, err)
 		}
 		now := time.Now()
 		p.mu.Lock()
@@ -91,7 +80,7 @@
 	for {
 		batch, err := reader.Read()
 		if err != nil {
-			return endRead(ctx, err)
+			return agpackettask.EndRead(ctx, err)
 		}
 		now := time.Now()
 		p.mu.Lock()
--- a/internal/operate/agpacketbalancer/process.go
+++ b/internal/operate/agpacketbalancer/process.go
@@ -34,6 +34,7 @@
 	"github.com/anvilglade/anvilglade/internal/observe/agdecision"
 	"github.com/anvilglade/anvilglade/internal/observe/aglog"
 	"github.com/anvilglade/anvilglade/internal/observe/agmetric"
+	"github.com/anvilglade/anvilglade/internal/operate/agpackettask"
 	"github.com/anvilglade/anvilglade/internal/packet/agmessage"
 	"github.com/anvilglade/anvilglade/internal/packet/agsocket"
 	"github.com/anvilglade/anvilglade/internal/routing/agdispatch"
@@ -153,31 +154,28 @@
 		return err
 	}
 	defer stop()
-	tasks := []struct {
-		name string
-		run  func(context.Context) error
-	}{
-		{"log", p.parts.LogWriter},
-		{"packets", p.readPackets},
-		{"inner", p.readInner},
-		{"status", p.sendStatus},
-		{"search", p.search},
-		{"desired", p.watchDesired},
-		{"evacuations", p.watchEvacuations},
-		{"peers", p.fetchFromPeers},
-		{"discover", p.discover},
-		{"expire", p.expire},
-		{"reload", p.reload},
-		{"ready", func(ctx context.Context) error {
+	tasks := []agpackettask.Task{
+		{Name: "log", Run: p.parts.LogWriter},
+		{Name: "packets", Run: p.readPackets},
+		{Name: "inner", Run: p.readInner},
+		{Name: "status", Run: p.sendStatus},
+		{Name: "search", Run: p.search},
+		{Name: "desired", Run: p.watchDesired},
+		{Name: "evacuations", Run: p.watchEvacuations},
+		{Name: "peers", Run: p.fetchFromPeers},
+		{Name: "discover", Run: p.discover},
+		{Name: "expire", Run: p.expire},
+		{Name: "reload", Run: p.reload},
+		{Name: "ready", Run: func(ctx context.Context) error {
 			return agtask.ServeHTTP(ctx, p.settings.ReadyAddr, p.parts.ReadyHandler(p.Ready))
 		}},
-		{"transfer", p.serveTransfer},
-		{"metrics", p.serveMetrics},
+		{Name: "transfer", Run: p.serveTransfer},
+		{Name: "metrics", Run: func(ctx context.Context) error {
+			return agpackettask.ServeMetrics(ctx, p.log, p.settings.IP, p.metrics)
+		}},
 	}
-	for _, task := range tasks {
-		if err := group.Start(task.name, task.run); err != nil {
-			return err
-		}
+	if err := agpackettask.Start(group, tasks); err != nil {
+		return err
 	}
 	p.log.WithField("Node", p.settings.Node).WithField("Address", p.settings.IP).Info("Balancer has started.")
 	select {
--- a/internal/operate/agpacketbalancer/state.go
+++ b/internal/operate/agpacketbalancer/state.go
@@ -11,6 +11,7 @@
 
 	"github.com/anvilglade/anvilglade"
 	"github.com/anvilglade/anvilglade/internal/membership/agregistry"
+	"github.com/anvilglade/anvilglade/internal/operate/agpackettask"
 	"github.com/anvilglade/anvilglade/internal/runtime/agtask"
 	"github.com/anvilglade/anvilglade/internal/state/agtransfer"
 )
@@ -27,9 +28,6 @@
 	peerInterval = 200 * time.Millisecond
 	// fetchTimeout bounds the transfer of a state.
 	fetchTimeout = 1500 * time.Millisecond
-	// reloadInterval is the time between two looks at the settings file, which
-	// may change without a signal.
-	reloadInterval = 2 * time.Second
 )
 
 // watchDesired follows the desired state in the store.
@@ -221,17 +219,9 @@
 
 // reload takes changes of the seeds from the settings file.
 func (p *Process) reload(ctx context.Context) error {
-	for {
-		if err := agtask.Sleep(ctx, reloadInterval); err != nil {
-			return err
-		}
-		settings, err := p.parts.Reload()
-		if err != nil {
-			p.logFailure(err, "Settings cannot be read; the last ones stay in effect.")
-			continue
-		}
+	return agpackettask.Reload(ctx, p.log, p.parts.Reload, func(settings anvilglade.PlatformSettings) {
 		p.mu.Lock()
+		defer p.mu.Unlock()
 		p.fleet.LearnBalancers(settings.Seeds)
-		p.mu.Unlock()
-	}
+	})
 }
--- a/internal/state/agfleet/fleet.go
+++ b/internal/state/agfleet/fleet.go
@@ -79,32 +79,6 @@
 	endedAt time.Time
 }
 
-// SilentAfter returns the silence after which the host gets no new flows: three
-// statuses in a row are then missing.
-func (h *Host) SilentAfter() time.Duration {
-	return max(SilentAfter, missedStatuses*h.Interval)
-}
-
-// LostAfter returns the silence after which the host counts as lost together with
-// its flows.
-func (h *Host) LostAfter() time.Duration {
-	return max(LostAfter, lostStatuses*h.Interval)
-}
-
-// MayHold reports whether the host may be running and hold flows.
-func (h *Host) MayHold(now time.Time) bool {
-	if h.Ended && now.Sub(h.endedAt) >= endedMargin {
-		return false
-	}
-	return now.Sub(h.Heard) < h.LostAfter()
-}
-
-// Lost reports whether the host has been silent for so long that it counts as
-// lost with its machine.
-func (h *Host) Lost(now time.Time) bool {
-	return now.Sub(h.Heard) >= h.LostAfter()
-}
-
 // Balancer is another balancer.
 type Balancer struct {
 	anvilglade.BalancerStatus
@@ -276,111 +250,6 @@
 	}
 }
 
-// HearBalancer takes the status of a balancer and reports whether that is heard
-// for the first time since its start. Evacuations in it are adopted if they are
-// newer; a newer desired state has to be fetched.
-func (f *Fleet) HearBalancer(status anvilglade.BalancerStatus, now time.Time) bool {
-	for _, address := range status.Balancers {
-		f.learnBalancer(address)
-	}
-	if status.Balancer == f.options.Self {
-		return false
-	}
-	balancer, ok := f.balancers[status.Balancer]
-	if ok && balancer.Known && now.Sub(balancer.Heard) < restartAfter && !newer(status.Incarnation, status.Sequence, balancer.Incarnation, balancer.Sequence) {
-		return false
-	}
-	started := !ok || !balancer.Known || balancer.Incarnation != status.Incarnation
-	f.balancers[status.Balancer] = &Balancer{BalancerStatus: status, Heard: now, Known: true}
-	f.OfferEvacuations(status.Evacuations)
-	f.learnAgents(status.Agents, now)
-	f.listed = f.listed || status.Settled
-	return started
-}
-
-// ListAgents takes the list of all agents that the store has.
-func (f *Fleet) ListAgents(agents []anvilglade.IPv4, now time.Time) {
-	f.learnAgents(agents, now)
-	f.listed = true
-}
-
-func (f *Fleet) learnAgents(agents []anvilglade.IPv4, now time.Time) {
-	for _, agent := range agents {
-		if _, known := f.hosts[agent]; known {
-			continue
-		}
-		if _, told := f.told[agent]; !told {
-			f.told[agent] = now
-		}
-	}
-}
-
-// Told returns the agents that have been named and not heard yet.
-func (f *Fleet) Told() []anvilglade.IPv4 {
-	list := make([]anvilglade.IPv4, 0, len(f.told))
-	for address := range f.told {
-		list = append(list, address)
-	}
-	return list
-}
-
-// Settled reports whether every agent that may run has been named: by the
-// store, by a balancer that is settled, or by itself since this balancer
-// started.
-func (f *Fleet) Settled(started, now time.Time) bool {
-	return f.listed || now.Sub(started) >= LostAfter
-}
-
-// Agents returns the agents whose hosts may hold flows: those that have not
-// been silent for LostAfter and whose host is not known to have ended.
-func (f *Fleet) Agents(now time.Time) []anvilglade.IPv4 {
-	var list []anvilglade.IPv4
-	for address, host := range f.hosts {
-		if host.MayHold(now) {
-			list = append(list, address)
-		}
-	}
-	return list
-}
-
-// Complete reports whether every host that may hold a flow is known. It is false
-// while this balancer has just started, or has been told of an agent that it has
-// not heard yet.
-func (f *Fleet) Complete(started, now time.Time) bool {
-	if !f.Settled(started, now) {
-		return false
-	}
-	for _, told := range f.told {
-		if now.Sub(told) < introduceTime {
-			return false
-		}
-	}
-	return true
-}
-
-// LearnBalancers adds addresses at which balancers may run, such as the seeds.
-func (f *Fleet) LearnBalancers(addresses []anvilglade.IPv4) {
-	for _, address := range addresses {
-		f.learnBalancer(address)
-	}
-}
-
-func (f *Fleet) learnBalancer(address anvilglade.IPv4) {
-	if _, ok := f.balancers[address]; ok || address == f.options.Self || address == (anvilglade.IPv4{}) {
-		return
-	}
-	f.balancers[address] = &Balancer{BalancerStatus: anvilglade.BalancerStatus{Balancer: address}}
-}
-
-// Balancers returns the other balancers in no order.
-func (f *Fleet) Balancers() []*Balancer {
-	list := make([]*Balancer, 0, len(f.balancers))
-	for _, balancer := range f.balancers {
-		list = append(list, balancer)
-	}
-	return list
-}
-
 // Ages returns the time since each other balancer and each agent was heard, by
 // its address.
 func (f *Fleet) Ages(now time.Time) map[string]time.Duration {
@@ -412,35 +281,6 @@
 	return ""
 }
 
-// LivingBalancers returns the addresses of balancers that were heard recently,
-// this one included.
-func (f *Fleet) LivingBalancers(now time.Time) []anvilglade.IPv4 {
-	list := []anvilglade.IPv4{f.options.Self}
-	for address, balancer := range f.balancers {
-		if balancer.Known && !balancer.Leaving && now.Sub(balancer.Heard) < ForgetAfter/2 {
-			list = append(list, address)
-		}
-	}
-	return list
-}
-
-// Ahead returns a balancer that has a newer desired state than this one.
-func (f *Fleet) Ahead(now time.Time) (anvilglade.IPv4, bool) {
-	var best *Balancer
-	for _, balancer := range f.balancers {
-		if !balancer.Known || now.Sub(balancer.Heard) > LostAfter || balancer.Desired <= f.desired.Version {
-			continue
-		}
-		if best == nil || balancer.Desired > best.Desired {
-			best = balancer
-		}
-	}
-	if best == nil {
-		return anvilglade.IPv4{}, false
-	}
-	return best.Balancer, true
-}
-
 // Hosts returns the hosts of a service. The slice must not be changed.
 func (f *Fleet) Hosts(service anvilglade.ServiceID) []*Host {
 	return f.byService[service]
