Let few balancers wait shortly for changes in the store

Cause: each balancer renewed two watches every 4 s, to notice a connection that has gone silent. Ruled out: no watch at most balancers; they would read changes from peers over thin links, and depend on them. Stale reads may lag by seconds. Change: the four balancers of the lowest rank among those that are heard wait 4 s, the others 25 s. All get changes at once; one whose connection has gone silent learns them from its peers.

--- a/fleet.go
+++ b/fleet.go
@@ -186,9 +186,11 @@
 	// that cannot be read has Version 0.
 	Desired(ctx context.Context) (DesiredState, StoreRevision, error)
 	// NextDesired waits for changes after a revision and returns the newest
-	// state, Version 0 if there is none, and the revision to wait from.
-	NextDesired(ctx context.Context, after StoreRevision) (DesiredState, StoreRevision, error)
+	// state, Version 0 if there is none, and the revision to wait from. It
+	// returns after the wait at the latest.
+	NextDesired(ctx context.Context, after StoreRevision, wait time.Duration) (DesiredState, StoreRevision, error)
 	Evacuations(ctx context.Context) (Evacuations, error)
-	// NextEvacuations waits for changes and returns the evacuations then.
-	NextEvacuations(ctx context.Context, present Evacuations) (Evacuations, error)
+	// NextEvacuations waits for changes, for the wait at most, and returns the
+	// evacuations then.
+	NextEvacuations(ctx context.Context, present Evacuations, wait time.Duration) (Evacuations, error)
 }
--- a/internal/operate/agpacketbalancer/state.go
+++ b/internal/operate/agpacketbalancer/state.go
@@ -24,6 +24,11 @@
 	// gatherTime is the pause after a read that succeeded. Changes that come in
 	// quick succession are read together, as each read costs a call of the store.
 	gatherTime = 150 * time.Millisecond
+	// shortWait and longWait are how long a watch waits for a change. A connection
+	// that has gone silent is noticed after it; the balancers that wait shortly
+	// tell the others of changes meanwhile.
+	shortWait = 4 * time.Second
+	longWait  = 25 * time.Second
 	// peerInterval is the time between two looks for a peer with a newer state.
 	peerInterval = 200 * time.Millisecond
 	// fetchTimeout bounds the transfer of a state.
@@ -40,7 +45,7 @@
 			state, revision, err = p.parts.Feed.Desired(ctx)
 		} else {
 			var next anvilglade.StoreRevision
-			if state, next, err = p.parts.Feed.NextDesired(ctx, revision); err == nil {
+			if state, next, err = p.parts.Feed.NextDesired(ctx, revision, p.watchWait()); err == nil {
 				revision = next
 			}
 		}
@@ -65,7 +70,7 @@
 		var next anvilglade.Evacuations
 		var err error
 		if known {
-			next, err = p.parts.Feed.NextEvacuations(ctx, present)
+			next, err = p.parts.Feed.NextEvacuations(ctx, present, p.watchWait())
 		} else {
 			next, err = p.parts.Feed.Evacuations(ctx)
 		}
@@ -84,6 +89,17 @@
 	})
 }
 
+// watchWait returns how long the next watch waits. Each wait costs a call of the
+// store, so only a few balancers wait shortly.
+func (p *Process) watchWait() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.fleet.WatchesClosely(time.Now()) {
+		return shortWait
+	}
+	return longWait
+}
+
 // follow repeats a read of the store until the context ends.
 func (p *Process) follow(ctx context.Context, what string, read func(context.Context) error) error {
 	backoff, reachable := minBackoff, true
--- a/internal/state/agfleet/balancers.go
+++ b/internal/state/agfleet/balancers.go
@@ -5,6 +5,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/anvilglade/anvilglade"
 )
 
@@ -81,3 +83,24 @@
 	}
 	return best.Balancer, true
 }
+
+// closeWatchers is the number of balancers that notice soon if a connection to
+// the store has gone silent.
+const closeWatchers = 4
+
+// WatchesClosely reports whether this balancer is one of the few that do: those
+// of the lowest rank among the balancers that are heard.
+func (f *Fleet) WatchesClosely(now time.Time) bool {
+	own, lower := rank(f.options.Self), 0
+	for address, balancer := range f.balancers {
+		if balancer.Known && !balancer.Leaving && now.Sub(balancer.Heard) < LostAfter && rank(address) < own {
+			lower++
+		}
+	}
+	return lower < closeWatchers
+}
+
+// rank spreads balancers over data centres, whose addresses are alike.
+func rank(address anvilglade.IPv4) uint64 {
+	return xxhash.Sum64(address[:])
+}
