--- a/internal/membership/agpace/pace.go
+++ b/internal/membership/agpace/pace.go
@@ -14,7 +14,7 @@
 import "time"
 
 // fullPace is the number of receivers up to which intervals are not stretched.
-const fullPace = 20
+const fullPace = 40
 
 // Every returns of how many messages to each of the receivers one carries a list of
 // them. In a large fleet the list is long and lists come from many senders; it
@@ -23,7 +23,7 @@
 	if receivers <= fullPace {
 		return base
 	}
-	return base * uint64(receivers) / fullPace
+	return (base*uint64(receivers) + fullPace - 1) / fullPace
 }
 
 // Interval returns the interval between two messages to each of the receivers.
