--- a/internal/operate/agpacketbalancer/state.go
+++ b/internal/operate/agpacketbalancer/state.go
@@ -29,8 +29,8 @@
 	// tell the others of changes meanwhile.
 	shortWait = 4 * time.Second
 	longWait  = 25 * time.Second
-	// peerInterval is the time between two looks for a peer with a newer state.
-	peerInterval = 200 * time.Millisecond
+	// fetchInterval is the time between two looks for a peer with a newer state.
+	fetchInterval = 200 * time.Millisecond
 	// fetchTimeout bounds the transfer of a state.
 	fetchTimeout = 1500 * time.Millisecond
 )
@@ -166,7 +166,7 @@
 // fetchFromPeers reads the desired state from a balancer that has a newer one.
 func (p *Process) fetchFromPeers(ctx context.Context) error {
 	for {
-		if err := agtask.Sleep(ctx, peerInterval); err != nil {
+		if err := agtask.Sleep(ctx, fetchInterval); err != nil {
 			return err
 		}
 		p.mu.Lock()
--- a/internal/operate/agpacketbalancer/status.go
+++ b/internal/operate/agpacketbalancer/status.go
@@ -47,7 +47,7 @@
 	defer ticker.Stop()
 	var told time.Time
 	for {
-		if now := time.Now(); now.Sub(told) >= p.peerInterval() {
+		if now := time.Now(); now.Sub(told) >= p.broadcastInterval() {
 			told = now
 			p.broadcast()
 		}
@@ -61,8 +61,8 @@
 	}
 }
 
-// peerInterval returns the time between two statuses to each other balancer.
-func (p *Process) peerInterval() time.Duration {
+// broadcastInterval returns the time between two statuses to each other balancer.
+func (p *Process) broadcastInterval() time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	// A tick may come a little early.
