Search for flows before the desired state is known

The log said NoRoute, which sends an engineer to the operators' routes. Change: without a desired state every flow may have a route, so its holder is searched for.

--- a/internal/routing/agdispatch/flow.go
+++ b/internal/routing/agdispatch/flow.go
@@ -28,8 +28,8 @@
 	offers []offer
 	// acknowledged is the caller's newest acknowledgement.
 	acknowledged uint32
-	// route is the route when the holder was searched for, and packets are those
-	// kept until it is found.
+	// route is the route when the holder was searched for, nil if there was no
+	// desired state yet, and packets are those kept until it is found.
 	route   *anvilglade.PacketRoute
 	packets [][]byte
 }
--- a/internal/routing/agdispatch/search.go
+++ b/internal/routing/agdispatch/search.go
@@ -15,11 +15,12 @@
 
 // lookup begins the search for the holder of a flow, or goes on with it. Hosts
 // of services that the route does not name are asked too: the route may have
-// named them when the flow was opened.
+// named them when the flow was opened. Without a desired state every flow may
+// have a route.
 func (d *Dispatcher) lookup(flow anvilglade.Flow, packet *anvilglade.Packet, now time.Time, verdict *Verdict) {
 	verdict.Reason = ReasonLookup
 	route, ok := d.fleet.Route(flow.Service)
-	if !ok {
+	if _, known := d.fleet.Desired(); known && !ok {
 		verdict.Reason = ReasonNoRoute
 		return
 	}
@@ -91,7 +92,7 @@
 		return nil
 	}
 	verdict.Action, verdict.Reason = ActionForward, ReasonLookup
-	verdict.Service, verdict.Foreign = host.Number, !routeNames(entry.route, host.Service)
+	verdict.Service, verdict.Foreign = host.Number, entry.route != nil && !routeNames(entry.route, host.Service)
 	verdict.To = append(verdict.To, agent)
 	return entry.packets[0]
 }
