--- a/errors.go
+++ b/errors.go
@@ -18,6 +18,10 @@
 	// ErrOverloaded means that the platform refused the call because of its rate
 	// limit.
 	ErrOverloaded = errors.New("platform refused the call by its rate limit")
+	// ErrRateLimited means that the client did not send the call, because its own
+	// rate limit would have delayed the call beyond the caller's time limit. It
+	// says nothing about the platform.
+	ErrRateLimited = errors.New("own rate limit delays the call beyond its time limit")
 	// ErrHistoryGone means that the platform no longer has the changes since the
 	// requested revision.
 	ErrHistoryGone = errors.New("history of changes is gone")
--- a/internal/config/agedit/submit.go
+++ b/internal/config/agedit/submit.go
@@ -57,10 +57,12 @@
 	return Verdict{Outcome: outcome, EditID: s.request.ID, Revision: revision, Base: s.base}
 }
 
-// recordError sets lastErr to the reason of a failed attempt. Once ctx has ended, an
-// earlier reason is kept, because it is more specific than the end of ctx.
+// recordError sets lastErr to the reason of a failed attempt. An earlier reason is
+// kept once ctx has ended, or if the client did not send the call before the end of
+// ctx: the earlier one is more specific.
 func (s *submission) recordError(ctx context.Context, err error) {
-	if ctx.Err() == nil || errors.Is(s.lastErr, ErrContention) {
+	ended := ctx.Err() != nil || errors.Is(err, anvilglade.ErrRateLimited)
+	if !ended || errors.Is(s.lastErr, ErrContention) {
 		s.lastErr = err
 	}
 }
--- a/internal/operate/agcommand/cases_test.go
+++ b/internal/operate/agcommand/cases_test.go
@@ -8,7 +8,8 @@
 // Lines that start with '@' change the environment of the commands: "@faults
 // JSON" sets the faults of the object API, "@admin N" the revision that the
 // balancer of the case reports, "@keys N" its version of the keys, "@host NAME
-// DATA-CENTRE" adds a host to its member list. $DIR is the folder of the case,
+// DATA-CENTRE" adds a host to its member list, "@stall N" lets it answer N status
+// requests and leave the next ones unanswered. $DIR is the folder of the case,
 // $TMP a temporary folder, $ADMIN the admin address of the balancer, $GONE an
 // address without a listener, $EDIT1 the first edit id in the output.
 
@@ -23,6 +24,7 @@
 	"regexp"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/anvilglade/anvilglade"
@@ -37,6 +39,9 @@
 	members anvilglade.Members
 	names   map[string]string
 	edits   []string
+	// stalls is set if the balancer answers only remaining further status requests.
+	stalls    bool
+	remaining atomic.Int64
 }
 
 var (
@@ -103,6 +108,10 @@
 func (r *caseRun) serveAdmin(w http.ResponseWriter, request *http.Request) {
 	switch request.URL.Path {
 	case "/status":
+		if r.stalls && r.remaining.Add(-1) < 0 {
+			<-request.Context().Done()
+			return
+		}
 		_ = json.NewEncoder(w).Encode(r.status)
 	case "/members":
 		_ = json.NewEncoder(w).Encode(r.members)
@@ -137,15 +146,19 @@
 			r.t.Fatal(err)
 		}
 		return ""
-	case "@admin", "@keys":
+	case "@admin", "@keys", "@stall":
 		number, err := strconv.ParseUint(words[1], 10, 64)
 		if err != nil {
 			r.t.Fatal(err)
 		}
-		if words[0] == "@keys" {
+		switch words[0] {
+		case "@keys":
 			r.status.KeysVersion = anvilglade.Version(number)
-		} else {
+		case "@admin":
 			r.status.Revision = anvilglade.Revision(number)
+		case "@stall":
+			r.stalls = true
+			r.remaining.Store(int64(number))
 		}
 		return ""
 	case "@host":
--- a/internal/operate/agcommand/fleet.go
+++ b/internal/operate/agcommand/fleet.go
@@ -90,7 +90,8 @@
 }
 
 // fetchAll calls work for each index below count, with at most
-// maxConcurrentFetches concurrent calls.
+// maxConcurrentFetches concurrent calls. The end of ctx is not an error of fetchAll:
+// work is called for the remaining indexes too and records it for each of them.
 func fetchAll(ctx context.Context, count int, work func(ctx context.Context, index int)) error {
 	group, stop, err := agtask.NewGroup(ctx)
 	if err != nil {
@@ -115,7 +116,10 @@
 			return err
 		}
 	}
-	return group.Wait()
+	if err := group.Wait(); err != nil && ctx.Err() == nil {
+		return err
+	}
+	return nil
 }
 
 func fetchStatus(ctx context.Context, answer *processAnswer) {
--- a/internal/operate/agpacketbalancer/state.go
+++ b/internal/operate/agpacketbalancer/state.go
@@ -144,6 +144,8 @@
 		return "HistoryGone"
 	case errors.Is(err, anvilglade.ErrOverloaded):
 		return "Overloaded"
+	case errors.Is(err, anvilglade.ErrRateLimited):
+		return "RateLimited"
 	case errors.Is(err, context.DeadlineExceeded):
 		return "TimedOut"
 	}
