Detect paths that work in one direction only

Cause: on a link that passes packets one way only, a balancer took every host whose statuses it received for reachable. A host that did not answer an opening packet was avoided only until its next status, a quarter of a second later, so a caller's three copies went into the cut one after the other. The other way round, a balancer without statuses of a data centre reset the flows of its hosts after 2 s although these served their callers. Change: an opening packet without an answer starts probes to the agents of that data centre (agpath; a query without flows, which an agent of an earlier build answers too). An agent that misses two is the last choice until it answers. A caller's acknowledgement of new data, a second or more after the last status from a data centre, shows that its hosts run; they are not lost then (agfleet/paths.go). Tests: agpath scripts; agdispatch one-way-out, one-way-in, lost-data-centre. The first two fail without the respective mechanism.

--- a/internal/operate/agpacketbalancer/searches.go
+++ b/internal/operate/agpacketbalancer/searches.go
@@ -1,6 +1,7 @@
 package agpacketbalancer
 
-// The search for the holders of flows that this balancer has not cached.
+// The search for the holders of flows that this balancer has not cached, and the
+// probes to agents that it may not reach.
 
 import (
 	"context"
@@ -18,7 +19,7 @@
 const searchInterval = 25 * time.Millisecond
 
 // search continues the searches whose replies are lost or whose agents have
-// terminated.
+// terminated, and sends probes.
 func (p *Process) search(ctx context.Context) error {
 	writer := p.packets.NewWriter(batchSize)
 	ticker := time.NewTicker(searchInterval)
@@ -32,6 +33,7 @@
 			p.dispatcher.ExpireSearches(now)
 			p.resetUnheld(writer, now)
 			p.sendQueries(writer, now)
+			p.sendProbes(writer, now)
 			p.mu.Unlock()
 			writer.Flush()
 		}
@@ -46,6 +48,14 @@
 	}
 }
 
+// sendProbes sends the probes that are due. The caller holds the mutex.
+func (p *Process) sendProbes(writer *agsocket.Writer, now time.Time) {
+	for _, agent := range p.dispatcher.DueProbes(now) {
+		datagram := agmessage.AppendFlowQuery(writer.Buffer(), agmessage.ProbeQueryID, nil)
+		writer.Add(datagram, p.endpointOf(agent, p.settings.PacketPort).AddrPort())
+	}
+}
+
 // handleFlowReply handles an agent's reply to a flow query. The caller holds the
 // mutex.
 func (p *Process) handleFlowReply(writer *agsocket.Writer, data []byte, from anvilglade.IPv4, now time.Time) {
--- a/internal/packet/agmessage/message.go
+++ b/internal/packet/agmessage/message.go
@@ -55,6 +55,10 @@
 	KindBalancerStatus
 )
 
+// ProbeQueryID is the query id of a KindFlowQuery without flows. The agent's reply
+// proves that packets pass between the two processes in both directions.
+const ProbeQueryID = 0
+
 // MaxCandidates is the largest number of candidates in a Forward.
 const MaxCandidates = 255
 
--- a/internal/routing/agdispatch/dispatch.go
+++ b/internal/routing/agdispatch/dispatch.go
@@ -36,6 +36,7 @@
 	"time"
 
 	"github.com/anvilglade/anvilglade"
+	"github.com/anvilglade/anvilglade/internal/membership/agpath"
 	"github.com/anvilglade/anvilglade/internal/routing/agplace"
 	"github.com/anvilglade/anvilglade/internal/routing/agsearch"
 	"github.com/anvilglade/anvilglade/internal/state/agfleet"
@@ -118,6 +119,7 @@
 	// holders is the slice that possibleHolders reuses.
 	holders  []anvilglade.IPv4
 	searcher *agsearch.Searcher
+	prober   *agpath.Prober
 	// bufferedBytes is the total size of the buffered packets.
 	bufferedBytes int
 }
@@ -125,7 +127,7 @@
 // NewDispatcher returns a Dispatcher without flows that reads routes and hosts
 // from the fleet. Now is the start of the balancer.
 func NewDispatcher(fleet *agfleet.Fleet, random *rand.Rand, now time.Time) *Dispatcher {
-	return &Dispatcher{fleet: fleet, random: random, started: now, flows: make(map[anvilglade.Flow]*flowEntry), searcher: agsearch.NewSearcher()}
+	return &Dispatcher{fleet: fleet, random: random, started: now, flows: make(map[anvilglade.Flow]*flowEntry), searcher: agsearch.NewSearcher(), prober: agpath.NewProber()}
 }
 
 // Flows returns the number of cached flows.
@@ -140,6 +142,9 @@
 	entry := d.flows[flow]
 	if entry != nil {
 		entry.lastUsed = now
+		if entry.established && packet.Acknowledged != entry.acknowledged {
+			d.fleet.RecordProgress(entry.holder, now)
+		}
 		entry.acknowledged = packet.Acknowledged
 	}
 	if packet.Opens() {
@@ -179,7 +184,7 @@
 // it returns false without a reset.
 func (d *Dispatcher) checkHolder(entry *flowEntry, holder anvilglade.IPv4, flow anvilglade.Flow, now time.Time, verdict *Verdict) bool {
 	host, known := d.fleet.Host(holder)
-	if !known || host.Lost(now) {
+	if !known || d.fleet.Lost(host, now) {
 		if d.fleet.Isolated(now) {
 			// This balancer receives statuses of so few hosts that it has probably
 			// lost its own network; another balancer may still reach the host.
@@ -189,7 +194,7 @@
 		d.removeEntry(flow, entry)
 		return false
 	}
-	return host.MayHoldFlows(now) && (entry.hostStarted == 0 || entry.hostStarted == host.Born)
+	return d.fleet.MayHoldFlows(host, now) && (entry.hostStarted == 0 || entry.hostStarted == host.Born)
 }
 
 // LostFlow is a flow to be reset because no running host holds it.
@@ -207,7 +212,7 @@
 	}
 	withoutFlows := make(map[anvilglade.IPv4]bool)
 	for _, host := range d.fleet.AllHosts() {
-		if !host.MayHoldFlows(now) {
+		if !d.fleet.MayHoldFlows(host, now) {
 			withoutFlows[host.Agent] = true
 		}
 	}
@@ -239,6 +244,7 @@
 		return 0
 	}
 	host.Suspect = false
+	d.prober.Confirm(agent)
 	entry := d.flows[flow]
 	if entry == nil {
 		entry = d.addEntry(flow, host.Number, now)
@@ -287,7 +293,8 @@
 }
 
 // Expire removes the flows that have been idle for longer than the idle timeout of
-// the desired state and a margin.
+// the desired state and a margin, and ends the probes to agents that have been
+// removed.
 func (d *Dispatcher) Expire(now time.Time) {
 	idle := defaultIdleTimeout
 	if state, ok := d.fleet.Desired(); ok && state.IdleTimeout > 0 {
@@ -298,6 +305,10 @@
 			d.removeEntry(flow, entry)
 		}
 	}
+	d.prober.Forget(func(agent anvilglade.IPv4) bool {
+		_, known := d.fleet.Host(agent)
+		return known
+	})
 }
 
 func (d *Dispatcher) addEntry(flow anvilglade.Flow, service anvilglade.ServiceNumber, now time.Time) *flowEntry {
--- a/internal/routing/agdispatch/opening.go
+++ b/internal/routing/agdispatch/opening.go
@@ -60,7 +60,7 @@
 	}
 	if len(entry.attempts) > 0 {
 		// The caller retransmits because the last host has not answered.
-		d.fleet.Suspect(entry.holder, entry.lastAttempt)
+		d.suspect(entry, now)
 	}
 	d.rank(route, service, entry, now)
 	if len(d.ranked) == 0 {
@@ -76,6 +76,29 @@
 	}
 }
 
+// suspect handles an opening packet to which no host has answered: the VM of the host
+// may be lost, or the path to its data centre may be broken.
+func (d *Dispatcher) suspect(entry *flowEntry, now time.Time) {
+	d.fleet.Suspect(entry.holder, entry.lastAttempt)
+	host, known := d.fleet.Host(entry.holder)
+	if !known {
+		return
+	}
+	var agents []anvilglade.IPv4
+	for _, other := range d.fleet.AllHosts() {
+		if other.DataCentre == host.DataCentre && !other.Lost(now) {
+			agents = append(agents, other.Agent)
+		}
+	}
+	d.prober.Suspect(host.DataCentre, agents, now)
+}
+
+// DueProbes returns the agents to send a probe to, so that a path to them that is
+// broken is detected.
+func (d *Dispatcher) DueProbes(now time.Time) []anvilglade.IPv4 {
+	return d.prober.Due(now)
+}
+
 func (d *Dispatcher) forwardToOffer(entry *flowEntry, verdict *Verdict) {
 	verdict.Action, verdict.Reason, verdict.Service = ActionForward, ReasonPlaced, entry.service
 	verdict.To = append(verdict.To, entry.offers[0].agent)
@@ -119,7 +142,7 @@
 			ActiveRequests: host.ActiveRequests + host.PlacedFlows,
 			Latency:        host.Latency,
 			Failing:        float64(host.Failing),
-			Suspect:        host.Suspect,
+			Suspect:        host.Suspect || d.prober.Unreachable(host.Agent),
 			Local:          d.fleet.Local(host.DataCentre),
 			Cold:           host.Cold,
 			Order:          d.random.Uint64(),
--- a/internal/routing/agdispatch/script_test.go
+++ b/internal/routing/agdispatch/script_test.go
@@ -121,6 +121,18 @@
 		slices.Sort(words)
 		return strings.Join(words, " ")
 	},
+	"Probes": func(p *player, _ *testing.T, _ []string, _ *agdispatch.Verdict) string {
+		var words []string
+		for _, agent := range p.dispatcher.DueProbes(p.now) {
+			words = append(words, fmt.Sprintf("a%d", agent[3]))
+		}
+		slices.Sort(words)
+		return strings.Join(words, " ")
+	},
+	"ProbeReply": func(p *player, _ *testing.T, args []string, _ *agdispatch.Verdict) string {
+		p.dispatcher.HandleFlowReply(ipOf(args[0]), agmessage.ProbeQueryID, nil, p.now)
+		return ""
+	},
 	"Found": func(p *player, _ *testing.T, args []string, _ *agdispatch.Verdict) string {
 		return p.found(args)
 	},
--- a/internal/routing/agdispatch/search.go
+++ b/internal/routing/agdispatch/search.go
@@ -67,12 +67,14 @@
 
 // HandleFlowReply handles an agent's reply to a query. It returns the flows that the
 // agent's host holds, and those that the agent has no information on. For the
-// latter the host has to be probed with a packet, see ProbePacket.
+// latter the host has to be probed with a packet, see ProbePacket. The reply also
+// proves that the path to the agent works.
 func (d *Dispatcher) HandleFlowReply(agent anvilglade.IPv4, number uint32, states []agmessage.FlowState, now time.Time) []agsearch.Finding {
 	host, known := d.fleet.Host(agent)
 	if !known {
 		return nil
 	}
+	d.prober.Confirm(agent)
 	findings := d.searcher.HandleReply(agent, number, states, now)
 	for _, finding := range findings {
 		if entry := d.flows[finding.Flow]; entry != nil && finding.State == agmessage.FlowHeld {
@@ -133,7 +135,7 @@
 func (d *Dispatcher) possibleHolders(now time.Time) []anvilglade.IPv4 {
 	d.holders = d.holders[:0]
 	for _, host := range d.fleet.AllHosts() {
-		if host.MayHoldFlows(now) {
+		if d.fleet.MayHoldFlows(host, now) {
 			d.holders = append(d.holders, host.Agent)
 		}
 	}
--- a/internal/state/agfleet/agents.go
+++ b/internal/state/agfleet/agents.go
@@ -44,11 +44,11 @@
 	return f.agentsListed || now.Sub(started) >= LostAfter
 }
 
-// Agents returns the agents whose hosts may hold flows; see Host.MayHoldFlows.
+// Agents returns the agents whose hosts may hold flows; see Fleet.MayHoldFlows.
 func (f *Fleet) Agents(now time.Time) []anvilglade.IPv4 {
 	var list []anvilglade.IPv4
 	for address, host := range f.hosts {
-		if host.MayHoldFlows(now) {
+		if f.MayHoldFlows(host, now) {
 			list = append(list, address)
 		}
 	}
@@ -82,17 +82,8 @@
 	return max(LostAfter, lostStatuses*h.Interval)
 }
 
-// MayHoldFlows reports whether the host may be running and hold flows: it is not
-// lost and has not been reported as ended.
-func (h *Host) MayHoldFlows(now time.Time) bool {
-	if h.Ended && now.Sub(h.endedAt) >= endedMargin {
-		return false
-	}
-	return now.Sub(h.LastStatus) < h.LostAfter()
-}
-
-// Lost reports whether no status has been received for Host.LostAfter, so that
-// the host counts as lost together with its VM.
+// Lost reports whether no status has been received for Host.LostAfter. Without other
+// evidence the host counts as lost together with its VM; see Fleet.Lost.
 func (h *Host) Lost(now time.Time) bool {
 	return now.Sub(h.LastStatus) >= h.LostAfter()
 }
--- a/internal/state/agfleet/fleet.go
+++ b/internal/state/agfleet/fleet.go
@@ -113,6 +113,9 @@
 	lastTick     time.Time
 	byService    map[anvilglade.ServiceID][]*Host
 	balancers    map[anvilglade.IPv4]*Balancer
+	paths        map[anvilglade.DataCentreID]*centrePath
+	// fetchFailedAt is the time of the last RecordFetchFailure.
+	fetchFailedAt time.Time
 }
 
 // NewFleet returns an empty Fleet.
@@ -124,6 +127,7 @@
 		pending:   make(map[anvilglade.IPv4]time.Time),
 		byService: make(map[anvilglade.ServiceID][]*Host),
 		balancers: make(map[anvilglade.IPv4]*Balancer),
+		paths:     make(map[anvilglade.DataCentreID]*centrePath),
 	}
 }
 
@@ -190,6 +194,7 @@
 	}
 	host.AgentStatus, host.LastStatus, host.PlacedFlows, host.Suspect = status, now, 0, false
 	host.Number = status.Service.Number()
+	f.pathOf(status.DataCentre).lastStatus = now
 	if !ok || serviceChanged {
 		f.indexHosts()
 	}
@@ -223,6 +228,9 @@
 		for _, host := range f.hosts {
 			host.LastStatus = host.LastStatus.Add(pause)
 		}
+		for _, path := range f.paths {
+			path.lastStatus = path.lastStatus.Add(pause)
+		}
 	}
 	f.lastTick = now
 }
