Let a bounded number of balancers watch the store

Cause: every balancer held two watches, renewed them, was answered at each change of the configuration and retried every 1.5 s in an outage; every agent read the list of balancers at its start. Change: two balancers of each data centre, and the four of the lowest rank, watch the store; the others receive versions and evacuations in their peers' statuses and fetch the desired state from a watcher of their data centre. Balancers without two working watches in touch are standbys, which retry after 1.5 to 10 s; a failed fetch from a peer makes a balancer a primary for 5 s. A balancer that starts waits 0.1 s for peers and 0.5 s for their state before it reads the store; an agent reads the list of balancers only if none responds within 0.3 s.

--- a/fleet.go
+++ b/fleet.go
@@ -136,8 +136,23 @@
 	// Balancers and Agents list the processes that the sender has discovered.
 	Balancers []IPv4 `cbor:"10,keyasint,omitempty"`
 	Agents    []IPv4 `cbor:"11,keyasint,omitempty"`
+	// Watch is the role in which the sender watches the store, WatchNone while the
+	// store does not answer it.
+	Watch StoreWatch `cbor:"12,keyasint,omitempty"`
 }
 
+// StoreWatch is the role of a balancer in watching the platform's store.
+type StoreWatch uint8
+
+// Roles of a balancer. A standby watches because it receives statuses of too few
+// balancers with a working watch. While the store is unavailable every balancer is a
+// standby, so it retries at longer intervals than a primary.
+const (
+	WatchNone StoreWatch = iota
+	WatchStandby
+	WatchPrimary
+)
+
 // PlatformSettings holds the settings that the users' platform passes to a
 // process when it starts.
 type PlatformSettings struct {
--- a/internal/operate/agpacketagent/status.go
+++ b/internal/operate/agpacketagent/status.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"github.com/anvilglade/anvilglade"
@@ -21,9 +22,15 @@
 	statusInterval = 250 * time.Millisecond
 	// startInterval replaces statusInterval while no balancer responds.
 	startInterval = 100 * time.Millisecond
-	// discoverInterval is the time between two reads of the store while no
-	// balancer responds.
-	discoverInterval = 2 * time.Second
+	// discoverInterval is the time between two reads of the store while no balancer
+	// responds, and between two attempts to join the list of agents. After failures it
+	// rises to maxDiscoverInterval: all agents call the store at the same time after an
+	// outage of everything.
+	discoverInterval    = 2 * time.Second
+	maxDiscoverInterval = 8 * time.Second
+	// seedGrace is how long an agent that has just started waits for a status of a
+	// balancer before it reads the list of balancers from the store.
+	seedGrace = 300 * time.Millisecond
 	// statusesPerList is the number of statuses of which one lists the balancers.
 	statusesPerList = 8
 	// maxListEntries limits the balancers that a status lists.
@@ -143,31 +150,45 @@
 	return status
 }
 
-// discover registers this agent in the store and reads the list of balancers from
-// it, because seeds may be stale or down. It repeats the read while no balancer
-// responds.
+// discover registers this agent in the store, so that balancers that start later can
+// find it. While no balancer responds, it reads the list of balancers from the store,
+// because seeds may be stale or down.
 func (p *Process) discover(ctx context.Context) error {
 	agents := agregistry.NewRegistry(p.parts.Store, agregistry.KindAgent)
 	balancers := agregistry.NewRegistry(p.parts.Store, agregistry.KindBalancer)
-	joined, loaded := false, false
+	if err := agtask.Sleep(ctx, seedGrace); err != nil {
+		return err
+	}
+	joined, interval := false, discoverInterval
 	for {
+		var joinErr, readErr error
 		if !joined {
-			err := agents.Join(ctx, p.settings.IP, p.settings.Node)
-			p.logDiscovery(err)
-			joined = err == nil
+			joinErr = agents.Join(ctx, p.settings.IP, p.settings.Node)
+			p.logDiscovery(joinErr)
+			joined = joinErr == nil
+		}
+		if !p.hasResponsiveBalancer(time.Now()) {
+			readErr = p.readBalancers(ctx, balancers)
+			p.logDiscovery(readErr)
 		}
-		if !loaded || !p.hasResponsiveBalancer(time.Now()) {
-			addresses, faults, err := balancers.Members(ctx)
-			p.logDiscovery(errors.Join(append(faults, err)...))
-			loaded = err == nil
-			p.addBalancers(addresses)
+		interval = min(2*interval, maxDiscoverInterval)
+		if joinErr == nil && readErr == nil {
+			interval = discoverInterval
 		}
-		if err := agtask.Sleep(ctx, discoverInterval); err != nil {
+		if err := agtask.Sleep(ctx, interval/2+rand.N(interval/2)); err != nil {
 			return err
 		}
 	}
 }
 
+// readBalancers adds the balancers that the store lists. It returns an error if the
+// list or one of its entries cannot be read.
+func (p *Process) readBalancers(ctx context.Context, balancers *agregistry.Registry) error {
+	addresses, faults, err := balancers.Members(ctx)
+	p.addBalancers(addresses)
+	return errors.Join(append(faults, err)...)
+}
+
 func (p *Process) logDiscovery(err error) {
 	if err != nil {
 		p.log.WithError(err).Warn("Lists of processes in the store cannot be read or written; the agent retries.")
--- a/internal/operate/agpacketbalancer/packets.go
+++ b/internal/operate/agpacketbalancer/packets.go
@@ -142,6 +142,9 @@
 		if started := p.fleet.UpdateBalancer(status, now); started {
 			p.sendFullStatus(writer, from, now)
 		}
+		if desired, _ := p.fleet.Desired(); status.Desired > desired.Version {
+			p.wakeFetch()
+		}
 	}
 }
 
--- a/internal/operate/agpacketbalancer/state.go
+++ b/internal/operate/agpacketbalancer/state.go
@@ -1,12 +1,14 @@
 package agpacketbalancer
 
-// Tasks that update the desired state, the evacuations and the settings.
+// Tasks that update the desired state, the evacuations and the settings. Few balancers
+// watch the store (agfleet.WatchRole); the others receive changes from their peers.
 
 import (
 	"context"
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/anvilglade/anvilglade"
@@ -17,10 +19,23 @@
 )
 
 const (
-	// minBackoff and maxBackoff bound the pause after a failed call to the store.
-	// The end of an outage is detected within maxBackoff.
+	// minBackoff and maxBackoff bound the pause after a failed call to the store. The
+	// end of an outage is detected within maxBackoff.
 	minBackoff = 150 * time.Millisecond
 	maxBackoff = 1500 * time.Millisecond
+	// minStandbyBackoff and maxStandbyBackoff bound the pause of a standby, whose calls
+	// grow with the fleet. Primaries detect the end of an outage earlier.
+	minStandbyBackoff = 1500 * time.Millisecond
+	maxStandbyBackoff = 10 * time.Second
+	// rolePoll is the time between two checks whether this balancer has to watch.
+	rolePoll = 200 * time.Millisecond
+	// peerGrace is how long a balancer that has just started waits for the status of a
+	// peer before it reads the store, stateGrace how long it waits for the state of a
+	// peer that has one.
+	peerGrace  = 100 * time.Millisecond
+	stateGrace = 500 * time.Millisecond
+	// startPoll is the time between two checks for peers during peerGrace.
+	startPoll = 10 * time.Millisecond
 	// batchDelay is the pause after a successful read. Changes in quick succession
 	// are read together, because each read costs a call to the store.
 	batchDelay = 150 * time.Millisecond
@@ -29,7 +44,7 @@
 	// the balancers with a short wait report changes to the others.
 	shortWait = 4 * time.Second
 	longWait  = 25 * time.Second
-	// fetchInterval is the time between two checks for a peer with a newer
+	// fetchInterval is the maximum time between two checks for a peer with a newer
 	// desired state.
 	fetchInterval = 200 * time.Millisecond
 	// fetchTimeout is the timeout of a transfer of the desired state.
@@ -39,7 +54,7 @@
 // watchDesired watches the desired state in the store and applies its changes.
 func (p *Process) watchDesired(ctx context.Context) error {
 	var revision anvilglade.StoreRevision
-	return p.watchStore(ctx, "desired state", func(ctx context.Context) error {
+	return p.watchStore(ctx, storeTask{what: "desired state", health: &p.desiredWatch, read: func(ctx context.Context) error {
 		var state anvilglade.DesiredState
 		var err error
 		if revision == 0 {
@@ -58,14 +73,14 @@
 		}
 		p.adopt(state, "store")
 		return nil
-	})
+	}})
 }
 
 // watchEvacuations watches the evacuated data centres in the store and
 // applies their changes.
 func (p *Process) watchEvacuations(ctx context.Context) error {
 	loaded := false
-	return p.watchStore(ctx, "evacuations", func(ctx context.Context) error {
+	return p.watchStore(ctx, storeTask{what: "evacuations", health: &p.evacuationWatch, read: func(ctx context.Context) error {
 		p.mu.Lock()
 		current := *p.fleet.Evacuations()
 		p.mu.Unlock()
@@ -88,7 +103,7 @@
 			p.broadcast()
 		}
 		return nil
-	})
+	}})
 }
 
 // watchWait returns how long the next watch waits for a change. Each watch costs
@@ -102,38 +117,114 @@
 	return longWait
 }
 
-// watchStore repeats a read of the store until the context ends. It backs off
-// while the store does not answer.
-func (p *Process) watchStore(ctx context.Context, what string, read func(context.Context) error) error {
-	backoff, reachable := minBackoff, true
+// storeTask is a read of the store that is repeated.
+type storeTask struct {
+	what string
+	// health receives the role in which the last read was answered. Nil stands for a
+	// task that every balancer runs.
+	health *atomic.Uint32
+	read   func(context.Context) error
+}
+
+// watchStore repeats a read of the store until the context ends, while this balancer
+// has to watch. It backs off while the store does not answer.
+func (p *Process) watchStore(ctx context.Context, task storeTask) error {
+	var backoff time.Duration
+	reachable := true
 	for ctx.Err() == nil {
-		err := read(ctx)
-		p.metrics.StoreCalls.WithLabelValues(what, outcomeOf(err)).Inc()
+		role, err := p.awaitRole(ctx, task)
+		if err != nil {
+			return err
+		}
+		err = task.read(ctx)
+		p.metrics.StoreCalls.WithLabelValues(task.what, outcomeOf(err)).Inc()
 		if ctx.Err() != nil {
 			break
 		}
 		if err == nil || errors.Is(err, anvilglade.ErrHistoryGone) {
 			if !reachable {
-				p.log.WithField("What", what).Info("Store answers again.")
+				p.log.WithField("What", task.what).Info("Store answers again.")
 			}
-			reachable, backoff = true, minBackoff
+			task.setHealth(role)
+			reachable, backoff = true, 0
 			if err := agtask.Sleep(ctx, batchDelay); err != nil {
 				return err
 			}
 			continue
 		}
 		if reachable {
-			p.log.WithError(err).WithField("What", what).Warn("Store does not answer; the last state stays in effect.")
+			p.log.WithError(err).WithField("What", task.what).Warn("Store does not answer; the last state stays in effect.")
 		}
-		reachable = false
+		task.setHealth(anvilglade.WatchNone)
+		reachable, backoff = false, nextBackoff(backoff, role)
 		if err := agtask.Sleep(ctx, backoff/2+rand.N(backoff/2)); err != nil {
 			return err
 		}
-		backoff = min(2*backoff, maxBackoff)
 	}
 	return ctx.Err()
 }
 
+func (t *storeTask) setHealth(role anvilglade.StoreWatch) {
+	if t.health != nil {
+		t.health.Store(uint32(role))
+	}
+}
+
+// nextBackoff returns the pause after another failed call of a balancer with a role;
+// former is the pause before the call, 0 if it was the first.
+func nextBackoff(former time.Duration, role anvilglade.StoreWatch) time.Duration {
+	low, high := minBackoff, maxBackoff
+	if role == anvilglade.WatchStandby {
+		low, high = minStandbyBackoff, maxStandbyBackoff
+	}
+	return min(max(2*former, low), high)
+}
+
+// awaitRole waits until this balancer has to watch the store and returns its role.
+func (p *Process) awaitRole(ctx context.Context, task storeTask) (anvilglade.StoreWatch, error) {
+	if task.health == nil {
+		return anvilglade.WatchPrimary, nil
+	}
+	if err := p.awaitPeers(ctx); err != nil {
+		return anvilglade.WatchNone, err
+	}
+	for {
+		p.mu.Lock()
+		role := p.fleet.WatchRole(time.Now())
+		p.mu.Unlock()
+		if role != anvilglade.WatchNone {
+			return role, nil
+		}
+		task.setHealth(anvilglade.WatchNone)
+		if err := agtask.Sleep(ctx, rolePoll); err != nil {
+			return anvilglade.WatchNone, err
+		}
+	}
+}
+
+// awaitPeers waits after the start of the process until its peers have sent statuses,
+// so that a restart in a running fleet needs no calls to the store.
+func (p *Process) awaitPeers(ctx context.Context) error {
+	for {
+		p.mu.Lock()
+		found, hasDesired := p.fleet.PeerState()
+		p.mu.Unlock()
+		age := time.Since(p.started)
+		if age > stateGrace || age > peerGrace && !hasDesired || found && !hasDesired {
+			return nil
+		}
+		if err := agtask.Sleep(ctx, startPoll); err != nil {
+			return err
+		}
+	}
+}
+
+// watch returns the role in which this balancer watches the store, WatchNone unless
+// the store answers.
+func (p *Process) watch() anvilglade.StoreWatch {
+	return anvilglade.StoreWatch(min(p.desiredWatch.Load(), p.evacuationWatch.Load()))
+}
+
 // outcomeOf returns the outcome of a call to the store as a label of the counter
 // of calls.
 func outcomeOf(err error) string {
@@ -169,26 +260,47 @@
 	}
 }
 
-// fetchFromPeers fetches the desired state from a balancer that has a newer one.
+// fetchFromPeers fetches the desired state from a balancer that has a newer one. A
+// state that a peer has just announced is fetched from this data centre only, whose
+// watchers of the store receive it at about the same time; at the next tick any peer
+// is used.
 func (p *Process) fetchFromPeers(ctx context.Context) error {
+	ticker := time.NewTicker(fetchInterval)
+	defer ticker.Stop()
 	for {
-		if err := agtask.Sleep(ctx, fetchInterval); err != nil {
-			return err
+		announced := false
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-p.newerDesired:
+			announced = true
+		case <-ticker.C:
 		}
 		p.mu.Lock()
 		peer, found := p.fleet.NewerPeer(time.Now())
 		p.mu.Unlock()
-		if !found {
+		if !found || announced && !p.fleet.Local(peer.DataCentre) {
 			continue
 		}
 		fetchCtx, cancel := context.WithTimeout(ctx, fetchTimeout)
-		state, err := agtransfer.Fetch(fetchCtx, p.http, p.endpointOf(peer, p.settings.InnerPort))
+		state, err := agtransfer.Fetch(fetchCtx, p.http, p.endpointOf(peer.Balancer, p.settings.InnerPort))
 		cancel()
 		if err != nil {
+			p.mu.Lock()
+			p.fleet.RecordFetchFailure(time.Now())
+			p.mu.Unlock()
 			p.logFailure(err, "Peer with a newer desired state does not answer.")
 			continue
 		}
-		p.adopt(state, peer.String())
+		p.adopt(state, peer.Balancer.String())
+	}
+}
+
+// wakeFetch triggers a check for a peer with a newer desired state.
+func (p *Process) wakeFetch() {
+	select {
+	case p.newerDesired <- struct{}{}:
+	default:
 	}
 }
 
@@ -209,7 +321,7 @@
 func (p *Process) discover(ctx context.Context) error {
 	balancers := agregistry.NewRegistry(p.parts.Store, agregistry.KindBalancer)
 	agents := agregistry.NewRegistry(p.parts.Store, agregistry.KindAgent)
-	return p.watchStore(ctx, "lists of processes", func(ctx context.Context) error {
+	return p.watchStore(ctx, storeTask{what: "lists of processes", read: func(ctx context.Context) error {
 		if err := balancers.Join(ctx, p.settings.IP, p.settings.Node); err != nil {
 			return err
 		}
@@ -230,7 +342,7 @@
 		p.broadcast()
 		<-ctx.Done()
 		return ctx.Err()
-	})
+	}})
 }
 
 func (p *Process) logFaults(faults []error) {
--- a/internal/operate/agpacketbalancer/status.go
+++ b/internal/operate/agpacketbalancer/status.go
@@ -200,6 +200,7 @@
 		Settled:     p.fleet.Settled(p.started, now) && len(agents) <= maxListEntries,
 		Desired:     desired.Version,
 		Evacuations: *p.fleet.Evacuations(),
+		Watch:       p.watch(),
 		Balancers:   living[:min(len(living), maxListEntries)],
 		Agents:      agents[:min(len(agents), maxListEntries)],
 	}
--- a/internal/state/agfleet/balancers.go
+++ b/internal/state/agfleet/balancers.go
@@ -70,22 +70,19 @@
 }
 
 // NewerPeer returns the balancer with the newest desired state among those that
-// have sent a status within LostAfter. It returns false if none has a newer one
-// than this balancer.
-func (f *Fleet) NewerPeer(now time.Time) (anvilglade.IPv4, bool) {
+// have sent a status within LostAfter, preferably one of this data centre. It
+// returns false if none has a newer one than this balancer.
+func (f *Fleet) NewerPeer(now time.Time) (*Balancer, bool) {
 	var best *Balancer
 	for _, balancer := range f.balancers {
 		if !balancer.HasStatus || now.Sub(balancer.LastStatus) > LostAfter || balancer.Desired <= f.desired.Version {
 			continue
 		}
-		if best == nil || balancer.Desired > best.Desired {
+		if best == nil || balancer.Desired > best.Desired || balancer.Desired == best.Desired && f.Local(balancer.DataCentre) {
 			best = balancer
 		}
 	}
-	if best == nil {
-		return anvilglade.IPv4{}, false
-	}
-	return best.Balancer, true
+	return best, best != nil
 }
 
 // shortWaitCount is the number of balancers that watch the store with a short
@@ -98,7 +95,7 @@
 func (f *Fleet) UsesShortWait(now time.Time) bool {
 	own, lower := rank(f.options.Self), 0
 	for address, balancer := range f.balancers {
-		if balancer.HasStatus && !balancer.Leaving && now.Sub(balancer.LastStatus) < LostAfter && rank(address) < own {
+		if balancer.inTouch(now) && rank(address) < own {
 			lower++
 		}
 	}
--- a/internal/state/agfleet/model_test.go
+++ b/internal/state/agfleet/model_test.go
@@ -162,7 +162,7 @@
 		return
 	}
 	// The last byte of balancerIP(i) is i+1.
-	desired, ok := m.balancers[peer[3]-1].fleet.Desired()
+	desired, ok := m.balancers[peer.Balancer[3]-1].fleet.Desired()
 	if !ok {
 		return
 	}
--- /dev/null
+++ b/internal/state/agfleet/watchers.go
@@ -0,0 +1,75 @@
+package agfleet
+
+// Which balancers watch the platform's store. Each watch costs calls, so the number of
+// watching balancers must not grow with the fleet. The others receive the version of
+// the desired state and the evacuations in the statuses of their peers.
+
+import (
+	"time"
+
+	"github.com/anvilglade/anvilglade"
+)
+
+const (
+	// watchersPerCentre is the number of balancers of each data centre that watch the
+	// store, so that the state enters each data centre once and one watcher may fail.
+	watchersPerCentre = 2
+	// minHealthyWatchers is the number of other balancers with a working watch below
+	// which a balancer watches the store itself.
+	minHealthyWatchers = 2
+	// fetchFailureWindow is the time after a failed fetch of a newer desired state from
+	// a peer for which a balancer watches the store itself: it may receive the peers'
+	// statuses without being able to reach them.
+	fetchFailureWindow = 5 * time.Second
+)
+
+// WatchRole returns the role of this balancer. Primaries are chosen by rank, whether
+// the store answers them or not. A standby counts only standbys of a lower rank as
+// healthy watchers, so that a few of them remain when the primaries have failed.
+func (f *Fleet) WatchRole(now time.Time) anvilglade.StoreWatch {
+	if f.UsesShortWait(now) || now.Sub(f.fetchFailedAt) < fetchFailureWindow {
+		return anvilglade.WatchPrimary
+	}
+	own, lowerLocal, healthy := rank(f.options.Self), 0, 0
+	for address, balancer := range f.balancers {
+		if !balancer.inTouch(now) {
+			continue
+		}
+		lower := rank(address) < own
+		if balancer.Watch == anvilglade.WatchPrimary || balancer.Watch == anvilglade.WatchStandby && lower {
+			healthy++
+		}
+		if lower && f.Local(balancer.DataCentre) {
+			lowerLocal++
+		}
+	}
+	switch {
+	case lowerLocal < watchersPerCentre:
+		return anvilglade.WatchPrimary
+	case healthy < minHealthyWatchers:
+		return anvilglade.WatchStandby
+	}
+	return anvilglade.WatchNone
+}
+
+// RecordFetchFailure records that a newer desired state could not be fetched from a
+// peer.
+func (f *Fleet) RecordFetchFailure(now time.Time) {
+	f.fetchFailedAt = now
+}
+
+// PeerState reports whether any other balancer has sent a status, and whether one of
+// them has a desired state.
+func (f *Fleet) PeerState() (found, hasDesired bool) {
+	for _, balancer := range f.balancers {
+		found = found || balancer.HasStatus
+		hasDesired = hasDesired || balancer.Desired > 0
+	}
+	return found, hasDesired
+}
+
+// inTouch reports whether a balancer is not leaving and has sent a status within
+// LostAfter.
+func (b *Balancer) inTouch(now time.Time) bool {
+	return b.HasStatus && !b.Leaving && now.Sub(b.LastStatus) < LostAfter
+}
