Request replies from few balancers; send fewer statuses between balancers

Cause: each balancer replied to each agent every 0.9 s (more slowly beyond 40), and at once with its list of balancers whenever a balancer came or went: at 59 balancers and 136 hosts 8,000 replies for each restart. Each new balancer made every agent send its status to all balancers. Balancers sent each other four statuses a second, and each announced a new desired state to all others, whoever it had it from. Change: an agent requests replies from two balancers at a time, one of which has replied recently; others reply at a change of the evacuations, when they leave, when the agent has restarted, and every 10 s. A balancer that is new to an agent gets its status alone. Balancers send each other two statuses a second in a small fleet, count as in touch for four of them, and only the watchers of the store announce a new desired state at once. An agent of an earlier build gets replies at intervals as before. Tests: agroster TestRepliesFromAnyLivingBalancer.

--- a/fleet.go
+++ b/fleet.go
@@ -113,9 +113,23 @@
 	// interval of a small fleet.
 	Interval time.Duration `cbor:"18,keyasint,omitempty"`
 	// Balancers lists the balancers that the agent has discovered.
-	Balancers []IPv4 `cbor:"16,keyasint,omitempty"`
+	Balancers []IPv4       `cbor:"16,keyasint,omitempty"`
+	Reply     ReplyRequest `cbor:"19,keyasint,omitempty"`
 }
 
+// ReplyRequest states when the receiver of an agent's status replies to it.
+type ReplyRequest uint8
+
+// Requests for a reply. Agents of builds before this field send ReplyPeriodic.
+const (
+	// ReplyPeriodic requests replies at regular intervals.
+	ReplyPeriodic ReplyRequest = iota
+	// ReplyOnChange requests a reply when its data has changed.
+	ReplyOnChange
+	// ReplyNow requests a reply to this status.
+	ReplyNow
+)
+
 // BalancerStatus is the status that a balancer sends to other balancers and to
 // agents.
 type BalancerStatus struct {
--- a/internal/membership/agroster/roster.go
+++ b/internal/membership/agroster/roster.go
@@ -7,6 +7,10 @@
 // have moved to other balancers, so it receives status messages for that time.
 // Without them it would treat every host as unresponsive and refuse new flows.
 //
+// The agent needs a recent status of any balancer, not of each one. It requests a
+// reply from few balancers at a time, so that the number of replies does not grow with
+// the fleet.
+//
 // A Roster takes the time as a parameter, has no sockets and is not safe for
 // concurrent use.
 //
@@ -14,15 +18,20 @@
 //
 //	roster := agroster.NewRoster()
 //	roster.AddSeeds(settings.Seeds)
-//	if roster.HandleStatus(&status, now) {
-//		// send a status without waiting for the interval
+//	for _, balancer := range roster.HandleStatus(&status, now) {
+//		// send a status to the new balancer
 //	}
 //	for _, balancer := range roster.Receivers(now) {
 //		// send the status
 //	}
+//	for _, balancer := range roster.ReplyTargets(now, random) {
+//		// request a reply
+//	}
 package agroster
 
 import (
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/anvilglade/anvilglade"
@@ -72,22 +81,22 @@
 }
 
 // Add adds balancers whose addresses come from the store or from another balancer,
-// and reports whether one of them is new.
-func (r *Roster) Add(addresses []anvilglade.IPv4, now time.Time) bool {
-	added := false
+// and returns those that are new.
+func (r *Roster) Add(addresses []anvilglade.IPv4, now time.Time) []anvilglade.IPv4 {
+	var added []anvilglade.IPv4
 	for _, address := range addresses {
 		if _, exists := r.balancers[address]; exists {
 			continue
 		}
 		r.entry(address).lastStatus = now
-		added = true
+		added = append(added, address)
 	}
 	return added
 }
 
-// HandleStatus processes a status message of a balancer and reports whether the
-// message lists a new balancer.
-func (r *Roster) HandleStatus(status *anvilglade.BalancerStatus, now time.Time) bool {
+// HandleStatus processes a status message of a balancer and returns the new balancers
+// that the message lists.
+func (r *Roster) HandleStatus(status *anvilglade.BalancerStatus, now time.Time) []anvilglade.IPv4 {
 	added := r.Add(status.Balancers, now)
 	entry := r.entry(status.Balancer)
 	entry.lastStatus, entry.hasReported = now, true
@@ -136,6 +145,21 @@
 	return list
 }
 
+// ReplyTargets returns the balancers to request a reply from. It is one that has
+// replied recently and a random one, which replaces the former when it stops. While
+// none has replied recently, it is every receiver.
+func (r *Roster) ReplyTargets(now time.Time, random *rand.Rand) []anvilglade.IPv4 {
+	responsive, all := r.Responsive(now), r.Receivers(now)
+	if len(responsive) == 0 {
+		return all
+	}
+	targets := []anvilglade.IPv4{responsive[random.IntN(len(responsive))]}
+	if other := all[random.IntN(len(all))]; !slices.Contains(targets, other) {
+		targets = append(targets, other)
+	}
+	return targets
+}
+
 // Ages returns the time since the last status message of each balancer that has
 // sent one, by address.
 func (r *Roster) Ages(now time.Time) map[string]time.Duration {
--- a/internal/membership/agroster/script_test.go
+++ b/internal/membership/agroster/script_test.go
@@ -53,8 +53,8 @@
 	return ""
 }
 
-func formatAdded(added bool) string {
-	if added {
+func formatAdded(added []anvilglade.IPv4) string {
+	if len(added) > 0 {
 		return "News"
 	}
 	return ""
--- a/internal/operate/agpacketagent/process.go
+++ b/internal/operate/agpacketagent/process.go
@@ -20,6 +20,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"sync"
@@ -73,8 +74,10 @@
 	leaving     atomic.Bool
 	packets     *agsocket.Socket
 	hostSocket  *agsocket.Socket
-	// wake triggers a status before the interval has passed.
-	wake chan struct{}
+	// wake triggers a status before the interval has passed, greet one to the balancers
+	// in newBalancers only.
+	wake  chan struct{}
+	greet chan struct{}
 
 	mu             sync.Mutex
 	gate           *agopen.Gate
@@ -86,8 +89,12 @@
 	failing     bool
 	evacuations anvilglade.Evacuations
 	roster      *agroster.Roster
-	decisions   *agdecision.Log
-	metrics     *agmetric.Metrics
+	// newBalancers has the balancers of the roster that have not received a status.
+	newBalancers []anvilglade.IPv4
+	// random selects the balancers to request a reply from.
+	random    *rand.Rand
+	decisions *agdecision.Log
+	metrics   *agmetric.Metrics
 }
 
 // NewProcess returns a Process with open sockets, or an error if a socket cannot
@@ -102,6 +109,7 @@
 		closePackets()
 		return nil, nil, err
 	}
+	seed := uint64(time.Now().UnixNano())
 	p := &Process{
 		settings:    settings,
 		parts:       parts,
@@ -110,6 +118,7 @@
 		packets:     packets,
 		hostSocket:  hostSocket,
 		wake:        make(chan struct{}, 1),
+		greet:       make(chan struct{}, 1),
 		gate: agopen.NewGate(agopen.Options{
 			Service:           settings.Service,
 			Address:           settings.HostAddr,
@@ -120,6 +129,7 @@
 		holder:         agholder.NewHolder(agholder.Options{Service: settings.Service.Number(), IdleTimeout: settings.MaxFlowAge}, time.Now()),
 		admissionState: agopen.RefusalNoHeartbeat,
 		roster:         agroster.NewRoster(),
+		random:         rand.New(rand.NewPCG(seed, seed)),
 		decisions:      agdecision.NewLog(aglog.New("packet-agent")),
 		metrics:        agmetric.NewMetrics("packet-agent", settings.DataCentre),
 	}
--- a/internal/operate/agpacketagent/status.go
+++ b/internal/operate/agpacketagent/status.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/anvilglade/anvilglade"
@@ -20,6 +21,9 @@
 	// statusInterval is the minimum time between two regular statuses to each
 	// balancer.
 	statusInterval = 250 * time.Millisecond
+	// replyInterval is the maximum time between two requests for a reply. Without a
+	// recent reply the host takes no new flows.
+	replyInterval = 400 * time.Millisecond
 	// startInterval replaces statusInterval while no balancer responds.
 	startInterval = 100 * time.Millisecond
 	// discoverInterval is the time between two reads of the store while no balancer
@@ -44,9 +48,7 @@
 	if err != nil {
 		return
 	}
-	if p.roster.HandleStatus(&status, now) {
-		p.wakeStatus()
-	}
+	p.greetBalancers(p.roster.HandleStatus(&status, now))
 	if status.Evacuations.Revision > p.evacuations.Revision {
 		p.evacuations = status.Evacuations
 	}
@@ -72,26 +74,55 @@
 	}
 }
 
+// greetBalancers triggers a status to balancers that are new in the roster. The caller
+// holds the mutex.
+func (p *Process) greetBalancers(added []anvilglade.IPv4) {
+	if len(added) == 0 {
+		return
+	}
+	p.newBalancers = append(p.newBalancers, added...)
+	select {
+	case p.greet <- struct{}{}:
+	default:
+	}
+}
+
 // sendStatus sends the status of the host to balancers, at regular intervals and
-// when it changes.
+// when it changes. Between two statuses to all, it requests replies from a few.
 func (p *Process) sendStatus(ctx context.Context) error {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	var nextBroadcast time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case <-p.greet:
+			p.sendToNew()
+			continue
 		case <-p.wake:
+			nextBroadcast = time.Time{}
 		case <-timer.C:
 		}
-		interval := agpace.Interval(statusInterval, p.broadcast())
-		if !p.hasResponsiveBalancer(time.Now()) {
-			interval = startInterval
+		now := time.Now()
+		if now.Before(nextBroadcast) {
+			p.requestReplies(now)
+		} else {
+			nextBroadcast = now.Add(p.statusInterval(p.broadcast()))
 		}
-		timer.Reset(interval)
+		timer.Reset(min(time.Until(nextBroadcast), replyInterval))
 	}
 }
 
+// statusInterval returns the time until the next status to all balancers, given their
+// number.
+func (p *Process) statusInterval(receivers int) time.Duration {
+	if !p.hasResponsiveBalancer(time.Now()) {
+		return startInterval
+	}
+	return agpace.Interval(statusInterval, receivers)
+}
+
 func (p *Process) hasResponsiveBalancer(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -103,20 +134,52 @@
 func (p *Process) broadcast() int {
 	now := time.Now()
 	p.mu.Lock()
-	addresses := p.roster.Receivers(now)
-	status := p.status(now, len(addresses))
-	status.Interval = agpace.Interval(statusInterval, len(addresses))
+	receivers := p.roster.Receivers(now)
+	targets := p.roster.ReplyTargets(now, p.random)
+	status := p.status(now, len(receivers))
+	p.newBalancers = nil
 	p.mu.Unlock()
-	datagram, err := agmessage.AppendAgentStatus(nil, &status)
+	receivers = slices.DeleteFunc(receivers, func(address anvilglade.IPv4) bool { return slices.Contains(targets, address) })
+	p.sendTo(receivers, &status, anvilglade.ReplyOnChange)
+	p.sendTo(targets, &status, anvilglade.ReplyNow)
+	return len(receivers) + len(targets)
+}
+
+// requestReplies sends the status to a few balancers and requests a reply from them.
+func (p *Process) requestReplies(now time.Time) {
+	p.mu.Lock()
+	targets := p.roster.ReplyTargets(now, p.random)
+	status := p.status(now, len(p.roster.Receivers(now)))
+	p.mu.Unlock()
+	p.sendTo(targets, &status, anvilglade.ReplyNow)
+}
+
+// sendToNew sends the status to the balancers that are new in the roster.
+func (p *Process) sendToNew() {
+	now := time.Now()
+	p.mu.Lock()
+	added := p.newBalancers
+	p.newBalancers = nil
+	status := p.status(now, len(p.roster.Receivers(now)))
+	p.mu.Unlock()
+	p.sendTo(added, &status, anvilglade.ReplyNow)
+}
+
+// sendTo sends a status with a request for replies to balancers.
+func (p *Process) sendTo(balancers []anvilglade.IPv4, status *anvilglade.AgentStatus, reply anvilglade.ReplyRequest) {
+	if len(balancers) == 0 {
+		return
+	}
+	status.Reply = reply
+	datagram, err := agmessage.AppendAgentStatus(nil, status)
 	if err != nil {
 		p.log.WithError(err).Warn("Status cannot be encoded.")
-		return len(addresses)
+		return
 	}
-	for _, address := range addresses {
+	for _, address := range balancers {
 		// A failed send is not retried: the next status follows soon.
 		_ = p.packets.WriteTo(datagram, p.innerEndpoint(address).AddrPort())
 	}
-	return len(addresses)
 }
 
 // status returns the next status of this agent. The number of receivers determines
@@ -138,6 +201,7 @@
 		ActiveRequests: p.holder.ExpectedRequests(),
 		Latency:        latency,
 		Failing:        float32(p.holder.Failing(now)),
+		Interval:       agpace.Interval(statusInterval, receivers),
 	}
 	if host, ok := p.gate.Host(); ok {
 		status.Host, status.Born, status.Slots = host.Host, host.Born.UnixMilli(), host.Slots
@@ -195,11 +259,9 @@
 	}
 }
 
-// addBalancers adds balancers to the roster and triggers a status, so that new
-// ones receive it at once.
+// addBalancers adds balancers to the roster and triggers a status to new ones.
 func (p *Process) addBalancers(addresses []anvilglade.IPv4) {
 	p.mu.Lock()
-	p.roster.Add(addresses, time.Now())
-	p.mu.Unlock()
-	p.wakeStatus()
+	defer p.mu.Unlock()
+	p.greetBalancers(p.roster.Add(addresses, time.Now()))
 }
--- a/internal/operate/agpacketbalancer/state.go
+++ b/internal/operate/agpacketbalancer/state.go
@@ -51,6 +51,10 @@
 	fetchTimeout = 1500 * time.Millisecond
 )
 
+// sourceStore is the source of a desired state that was read from the store. That of
+// any other is the address of a peer.
+const sourceStore = "store"
+
 // watchDesired watches the desired state in the store and applies its changes.
 func (p *Process) watchDesired(ctx context.Context) error {
 	var revision anvilglade.StoreRevision
@@ -71,7 +75,7 @@
 			}
 			return err
 		}
-		p.adopt(state, "store")
+		p.adopt(state, sourceStore)
 		return nil
 	}})
 }
@@ -256,6 +260,10 @@
 	p.mu.Unlock()
 	if adopted {
 		p.log.WithField("Version", state.Version).WithField("Routes", len(state.Routes)).WithField("Source", source).Info("Desired state is in effect.")
+	}
+	// Peers that receive the state from another balancer do not announce it at once:
+	// the watchers of the store have reached the other balancers too.
+	if adopted && source == sourceStore {
 		p.broadcast()
 	}
 }
--- a/internal/operate/agpacketbalancer/status.go
+++ b/internal/operate/agpacketbalancer/status.go
@@ -15,37 +15,38 @@
 )
 
 const (
-	// statusInterval is the minimum time between two regular statuses to each
-	// other balancer.
-	statusInterval = 250 * time.Millisecond
+	// statusTick is the time between two checks whether a status is due.
+	statusTick = 250 * time.Millisecond
 	// maxListEntries limits the balancers and the agents that a status lists, so
 	// that it fits into one datagram.
 	maxListEntries = 250
 	// statusesPerList is the number of statuses of which one carries the lists of
 	// balancers and agents. The size of the lists grows with the fleet.
 	statusesPerList = 8
-	// agentReplyInterval is the minimum time between two replies to an agent while
-	// the data in them has not changed.
+	// agentReplyInterval is the minimum time between two replies with the same data to
+	// an agent that requests ReplyPeriodic.
 	agentReplyInterval = 900 * time.Millisecond
+	// agentUpkeepInterval is the maximum time between two replies to any other agent.
+	// It is well below the time after which an agent removes a balancer.
+	agentUpkeepInterval = 10 * time.Second
 	// agentListInterval is the minimum time between two lists of balancers to an
 	// agent.
-	agentListInterval = 5 * time.Second
+	agentListInterval = 30 * time.Second
 )
 
-// lastReply is the last reply to an agent and the data it contained.
+// lastReply is the last reply to an agent and the data of which each change is sent
+// at once.
 type lastReply struct {
 	sentAt      time.Time
 	listSentAt  time.Time
 	incarnation anvilglade.Incarnation
 	evacuated   string
-	balancers   int
-	desired     anvilglade.DesiredVersion
 	leaving     bool
 }
 
 // sendStatus sends the status to the other balancers at regular intervals.
 func (p *Process) sendStatus(ctx context.Context) error {
-	ticker := time.NewTicker(statusInterval)
+	ticker := time.NewTicker(statusTick)
 	defer ticker.Stop()
 	var lastSent time.Time
 	for {
@@ -69,7 +70,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	// A tick may arrive slightly early.
-	return agpace.Interval(statusInterval, len(p.fleet.Balancers())) - statusInterval/2
+	return p.fleet.PeerInterval() - statusTick/2
 }
 
 // resetLostFlows resets the flows whose host has ended or is lost.
@@ -206,32 +207,28 @@
 	}
 }
 
-// replyToAgent replies to the status of an agent with the status of this
-// balancer and the cold rate of the agent's service. It sends nothing if the
-// data is unchanged and the last reply is recent. The caller holds the mutex.
+// replyToAgent replies to the status of an agent with the status of this balancer and
+// the cold rate of the agent's service, if the reply is due. The caller holds the
+// mutex.
 func (p *Process) replyToAgent(writer *agsocket.Writer, agent *anvilglade.AgentStatus, now time.Time) {
-	desired, _ := p.fleet.Desired()
-	living := len(p.fleet.LivingBalancers(now))
-	reply := lastReply{
-		sentAt: now, listSentAt: now, incarnation: agent.Incarnation, evacuated: fmt.Sprint(p.fleet.Evacuations().DataCentres),
-		balancers: living, desired: desired.Version, leaving: p.leaving.Load(),
-	}
 	last := p.lastReply[agent.Agent]
-	reply.sentAt, reply.listSentAt = last.sentAt, last.listSentAt
+	reply := last
+	reply.incarnation, reply.evacuated, reply.leaving = agent.Incarnation, fmt.Sprint(p.fleet.Evacuations().DataCentres), p.leaving.Load()
 	changed := reply != last
-	if !changed && now.Sub(last.sentAt) < agpace.Interval(agentReplyInterval, living) {
+	if !changed && now.Sub(last.sentAt) < p.replyWait(agent.Reply, now) {
 		return
 	}
 	status := p.status(now)
 	// Agents do not need each other's addresses.
 	status.Agents, status.Settled = nil, false
 	reply.sentAt = now
-	if changed || now.Sub(last.listSentAt) > agpace.Interval(agentListInterval, living) {
+	if reply.incarnation != last.incarnation || now.Sub(last.listSentAt) > agentListInterval {
 		reply.listSentAt = now
 	} else {
 		status.Balancers = nil
 	}
 	p.lastReply[agent.Agent] = reply
+	desired, _ := p.fleet.Desired()
 	for _, service := range desired.Services {
 		if service.Service == agent.Service {
 			status.ColdRates = append(status.ColdRates, service)
@@ -244,3 +241,15 @@
 	}
 	writer.Add(datagram, p.endpointOf(agent.Agent, p.settings.PacketPort).AddrPort())
 }
+
+// replyWait returns the minimum time since the last reply to an agent after which one
+// with the same data is due. The caller holds the mutex.
+func (p *Process) replyWait(request anvilglade.ReplyRequest, now time.Time) time.Duration {
+	switch request {
+	case anvilglade.ReplyNow:
+		return 0
+	case anvilglade.ReplyOnChange:
+		return agentUpkeepInterval
+	}
+	return agpace.Interval(agentReplyInterval, len(p.fleet.LivingBalancers(now)))
+}
--- a/internal/state/agfleet/balancers.go
+++ b/internal/state/agfleet/balancers.go
@@ -8,8 +8,29 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/anvilglade/anvilglade"
+	"github.com/anvilglade/anvilglade/internal/membership/agpace"
 )
 
+// peerInterval is the time between two regular statuses of a balancer to another one
+// in a small fleet. Changes of the desired state and of evacuations are sent at once.
+const peerInterval = 500 * time.Millisecond
+
+// PeerInterval returns the time between two regular statuses to each other balancer.
+func (f *Fleet) PeerInterval() time.Duration {
+	return agpace.Interval(peerInterval, len(f.balancers))
+}
+
+// peerTimeout returns the time without a status after which another balancer is no
+// longer in touch.
+func (f *Fleet) peerTimeout() time.Duration {
+	return max(LostAfter, lostStatuses*f.PeerInterval())
+}
+
+// inTouch reports whether a balancer has sent a status within peerTimeout.
+func (f *Fleet) inTouch(balancer *Balancer, now time.Time) bool {
+	return balancer.HasStatus && now.Sub(balancer.LastStatus) < f.peerTimeout()
+}
+
 // UpdateBalancer adopts the status of another balancer by the same rule as
 // UpdateAgent, and reports whether it is the first since that balancer started.
 // Newer evacuations are adopted with it, and the listed balancers and agents are
@@ -69,13 +90,13 @@
 	return list
 }
 
-// NewerPeer returns the balancer with the newest desired state among those that
-// have sent a status within LostAfter, preferably one of this data centre. It
+// NewerPeer returns the balancer with the newest desired state among those in touch,
+// preferably one of this data centre. It
 // returns false if none has a newer one than this balancer.
 func (f *Fleet) NewerPeer(now time.Time) (*Balancer, bool) {
 	var best *Balancer
 	for _, balancer := range f.balancers {
-		if !balancer.HasStatus || now.Sub(balancer.LastStatus) > LostAfter || balancer.Desired <= f.desired.Version {
+		if !f.inTouch(balancer, now) || balancer.Desired <= f.desired.Version {
 			continue
 		}
 		if best == nil || balancer.Desired > best.Desired || balancer.Desired == best.Desired && f.Local(balancer.DataCentre) {
@@ -91,11 +112,11 @@
 
 // UsesShortWait reports whether this balancer should watch the store with a
 // short wait: it is one of the shortWaitCount balancers of the lowest rank among
-// those that are not leaving and have sent a status within LostAfter.
+// those in touch that are not leaving.
 func (f *Fleet) UsesShortWait(now time.Time) bool {
 	own, lower := rank(f.options.Self), 0
 	for address, balancer := range f.balancers {
-		if balancer.inTouch(now) && rank(address) < own {
+		if f.inTouch(balancer, now) && !balancer.Leaving && rank(address) < own {
 			lower++
 		}
 	}
--- a/internal/state/agfleet/watchers.go
+++ b/internal/state/agfleet/watchers.go
@@ -32,7 +32,7 @@
 	}
 	own, lowerLocal, healthy := rank(f.options.Self), 0, 0
 	for address, balancer := range f.balancers {
-		if !balancer.inTouch(now) {
+		if !f.inTouch(balancer, now) || balancer.Leaving {
 			continue
 		}
 		lower := rank(address) < own
@@ -67,9 +67,3 @@
 	}
 	return found, hasDesired
 }
-
-// inTouch reports whether a balancer is not leaving and has sent a status within
-// LostAfter.
-func (b *Balancer) inTouch(now time.Time) bool {
-	return b.HasStatus && !b.Leaving && now.Sub(b.LastStatus) < LostAfter
-}
