Split handleMessage of the balancer for the linter

Cause: its cyclomatic complexity went to 16 with the wake-up of the fetch. Change: the status of a balancer is handled in a function of its own. No behaviour.

--- a/internal/operate/agpacketbalancer/packets.go
+++ b/internal/operate/agpacketbalancer/packets.go
@@ -134,17 +134,23 @@
 		p.fleet.UpdateAgent(status, now)
 		p.replyToAgent(writer, &status, now)
 	case agmessage.KindBalancerStatus:
-		status, err := agmessage.ParseBalancerStatus(data)
-		if err != nil || status.Balancer != from {
-			p.metrics.Malformed.WithLabelValues("BalancerStatus").Inc()
-			return
-		}
-		if started := p.fleet.UpdateBalancer(status, now); started {
-			p.sendFullStatus(writer, from, now)
-		}
-		if desired, _ := p.fleet.Desired(); status.Desired > desired.Version {
-			p.wakeFetch()
-		}
+		p.handleBalancerStatus(writer, data, from, now)
+	}
+}
+
+// handleBalancerStatus handles the status of another balancer. The caller holds the
+// mutex.
+func (p *Process) handleBalancerStatus(writer *agsocket.Writer, data []byte, from anvilglade.IPv4, now time.Time) {
+	status, err := agmessage.ParseBalancerStatus(data)
+	if err != nil || status.Balancer != from {
+		p.metrics.Malformed.WithLabelValues("BalancerStatus").Inc()
+		return
+	}
+	if started := p.fleet.UpdateBalancer(status, now); started {
+		p.sendFullStatus(writer, from, now)
+	}
+	if desired, _ := p.fleet.Desired(); status.Desired > desired.Version {
+		p.wakeFetch()
 	}
 }
 
--- a/internal/state/agfleet/watchers_test.go
+++ b/internal/state/agfleet/watchers_test.go
@@ -9,26 +9,28 @@
 	"github.com/anvilglade/anvilglade/internal/state/agfleet"
 )
 
+// centres is the number of data centres.
+const centres = 5
+
 // watchFleet is a deployment whose balancers exchange statuses without delay.
 type watchFleet struct {
 	now      time.Time
 	sequence anvilglade.Sequence
-	centres  int
 	fleets   []*agfleet.Fleet
 	// answers reports whether the store answers a balancer.
 	answers func(balancer int) bool
 }
 
-func newWatchFleet(balancers, centres int) *watchFleet {
-	w := &watchFleet{now: time.Unix(1_000_000, 0), centres: centres, answers: func(int) bool { return true }}
+func newWatchFleet(balancers int) *watchFleet {
+	w := &watchFleet{now: time.Unix(1_000_000, 0), answers: func(int) bool { return true }}
 	for i := range balancers {
-		w.fleets = append(w.fleets, agfleet.NewFleet(agfleet.Options{Self: balancerIP(i), DataCentre: w.centre(i)}))
+		w.fleets = append(w.fleets, agfleet.NewFleet(agfleet.Options{Self: balancerIP(i), DataCentre: centreOf(i)}))
 	}
 	return w
 }
 
-func (w *watchFleet) centre(balancer int) anvilglade.DataCentreID {
-	return anvilglade.DataCentreID(fmt.Sprintf("dk%d", balancer%w.centres))
+func centreOf(balancer int) anvilglade.DataCentreID {
+	return anvilglade.DataCentreID(fmt.Sprintf("dk%d", balancer%centres))
 }
 
 // exchange lets each balancer send a status to those that it reaches.
@@ -41,7 +43,7 @@
 		if !w.answers(i) {
 			watch = anvilglade.WatchNone
 		}
-		statuses[i] = anvilglade.BalancerStatus{Balancer: balancerIP(i), Incarnation: 1, Sequence: w.sequence, DataCentre: w.centre(i), Watch: watch}
+		statuses[i] = anvilglade.BalancerStatus{Balancer: balancerIP(i), Incarnation: 1, Sequence: w.sequence, DataCentre: centreOf(i), Watch: watch}
 	}
 	for from := range w.fleets {
 		for to, fleet := range w.fleets {
@@ -72,9 +74,8 @@
 // Guards against calls to the store that grow with the number of balancers, and
 // against a data centre without a watcher of its own.
 func TestWatchersDoNotGrowWithTheFleet(t *testing.T) {
-	const centres = 5
 	for _, balancers := range []int{15, 60, 250} {
-		fleet := newWatchFleet(balancers, centres)
+		fleet := newWatchFleet(balancers)
 		fleet.settle(everyone)
 		if counts := fleet.roles(); counts[anvilglade.WatchPrimary] > 2*centres+4 || counts[anvilglade.WatchStandby] != 0 {
 			t.Errorf("%d balancers have the roles %v, want at most %d primaries and no standby", balancers, counts, 2*centres+4)
@@ -97,7 +98,7 @@
 // lost, or the store refuses them while it answers others, or a balancer is cut off
 // from them.
 func TestWatchersAreReplaced(t *testing.T) {
-	fleet := newWatchFleet(60, 5)
+	fleet := newWatchFleet(60)
 	fleet.settle(everyone)
 	former := make(map[int]bool)
 	for i, member := range fleet.fleets {
@@ -135,7 +136,7 @@
 // Guards against a fleet whose balancers all retry at the interval of a primary while
 // the store is unavailable.
 func TestOnlyPrimariesRetryOftenInAnOutage(t *testing.T) {
-	fleet := newWatchFleet(60, 5)
+	fleet := newWatchFleet(60)
 	fleet.answers = func(int) bool { return false }
 	fleet.settle(everyone)
 	if counts := fleet.roles(); counts[anvilglade.WatchPrimary] > 14 || counts[anvilglade.WatchStandby] < 40 {
@@ -146,7 +147,7 @@
 // Guards against a balancer that receives the statuses of its peers, cannot fetch the
 // newer desired state that they announce, and does not read the store either.
 func TestFailedFetchLeadsToTheStore(t *testing.T) {
-	fleet := newWatchFleet(60, 5)
+	fleet := newWatchFleet(60)
 	fleet.settle(everyone)
 	for i, member := range fleet.fleets {
 		if member.WatchRole(fleet.now) != anvilglade.WatchNone {
