--- a/internal/stand/agemulator/caller.go
+++ b/internal/stand/agemulator/caller.go
@@ -112,7 +112,7 @@
 	load := &c.fleet.scenario.Load
 	for ctx.Err() == nil {
 		c.request(ctx)
-		pause := time.Duration(float64(load.Pause) * c.random.ExpFloat64())
+		pause := time.Duration(float64(load.Pause) * c.random.ExpFloat64() / float64(c.fleet.pauseDivisor.Load()))
 		// The loop condition handles a cancelled context.
 		_ = agtask.Sleep(ctx, pause)
 	}
--- a/internal/stand/agemulator/fleet.go
+++ b/internal/stand/agemulator/fleet.go
@@ -12,6 +12,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -83,6 +84,8 @@
 	balancers []*machine
 	agents    []*machine
 	callers   []*Caller
+	// pauseDivisor divides the pauses of the callers; above 1 in a burst.
+	pauseDivisor atomic.Int64
 
 	mu        sync.Mutex
 	desired   anvilglade.DesiredState
--- a/internal/stand/agemulator/run.go
+++ b/internal/stand/agemulator/run.go
@@ -49,6 +49,7 @@
 		random:    rand.New(rand.NewPCG(options.Seed, 1)),
 		evacuated: make(map[anvilglade.DataCentreID]time.Time),
 	}
+	f.pauseDivisor.Store(1)
 	closeSockets, err := f.start(ctx)
 	if err != nil {
 		f.stopAll()
--- a/internal/stand/agemulator/scenario.go
+++ b/internal/stand/agemulator/scenario.go
@@ -69,7 +69,7 @@
 	// Index chooses a balancer, host or data centre, modulo their number.
 	Index int
 	// Share is the affected share of calls or connections, 0 to 1. For LosePackets
-	// it is the share of maxLoss.
+	// it is the share of maxLoss, for Burst that of burstFactor.
 	Share float64
 }
 
@@ -127,17 +127,22 @@
 	return errors.Join(faults...)
 }
 
-// connectionShare is the number of troubles that break connections to the store,
-// as a share of the number of other troubles.
-const connectionShare = 0.25
+// connectionShare and demandShare are the numbers of troubles that break connections to
+// the store, and of those that change what callers demand of the hosts, as shares of
+// the number of other troubles.
+const (
+	connectionShare = 0.25
+	demandShare     = 0.25
+)
 
-// DrawTroubles returns count random troubles, and connectionShare times as many
-// that break connections to the store. Their times are random and may overlap.
-// The troubles that break connections are drawn last, so that they do not change
-// which other troubles a seed produces.
+// DrawTroubles returns count random troubles, and connectionShare and demandShare
+// times as many of the two other groups. Their times are random and may overlap. Each
+// group is drawn after the former ones, so that it does not change which of their
+// troubles a seed produces.
 func DrawTroubles(random *rand.Rand, duration time.Duration, count int) []Trouble {
-	list := draw(random, duration, count, troubleKinds(false))
-	return append(list, draw(random, duration, int(connectionShare*float64(count)), troubleKinds(true))...)
+	list := draw(random, duration, count, troubleKinds(groupMain))
+	list = append(list, draw(random, duration, int(connectionShare*float64(count)), troubleKinds(groupConnections))...)
+	return append(list, draw(random, duration, int(demandShare*float64(count)), troubleKinds(groupDemand))...)
 }
 
 func draw(random *rand.Rand, duration time.Duration, count int, kinds []string) []Trouble {
--- a/internal/stand/agemulator/troubles.go
+++ b/internal/stand/agemulator/troubles.go
@@ -18,6 +18,10 @@
 // maxLoss is the share of packets that routers drop if Share is 1.
 const maxLoss = 0.05
 
+// burstFactor is the factor by which the callers' pauses are shorter in a burst, times
+// the Share of the trouble.
+const burstFactor = 4.0
+
 // storeDelay is the delay of each call while the store is slow.
 const storeDelay = 250 * time.Millisecond
 
@@ -40,6 +44,8 @@
 		"StoreOutage":   storeOutage,
 		"StoreSlow":     storeSlow,
 		"LosePackets":   losePackets,
+		"Burst":         burst,
+		"ColdReturn":    coldReturn,
 	}
 	for kind, fault := range connectionTroubles {
 		troubleHandlers[kind] = func(ctx context.Context, f *fleet, t Trouble) error {
@@ -57,12 +63,33 @@
 	"StoreOneWay": faultOneWay,
 }
 
-// troubleKinds returns the kinds that break connections to the store, or all other
-// kinds, in sorted order.
-func troubleKinds(connections bool) []string {
+// drawGroup is a set of kinds that is drawn on its own, so that a new kind does not
+// change which troubles of other groups a seed produces.
+type drawGroup uint8
+
+// Groups in the order in which they are drawn.
+const (
+	groupMain drawGroup = iota
+	groupConnections
+	groupDemand
+)
+
+// groupOf returns the group of a kind.
+func groupOf(kind string) drawGroup {
+	if _, is := connectionTroubles[kind]; is {
+		return groupConnections
+	}
+	if kind == "Burst" || kind == "ColdReturn" {
+		return groupDemand
+	}
+	return groupMain
+}
+
+// troubleKinds returns the kinds of a group in sorted order.
+func troubleKinds(group drawGroup) []string {
 	kinds := make([]string, 0, len(troubleHandlers))
 	for kind := range troubleHandlers {
-		if _, is := connectionTroubles[kind]; is == connections {
+		if groupOf(kind) == group {
 			kinds = append(kinds, kind)
 		}
 	}
@@ -160,6 +187,40 @@
 	return host.start(ctx, true)
 }
 
+// coldReturn crashes all hosts of a data centre and starts them again together. They
+// are cold then.
+func coldReturn(ctx context.Context, f *fleet, t Trouble) error {
+	dataCentre := dataCentreName(t.Index % f.scenario.DataCentres)
+	var agents []*machine
+	for _, agent := range f.agents {
+		if agent.settings.DataCentre == dataCentre {
+			agents = append(agents, agent)
+		}
+	}
+	for _, agent := range agents {
+		agent.lifecycleMu.Lock()
+		defer agent.lifecycleMu.Unlock()
+		agent.currentHost().crash()
+	}
+	// A run that ends cuts the wait short.
+	_ = agtask.Sleep(ctx, time.Duration(t.For))
+	for _, agent := range agents {
+		if err := agent.currentHost().start(ctx, true); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// burst shortens the pauses of all callers.
+func burst(ctx context.Context, f *fleet, t Trouble) error {
+	f.pauseDivisor.Store(int64(max(1, burstFactor*t.Share)))
+	// The burst also ends if the run ends during the wait.
+	_ = agtask.Sleep(ctx, time.Duration(t.For))
+	f.pauseDivisor.Store(1)
+	return nil
+}
+
 // replaceHost drains a host and replaces it and its agent by new ones.
 func replaceHost(ctx context.Context, f *fleet, t Trouble) error {
 	agent := f.agent(t)
