Find balancers and state without a pause after a kill of everything

Change: a balancer without a state fetches it from any peer at once and waits 0.15 s at most; agents are notified as soon as they are listed, and greet a new sender at once.

--- a/internal/membership/agroster/roster.go
+++ b/internal/membership/agroster/roster.go
@@ -94,10 +94,10 @@
 	return added
 }
 
-// HandleStatus processes a status message of a balancer and returns the new balancers
-// that the message lists.
+// HandleStatus processes a status message of a balancer and returns the balancers that
+// are new: the sender or those that the message lists.
 func (r *Roster) HandleStatus(status *anvilglade.BalancerStatus, now time.Time) []anvilglade.IPv4 {
-	added := r.Add(status.Balancers, now)
+	added := r.Add(append([]anvilglade.IPv4{status.Balancer}, status.Balancers...), now)
 	entry := r.entry(status.Balancer)
 	entry.lastStatus, entry.hasReported = now, true
 	switch {
--- a/internal/operate/agpacketbalancer/packets.go
+++ b/internal/operate/agpacketbalancer/packets.go
@@ -146,9 +146,13 @@
 		p.metrics.Malformed.WithLabelValues("BalancerStatus").Inc()
 		return
 	}
+	hadPending := len(p.fleet.PendingAgents()) > 0
 	if started := p.fleet.UpdateBalancer(status, now); started {
 		p.sendFullStatus(writer, from, now)
 	}
+	if !hadPending && len(p.fleet.PendingAgents()) > 0 {
+		p.wakeNotify()
+	}
 	if desired, _ := p.fleet.Desired(); status.Desired > desired.Version {
 		p.wakeFetch()
 	}
--- a/internal/operate/agpacketbalancer/process.go
+++ b/internal/operate/agpacketbalancer/process.go
@@ -93,6 +93,9 @@
 	evacuationWatch atomic.Uint32
 	// newerDesired receives a signal when a peer announces a newer desired state.
 	newerDesired chan struct{}
+	// pendingAgents receives a signal when agents have been listed that have not sent a
+	// status yet.
+	pendingAgents chan struct{}
 
 	mu         sync.Mutex
 	fleet      *agfleet.Fleet
@@ -135,21 +138,22 @@
 	fleet.AddBalancers(settings.Seeds)
 	seed := uint64(now.UnixNano())
 	p := &Process{
-		settings:     settings,
-		parts:        parts,
-		log:          aglog.New("packet-balancer"),
-		started:      now,
-		incarnation:  anvilglade.Incarnation(now.UnixNano()),
-		packets:      packets,
-		inner:        inner,
-		http:         &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
-		newerDesired: make(chan struct{}, 1),
-		fleet:        fleet,
-		decisions:    agdecision.NewLog(aglog.New("packet-balancer")),
-		metrics:      agmetric.NewMetrics("packet-balancer", settings.DataCentre),
-		counters:     make(map[decision]prometheus.Counter),
-		lastReply:    make(map[anvilglade.IPv4]lastReply),
-		dispatcher:   agdispatch.NewDispatcher(fleet, rand.New(rand.NewPCG(seed, seed)), now),
+		settings:      settings,
+		parts:         parts,
+		log:           aglog.New("packet-balancer"),
+		started:       now,
+		incarnation:   anvilglade.Incarnation(now.UnixNano()),
+		packets:       packets,
+		inner:         inner,
+		http:          &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
+		newerDesired:  make(chan struct{}, 1),
+		pendingAgents: make(chan struct{}, 1),
+		fleet:         fleet,
+		decisions:     agdecision.NewLog(aglog.New("packet-balancer")),
+		metrics:       agmetric.NewMetrics("packet-balancer", settings.DataCentre),
+		counters:      make(map[decision]prometheus.Counter),
+		lastReply:     make(map[anvilglade.IPv4]lastReply),
+		dispatcher:    agdispatch.NewDispatcher(fleet, rand.New(rand.NewPCG(seed, seed)), now),
 	}
 	p.addGauges()
 	return p, func() { closePackets(); closeInner() }, nil
--- a/internal/operate/agpacketbalancer/state.go
+++ b/internal/operate/agpacketbalancer/state.go
@@ -33,7 +33,7 @@
 	// peer before it reads the store, stateGrace how long it waits for the state of a
 	// peer that has one.
 	peerGrace  = 100 * time.Millisecond
-	stateGrace = 500 * time.Millisecond
+	stateGrace = 150 * time.Millisecond
 	// startPoll is the time between two checks for peers during peerGrace.
 	startPoll = 10 * time.Millisecond
 	// batchDelay is the pause after a successful read. Changes in quick succession
@@ -271,7 +271,7 @@
 // fetchFromPeers fetches the desired state from a balancer that has a newer one. A
 // state that a peer has just announced is fetched from this data centre only, whose
 // watchers of the store receive it at about the same time; at the next tick any peer
-// is used.
+// is used. A balancer without a state uses any peer at once.
 func (p *Process) fetchFromPeers(ctx context.Context) error {
 	ticker := time.NewTicker(fetchInterval)
 	defer ticker.Stop()
@@ -286,8 +286,9 @@
 		}
 		p.mu.Lock()
 		peer, found := p.fleet.NewerPeer(time.Now())
+		_, hasState := p.fleet.Desired()
 		p.mu.Unlock()
-		if !found || announced && !p.fleet.Local(peer.DataCentre) {
+		if !found || announced && hasState && !p.fleet.Local(peer.DataCentre) {
 			continue
 		}
 		fetchCtx, cancel := context.WithTimeout(ctx, fetchTimeout)
@@ -304,6 +305,15 @@
 	}
 }
 
+// wakeNotify triggers a status to the agents that have been listed and have not sent a
+// status yet.
+func (p *Process) wakeNotify() {
+	select {
+	case p.pendingAgents <- struct{}{}:
+	default:
+	}
+}
+
 // wakeFetch triggers a check for a peer with a newer desired state.
 func (p *Process) wakeFetch() {
 	select {
@@ -348,6 +358,7 @@
 		p.fleet.AdoptAgentList(agentAddresses, time.Now())
 		p.mu.Unlock()
 		p.broadcast()
+		p.wakeNotify()
 		<-ctx.Done()
 		return ctx.Err()
 	}})
--- a/internal/operate/agpacketbalancer/status.go
+++ b/internal/operate/agpacketbalancer/status.go
@@ -60,6 +60,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-ticker.C:
+		case <-p.pendingAgents:
 		}
 	}
 }
