--- a/internal/operate/agpacketbalancer/metrics.go
+++ b/internal/operate/agpacketbalancer/metrics.go
@@ -61,6 +61,9 @@
 		return float64(p.parts.Unreadable())
 	})
 	p.metrics.Gauge("flows", "Flows that are remembered.", locked(func(time.Time) float64 { return float64(p.dispatcher.Flows()) }))
+	p.metrics.Gauge("store_watch", "2 while this balancer watches the store as a primary, 1 as a standby, 0 if not or if the store does not answer.", func() float64 {
+		return float64(p.watch())
+	})
 	p.metrics.Gauge("ready", "1 while callers' packets may come here.", func() float64 {
 		if p.Ready() {
 			return 1
--- a/internal/operate/agpacketbalancer/process.go
+++ b/internal/operate/agpacketbalancer/process.go
@@ -91,6 +91,8 @@
 	// store work, as anvilglade.StoreWatch.
 	desiredWatch    atomic.Uint32
 	evacuationWatch atomic.Uint32
+	// loggedRole is the role that was logged last.
+	loggedRole atomic.Uint32
 	// newerDesired receives a signal when a peer announces a newer desired state.
 	newerDesired chan struct{}
 	// pendingAgents receives a signal when agents have been listed that have not sent a
--- a/internal/operate/agpacketbalancer/state.go
+++ b/internal/operate/agpacketbalancer/state.go
@@ -196,6 +196,7 @@
 		p.mu.Lock()
 		role := p.fleet.WatchRole(time.Now())
 		p.mu.Unlock()
+		p.logRole(role)
 		if role != anvilglade.WatchNone {
 			return role, nil
 		}
@@ -206,6 +207,20 @@
 	}
 }
 
+var roleNames = map[anvilglade.StoreWatch]string{
+	anvilglade.WatchNone:    "None",
+	anvilglade.WatchStandby: "Standby",
+	anvilglade.WatchPrimary: "Primary",
+}
+
+// logRole logs a change of the role of this balancer.
+func (p *Process) logRole(role anvilglade.StoreWatch) {
+	if former := p.loggedRole.Swap(uint32(role)); former != uint32(role) {
+		p.log.WithField("Before", roleNames[anvilglade.StoreWatch(former)]).WithField("Now", roleNames[role]).
+			Info("Role in watching the store has changed.")
+	}
+}
+
 // awaitPeers waits after the start of the process until its peers have sent statuses,
 // so that a restart in a running fleet needs no calls to the store.
 func (p *Process) awaitPeers(ctx context.Context) error {
