--- a/ids.go
+++ b/ids.go
@@ -37,7 +37,7 @@
 // KeyID selects a key of the key ring.
 type KeyID uint8
 
-// ServiceNumber is the wire form of a ServiceID, 64 bits of its hash.
+// ServiceNumber is the wire form of a ServiceID, its 64-bit xxHash.
 type ServiceNumber uint64
 
 // FlowKey identifies a flow. It is a hash of the service and the caller's address
@@ -57,8 +57,8 @@
 // Sequence orders the status updates that one incarnation publishes of itself.
 type Sequence uint64
 
-// JoinStamp is the hybrid-clock time at which a host joined. It orders hosts by
-// the time for which they have been members.
+// JoinStamp is the hybrid-clock time (physical time, raised above all stamps that are
+// known) at which a host joined or last began to accept. It orders hosts by age.
 type JoinStamp uint64
 
 // MaxNameLength is the maximum length of names in tables and settings, in bytes.
--- a/internal/config/agadminapi/teams.go
+++ b/internal/config/agadminapi/teams.go
@@ -39,7 +39,8 @@
 // DefaultRequestsPerMinute is the rate of a team whose RequestsPerMinute is not set.
 const DefaultRequestsPerMinute = 120
 
-// Team is one team of operators.
+// Team is a set of users of the administration API that share tokens, a role and a
+// rate.
 type Team struct {
 	Name string
 	// TokenHashes contains SHA-256 hashes in hexadecimal. During a rotation a team
@@ -47,7 +48,8 @@
 	TokenHashes []string
 	Role        Role
 	// Pools contains patterns of service names, Routes patterns of IP:PORT, both in
-	// the syntax of path.Match. An Editor may change the rows that they match.
+	// the syntax of path.Match. An Editor may change the pool rows whose service Pools
+	// matches, and the routes whose service Pools and whose address Routes matches.
 	Pools             []string
 	Routes            []string
 	RequestsPerMinute int
--- a/internal/flow/agflow/machine.go
+++ b/internal/flow/agflow/machine.go
@@ -187,7 +187,8 @@
 	Flows, Placements, Tombstones               int
 	Created, Ended, Redirected, PassedOn        uint64
 	Decided, Refused, RefusedHere, RefusedByAll uint64
-	// Cut counts candidate lists that had no room for all missing hosts.
+	// Cut counts candidate lists that had no room for all missing hosts or for the
+	// arbiter.
 	Cut uint64
 }
 
--- a/internal/flow/agholder/script_test.go
+++ b/internal/flow/agholder/script_test.go
@@ -16,7 +16,7 @@
 )
 
 // TestScripts runs each script in testdata. A line holds a time, a verb with its
-// arguments and, after "=>", the expected verdict. The comment at the top of a
+// arguments and, after "=>", the expected result. The comment at the top of a
 // script names the failure that the script guards against.
 func TestScripts(t *testing.T) {
 	scripts, err := agscript.Load(os.DirFS("testdata"))
--- a/internal/membership/agmember/monitor_test.go
+++ b/internal/membership/agmember/monitor_test.go
@@ -121,8 +121,8 @@
 	}
 }
 
-// wait advances the clock in ticks; the named balancers receive a heartbeat every
-// second.
+// wait advances the clock in ticks; the named balancers receive two heartbeats
+// every second.
 func (w *testCluster) wait(total time.Duration, receivers ...string) {
 	for elapsed := time.Duration(0); elapsed < total; elapsed += tickInterval {
 		w.clock.now = w.clock.now.Add(tickInterval)
@@ -238,9 +238,8 @@
 		Expect(monitor.serviceMembers(monitor.view.Load(), &tables, "alerts")).To(BeEmpty())
 	})
 
-	// Guards against a balancer that cannot be reached by any host and claims that
-	// they are Dead. Balancers whose control links were delayed by 10 s declared
-	// nearly every host Dead.
+	// Guards against a balancer that declares hosts Dead because it receives
+	// heartbeats from none, for instance while its control links are delayed by 10 s.
 	ginkgo.It("makes no claims while it receives no heartbeats", func() {
 		cluster := newTestCluster()
 		for i := range 8 {
@@ -310,7 +309,7 @@
 	ginkgo.It("keeps the assignment of a higher revision", func() {
 		cluster := newTestCluster()
 		cluster.receiveHeartbeats(cluster.reporter, "a")
-		// The second heartbeat arrives after the host is in the view.
+		// The heartbeats of the second call arrive after the host is in the view.
 		cluster.receiveHeartbeats(cluster.reporter, "a")
 		assignment, ok := cluster.reporter.Assignment()
 		Expect(ok).To(BeTrue())
--- a/internal/observe/aglog/writer.go
+++ b/internal/observe/aglog/writer.go
@@ -14,7 +14,8 @@
 	// reader of the output.
 	maxQueuedLines = 1024
 	// maxLinesPerSecond is the maximum number of lines that a process logs per
-	// second. It leaves room for the line that reports dropped lines.
+	// second. A process may write 200; one is left for the line that reports dropped
+	// lines.
 	maxLinesPerSecond = 199
 )
 
@@ -27,8 +28,8 @@
 	dropped atomic.Uint64
 
 	mu sync.Mutex
-	// second is the current Unix second, linesInSecond the number of lines that
-	// were logged in it.
+	// second is the Unix second of the last Write, linesInSecond the number of lines
+	// that were passed to Write in it.
 	second        int64
 	linesInSecond int
 	now           func() time.Time
@@ -93,8 +94,8 @@
 	}
 }
 
-// writeLine writes one line, preceded by the number of lines that were dropped
-// before it. Write errors are ignored, because they cannot be logged.
+// writeLine writes one line, preceded by the number of lines that were dropped since
+// the last line was written. Write errors are ignored, because they cannot be logged.
 func (w *AsyncWriter) writeLine(line []byte) {
 	if dropped := w.dropped.Swap(0); dropped > 0 {
 		_, _ = fmt.Fprintf(w.out, "{\"level\":\"warning\",\"msg\":\"log: Lines were dropped because there were too many or their reader is slow.\",\"Dropped\":%d}\n", dropped)
--- a/internal/operate/agbalancer/tables.go
+++ b/internal/operate/agbalancer/tables.go
@@ -50,7 +50,8 @@
 	}
 }
 
-// configurationSource is the newest decoded configuration.
+// configurationSource is the newest configuration that could be decoded. Its version is
+// that of the newest record, even if that could not be decoded.
 type configurationSource struct {
 	version       anvilglade.Version
 	configuration *anvilglade.Configuration
--- a/internal/operate/agcommand/agent.go
+++ b/internal/operate/agcommand/agent.go
@@ -91,7 +91,8 @@
 	return nil
 }
 
-// Run runs the agent until a signal stops it, and returns the exit code.
+// Run checks the settings, runs the agent until a signal, the end of ctx or an error,
+// and returns the exit code.
 func (v *agentVerb) Run(ctx context.Context) int {
 	if err := v.check(); err != nil {
 		fmt.Fprintln(os.Stderr, "anvilglade agent:", err)
--- a/internal/request/agserve/backend.go
+++ b/internal/request/agserve/backend.go
@@ -92,8 +92,8 @@
 }
 
 // send writes the request and waits for the response headers. It calls check
-// immediately before the first byte. Sent is false if no byte was written, so
-// that the server cannot have received the request.
+// immediately before the first byte. Sent is false only if no byte was written;
+// the server then cannot have received the request.
 func (b *backend) send(ctx context.Context, c *call, now time.Time, check func() error) (response *http.Response, sent bool, err error) {
 	g := &guard{check: check}
 	request := c.newRequest(context.WithValue(ctx, guardKey{}, g), "http", b.address.String(), now)
@@ -109,7 +109,7 @@
 }
 
 // checkFraming rejects responses whose end cannot be distinguished from a broken
-// connection, and responses to another request.
+// connection, responses to another request and responses with a status below 200.
 func checkFraming(response *http.Response, c *call) error {
 	if id := response.Header.Get(agproblem.HeaderRequestID); id != "" && id != string(c.id) {
 		return errWrongRequest
--- a/internal/request/agserve/choose.go
+++ b/internal/request/agserve/choose.go
@@ -1,7 +1,7 @@
 package agserve
 
-// Selection of another host by the power of two choices on the last reported
-// utilisation. Hosts in the data centre of this host are preferred as long as one
+// Selection of the host to which a request is passed: of two random hosts the one with
+// the lower reported utilisation; without a recent report half is assumed. Hosts in the data centre of this host are preferred as long as one
 // of them may have capacity.
 
 import (
--- a/internal/request/agserve/connection.go
+++ b/internal/request/agserve/connection.go
@@ -22,8 +22,9 @@
 	ctx context.Context
 	// active is the number of requests in progress.
 	active atomic.Int64
-	// idleSince is the Unix time in nanoseconds at which the last request ended.
-	// It is valid only while active is 0.
+	// idleSince is the Unix time in nanoseconds at which the last request ended or,
+	// before the first, the connection was opened. It is valid only while active is
+	// 0.
 	idleSince atomic.Int64
 	// key is the key under which the first connection IDs were issued. The
 	// caller may use these IDs as long as the connection is open.
@@ -42,8 +43,8 @@
 	return counts
 }
 
-// admitConnection refuses a connection before the handshake, when the server is
-// stopping or the Admitter has no capacity.
+// admitConnection refuses a connection before the handshake when the server is
+// stopping or, with AdmitConnections, the Admitter refuses it.
 func (s *Server) admitConnection(ctx context.Context, _ *quic.ClientInfo) (context.Context, error) {
 	if s.stopping.Load() {
 		s.counters.Add("ConnectionsRefused", 1)
--- a/internal/routing/agplace/place.go
+++ b/internal/routing/agplace/place.go
@@ -2,9 +2,9 @@
 //
 // A new flow is placed on the usable host with the lowest expected utilisation:
 // its requests in progress plus the average load of its open flows, divided by its
-// slots. Hosts in the balancer's own data centre are preferred unless their
-// utilisation is much higher than that of the best host, because all packets of a
-// flow to another data centre cross the network between the two. The ranking is
+// slots. A host in the balancer's own data centre is preferred unless its utilisation
+// is more than remotePenalty above that of the best host elsewhere, because all packets
+// of a flow to another data centre cross the network between the two. The ranking is
 // designed for a steady load of long flows, where a badly placed flow stays on its
 // host.
 //
@@ -27,8 +27,8 @@
 	flowWeight = 0.08
 	// remotePenalty is added to the utilisation of hosts in other data centres.
 	remotePenalty = 0.08
-	// coldPenalty is added to the utilisation of cold hosts. It keeps flows off
-	// them while other hosts have capacity.
+	// coldPenalty is added to the utilisation of cold hosts. An idle cold host gets
+	// flows only when the other hosts score above coldPenalty.
 	coldPenalty = 0.5
 	// failingPenalty is added to the utilisation of a host that fails every
 	// request; a host that fails some gets a proportional share of it.
@@ -57,7 +57,9 @@
 	Suspect bool
 	// Local is set if the host is in the balancer's data centre.
 	Local bool
-	Cold  bool
+	// Cold is set for some seconds after the start of the host, in which it works
+	// more slowly.
+	Cold bool
 	// Order is a random number that breaks ties, so that balancers with the same
 	// state do not all choose the same host.
 	Order uint64
--- a/internal/routing/agtable/builder.go
+++ b/internal/routing/agtable/builder.go
@@ -54,13 +54,14 @@
 	found   bool
 }
 
-// maxPause is the maximum time to wait for a new AcceptStamp of a host that accepts
-// again. Its agent receives that it may accept within seconds, and the agent's record
-// arrives within HolderWindow.
+// maxPause is the maximum time to wait until a host that accepts again has a later
+// ArbiterStamp: its agent is informed within 30 s, and the agent's record arrives
+// within HolderWindow.
 const maxPause = HolderWindow + 30*time.Second
 
-// acceptPause is the state of a host that was not accepting: its stamp, the last time
-// at which it was not accepting, and whether it was missing from the lists.
+// acceptPause is the state of a host that did not block others, because it was draining,
+// in a data centre that is draining or out, or not listed: its stamp, the last time at
+// which it did not block, and whether it was missing from the lists.
 type acceptPause struct {
 	stamp      anvilglade.JoinStamp
 	lastPaused time.Time
@@ -224,9 +225,9 @@
 }
 
 // member returns the entry of a host in a service. A host whose agent has not
-// confirmed the service takes no new flows there. A host that does not work for the
-// service does not arbitrate for it.
-func (r *role) member(record *anvilglade.HostRecord, confirmed, works bool) member {
+// confirmed the service takes no new flows there. A host whose agent does not serve the
+// service arbitrates for it only if there is no other.
+func (r *role) member(record *anvilglade.HostRecord, confirmed, serving bool) member {
 	m := member{
 		host:         record.Host,
 		hash:         xxhash.Sum64String(string(record.Host)),
@@ -239,14 +240,14 @@
 	if r.blocks && confirmed {
 		m.blocksFrom = r.stamp
 	}
-	if r.arbitrates && works {
+	if r.arbitrates && serving {
 		m.arbiterStamp = r.stamp
 	}
 	return m
 }
 
 // indexAgents returns the index of agent addresses. It is shared with the previous
-// table if nothing has changed. If two records have the same address, because a VM
+// table if no address and no data centre state has changed. If two records have the same address, because a VM
 // was replaced, the one with the later incarnation is used.
 func (b *Builder) indexAgents(members *anvilglade.Members) *agentIndex {
 	index := &agentIndex{
--- a/internal/stand/agbackend/server.go
+++ b/internal/stand/agbackend/server.go
@@ -2,14 +2,15 @@
 //
 // One process represents one host. For each service it listens on one address over
 // UDP and over HTTP/1.1. Its capacity is a number of slots. A cold server can
-// handle fewer concurrent requests, warms up with completed requests, and falls
-// over if it gets more requests than it can handle: it then answers nothing for a
-// while. The journal lists every request, so that a test can compare the answers
-// that callers received with the requests that ran.
+// handle fewer concurrent requests and warms up with completed requests. If it gets
+// more than it can handle, it falls over: for a while it answers no request for /echo
+// or /reports, and /health reports that it is down. The journal lists every request for
+// /echo and /reports, so that a test can compare the answers that callers received with
+// the requests that ran.
 //
-// POST /control injects faults: shares of failed, truncated and reset answers,
-// wrong or outdated /health and /load, another service time, draining, and a cold
-// server.
+// POST /control changes the behaviour: shares of failed, truncated and reset answers,
+// wrong or outdated /health and /load, another service time or number of slots,
+// draining, and a cold server.
 //
 // # Usage
 //
@@ -39,8 +40,8 @@
 	Address netip.AddrPort
 }
 
-// Options describe the host. A zero duration or count disables the simulation of
-// that limit.
+// Options describe the host. A zero duration or count other than Slots and ColdStep
+// disables the simulation of that limit; a ColdStep below 1 counts as 1.
 type Options struct {
 	Host     string
 	Services []Service
@@ -63,7 +64,7 @@
 	Seed        uint64
 }
 
-// Server is a running test double.
+// Server is a test double of a backend server.
 type Server struct {
 	options      Options
 	incarnation  int64
--- a/internal/stand/agcaller/lines.go
+++ b/internal/stand/agcaller/lines.go
@@ -1,7 +1,7 @@
 package agcaller
 
-// Alert lines: streamed responses that stay open for hours. A line is broken when
-// it ends or times out while its host is available.
+// Alert lines: streamed responses that stay open for hours. A line that a host has
+// served is broken when it ends or times out while that host is available.
 
 import (
 	"bufio"
@@ -191,8 +191,9 @@
 	delete(l.unavailable, host)
 }
 
-// Settle waits until each line has received data since the call, for at most
-// AnswerTimeout and one second, and counts the others as broken.
+// Settle waits until each line that is served by a host has received data since the
+// call, for at most AnswerTimeout plus one second, or until ctx ends. It counts the
+// other such lines as broken.
 func (l *Lines) Settle(ctx context.Context) {
 	start := time.Now()
 	for time.Since(start) <= AnswerTimeout+time.Second && l.countIdle(start) > 0 && ctx.Err() == nil {
--- a/internal/state/agreplica/mesh_test.go
+++ b/internal/state/agreplica/mesh_test.go
@@ -125,9 +125,8 @@
 		Expect(record.Version).To(Equal(anvilglade.Version(9)))
 	})
 
-	// Guards against a change, in particular one that is too large to flood, that
-	// is not passed on beyond the first peer, and against a lost balancer that
-	// is not reported.
+	// Guards against a record above maxFloodBytes that reaches only the first peer,
+	// and against a lost balancer that is not reported.
 	It("sends a change to all peers and reports a lost balancer", func() {
 		fleet := newTestFleet()
 		var replicas []*Replica
