--- a/internal/request/agserve/choose.go
+++ b/internal/request/agserve/choose.go
@@ -1,8 +1,8 @@
 package agserve
 
 // Selection of the host to which a request is passed: of two random hosts the one with
-// the lower reported utilisation; without a recent report half is assumed. Hosts in the data centre of this host are preferred as long as one
-// of them may have capacity.
+// the lower reported utilisation; without a recent report half is assumed. Hosts in the
+// data centre of this host are preferred as long as one of them may have capacity.
 
 import (
 	"math/rand/v2"
--- a/internal/routing/agtable/builder.go
+++ b/internal/routing/agtable/builder.go
@@ -202,11 +202,11 @@
 	return r
 }
 
-// applyPause prevents a host that accepts again from blocking and, if it was not
-// listed, from arbitrating, until its agent has set a later AcceptStamp. Otherwise,
-// until the agent has received that it may accept, the lists would lack hosts on
-// which flows were placed during the pause. After maxPause the old stamp counts
-// again, so that balancers agree also on hosts whose agent sets no new one.
+// applyPause handles a host that accepts again after a pause. During the pause flows were
+// placed on hosts that this host would block. Until its agent sets a later stamp, it
+// must therefore not block with the old one, because the lists would lack those hosts,
+// nor, if it was not listed, arbitrate. If no later stamp arrives within maxPause, the
+// old one is used, so that all balancers use the same stamp.
 func (b *Builder) applyPause(host anvilglade.HostID, r *role, now time.Time) {
 	if !r.blocks {
 		b.pauses[host] = acceptPause{stamp: r.stamp, lastPaused: now, unlisted: !r.listed}
