--- a/internal/operate/agcommand/explain.go
+++ b/internal/operate/agcommand/explain.go
@@ -25,6 +25,8 @@
 	flow   string
 	host   string
 	at     string
+	window string
+	step   time.Duration
 	margin time.Duration
 	format string
 }
@@ -40,6 +42,8 @@
 	v.set.Text(&v.flow, "flow", "CALLER:PORT or CALLER:PORT>SERVICE:PORT of a flow", "")
 	v.set.Text(&v.host, "host", "name of a host", "")
 	v.set.Text(&v.at, "at", "a moment, such as 2026-04-17T04:41:25.7Z", "")
+	v.set.Text(&v.window, "window", "FROM,TO: count what delayed or failed callers in a span of time", "")
+	v.set.Duration(&v.step, "step", "length of a row of --window", "500ms", minStep, time.Hour)
 	v.set.Duration(&v.margin, "margin", "time before and after from which the context is taken", "2s", 0, time.Hour)
 	v.set.Text(&v.format, "format", "text, json (one event a line) or html (with a picture)", "text")
 }
@@ -50,29 +54,42 @@
 		fmt.Fprintln(os.Stderr, "anvilglade explain:", err)
 		return ExitUsage
 	}
-	query, err := v.query()
+	work, err := v.work()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "anvilglade explain:", err)
 		return ExitUsage
 	}
-	if err := v.explain(query, os.Stdout); err != nil {
+	if err := work(os.Stdout); err != nil {
 		fmt.Fprintln(os.Stderr, "anvilglade explain:", err)
 		return ExitFailed
 	}
 	return ExitDone
 }
 
-func (v *explainVerb) query() (agexplain.Query, error) {
-	query := agexplain.Query{Flow: v.flow, Host: v.host, Margin: v.margin}
+// work returns the function that writes the result, or an error if the settings do not
+// fit together.
+func (v *explainVerb) work() (func(io.Writer) error, error) {
 	subjects := 0
-	for _, subject := range []string{v.flow, v.host, v.at} {
+	for _, subject := range []string{v.flow, v.host, v.at, v.window} {
 		if subject != "" {
 			subjects++
 		}
 	}
 	if subjects != 1 {
-		return query, errors.New("give one of --flow, --host and --at")
+		return nil, errors.New("give one of --flow, --host, --at and --window")
+	}
+	if v.window != "" {
+		return v.windowWork()
 	}
+	query, err := v.query()
+	if err != nil {
+		return nil, err
+	}
+	return func(output io.Writer) error { return v.explain(query, output) }, nil
+}
+
+func (v *explainVerb) query() (agexplain.Query, error) {
+	query := agexplain.Query{Flow: v.flow, Host: v.host, Margin: v.margin}
 	if v.at != "" {
 		at, err := time.Parse(time.RFC3339Nano, v.at)
 		if err != nil {
@@ -86,7 +103,8 @@
 	return query, nil
 }
 
-func (v *explainVerb) explain(query agexplain.Query, output io.Writer) error {
+// read reads the logs. It returns an error if a file cannot be opened or read.
+func (v *explainVerb) read() (*agexplain.Log, error) {
 	var readers []io.Reader
 	for path := range strings.SplitSeq(v.logs, ",") {
 		if path == "-" {
@@ -95,12 +113,16 @@
 		}
 		file, err := os.Open(path) //nolint:gosec // the path is the user's own argument
 		if err != nil {
-			return err
+			return nil, err
 		}
 		defer func() { _ = file.Close() }()
 		readers = append(readers, file)
 	}
-	log, err := agexplain.Read(readers...)
+	return agexplain.Read(readers...)
+}
+
+func (v *explainVerb) explain(query agexplain.Query, output io.Writer) error {
+	log, err := v.read()
 	if err != nil {
 		return err
 	}
