Shorten statuses of agents; retry lists of processes by role

Cause: a status carried the region, which no balancer uses, and the name of the host, which changes with its start only: 26 of 115 bytes, 160 times a second from each agent. After an outage of everything all balancers retried their lists of processes every 1.5 s while the store was away. Change: the region is gone from the status; the name is sent with a list or a request for a reply, and the balancer keeps it for the same start of the host. Balancers that are no primaries retry their lists after 1.5 to 10 s. Tests: TestHostNameIsKept, TestBackoffDependsOnTheRole.

--- a/fleet.go
+++ b/fleet.go
@@ -88,8 +88,9 @@
 	Sequence    Sequence     `cbor:"3,keyasint,omitempty"`
 	Service     ServiceID    `cbor:"4,keyasint,omitempty"`
 	DataCentre  DataCentreID `cbor:"5,keyasint,omitempty"`
-	Region      RegionID     `cbor:"6,keyasint,omitempty"`
-	Host        HostID       `cbor:"7,keyasint,omitempty"`
+	// Host is empty in most statuses, as it changes with Born only. Number 6 was used
+	// by earlier builds.
+	Host HostID `cbor:"7,keyasint,omitempty"`
 	// Born is the host's start time in milliseconds since the Unix epoch.
 	Born int64 `cbor:"8,keyasint,omitempty"`
 	// Ended is true once it is certain that the host no longer runs; the flows of
--- a/internal/operate/agpacketagent/status.go
+++ b/internal/operate/agpacketagent/status.go
@@ -165,13 +165,18 @@
 	p.sendTo(added, &status, anvilglade.ReplyNow)
 }
 
-// sendTo sends a status with a request for replies to balancers.
+// sendTo sends a status with a request for replies to balancers. The name of the host is
+// left out of statuses that request no reply and have no list.
 func (p *Process) sendTo(balancers []anvilglade.IPv4, status *anvilglade.AgentStatus, reply anvilglade.ReplyRequest) {
 	if len(balancers) == 0 {
 		return
 	}
-	status.Reply = reply
-	datagram, err := agmessage.AppendAgentStatus(nil, status)
+	short := *status
+	short.Reply = reply
+	if reply == anvilglade.ReplyOnChange && len(status.Balancers) == 0 {
+		short.Host = ""
+	}
+	datagram, err := agmessage.AppendAgentStatus(nil, &short)
 	if err != nil {
 		p.log.WithError(err).Warn("Status cannot be encoded.")
 		return
@@ -193,7 +198,6 @@
 		Sequence:       p.sequence,
 		Service:        p.settings.Service,
 		DataCentre:     p.settings.DataCentre,
-		Region:         p.settings.Region,
 		Ended:          p.gate.Ended(),
 		Accepts:        p.gate.AdmissionState(now) == agopen.RefusalNone && !p.leaving.Load(),
 		Cold:           p.gate.Cold(now),
--- a/internal/operate/agpacketbalancer/state.go
+++ b/internal/operate/agpacketbalancer/state.go
@@ -125,7 +125,7 @@
 type storeTask struct {
 	what string
 	// health receives the role in which the last read was answered. Nil stands for a
-	// task that every balancer runs.
+	// task that every balancer runs; its role determines the backoff only.
 	health *atomic.Uint32
 	read   func(context.Context) error
 }
@@ -178,7 +178,7 @@
 // former is the pause before the call, 0 if it was the first.
 func nextBackoff(former time.Duration, role anvilglade.StoreWatch) time.Duration {
 	low, high := minBackoff, maxBackoff
-	if role == anvilglade.WatchStandby {
+	if role != anvilglade.WatchPrimary {
 		low, high = minStandbyBackoff, maxStandbyBackoff
 	}
 	return min(max(2*former, low), high)
@@ -187,7 +187,9 @@
 // awaitRole waits until this balancer has to watch the store and returns its role.
 func (p *Process) awaitRole(ctx context.Context, task storeTask) (anvilglade.StoreWatch, error) {
 	if task.health == nil {
-		return anvilglade.WatchPrimary, nil
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return p.fleet.WatchRole(time.Now()), nil
 	}
 	if err := p.awaitPeers(ctx); err != nil {
 		return anvilglade.WatchNone, err
--- a/internal/state/agfleet/fleet.go
+++ b/internal/state/agfleet/fleet.go
@@ -175,19 +175,19 @@
 // UpdateAgent adopts the status of an agent if it is newer than the stored one,
 // and adds the balancers that it lists. After restartAfter without a status, one
 // with a lower incarnation is adopted too. UpdateAgent reports whether the agent
-// is new or its host, the host's start or the host's admission of new flows has
-// changed.
+// is new or its host's start or admission of new flows has changed.
 func (f *Fleet) UpdateAgent(status anvilglade.AgentStatus, now time.Time) bool {
 	host, ok := f.hosts[status.Agent]
 	if ok && now.Sub(host.LastStatus) < restartAfter && !newer(status.Incarnation, status.Sequence, host.Incarnation, host.Sequence) {
 		return false
 	}
-	changed := !ok || host.Host != status.Host || host.Born != status.Born || host.Accepts != status.Accepts
+	changed := !ok || host.Born != status.Born || host.Accepts != status.Accepts
 	if !ok {
 		host = &Host{}
 		f.hosts[status.Agent] = host
 		delete(f.pending, status.Agent)
 	}
+	host.keepName(&status)
 	serviceChanged := host.Service != status.Service
 	if status.Ended && !host.Ended {
 		host.endedAt = now
@@ -204,6 +204,13 @@
 	return changed
 }
 
+// keepName adds the name of the host to a status that leaves it out.
+func (h *Host) keepName(status *anvilglade.AgentStatus) {
+	if status.Host == "" && status.Born == h.Born {
+		status.Host = h.Host
+	}
+}
+
 // ConfirmRunning clears the Ended state of an agent's host. It is called when
 // the host is found to hold a flow.
 func (f *Fleet) ConfirmRunning(agent anvilglade.IPv4) {
