--- a/internal/operate/agpacketagent/process.go
+++ b/internal/operate/agpacketagent/process.go
@@ -74,10 +74,10 @@
 	leaving     atomic.Bool
 	packets     *agsocket.Socket
 	hostSocket  *agsocket.Socket
-	// wake triggers a status before the interval has passed, greet one to the balancers
-	// in newBalancers only.
-	wake  chan struct{}
-	greet chan struct{}
+	// wake triggers a status to all balancers before the interval has passed,
+	// statusToNew one to newBalancers only.
+	wake        chan struct{}
+	statusToNew chan struct{}
 
 	mu             sync.Mutex
 	gate           *agopen.Gate
@@ -118,7 +118,7 @@
 		packets:     packets,
 		hostSocket:  hostSocket,
 		wake:        make(chan struct{}, 1),
-		greet:       make(chan struct{}, 1),
+		statusToNew: make(chan struct{}, 1),
 		gate: agopen.NewGate(agopen.Options{
 			Service:           settings.Service,
 			Address:           settings.HostAddr,
--- a/internal/operate/agpacketagent/status.go
+++ b/internal/operate/agpacketagent/status.go
@@ -48,7 +48,7 @@
 	if err != nil {
 		return
 	}
-	p.greetBalancers(p.roster.HandleStatus(&status, now))
+	p.triggerStatusToNew(p.roster.HandleStatus(&status, now))
 	if status.Evacuations.Revision > p.evacuations.Revision {
 		p.evacuations = status.Evacuations
 	}
@@ -74,15 +74,15 @@
 	}
 }
 
-// greetBalancers triggers a status to balancers that are new in the roster. The caller
-// holds the mutex.
-func (p *Process) greetBalancers(added []anvilglade.IPv4) {
+// triggerStatusToNew triggers a status to balancers that are new in the roster. The
+// caller holds the mutex.
+func (p *Process) triggerStatusToNew(added []anvilglade.IPv4) {
 	if len(added) == 0 {
 		return
 	}
 	p.newBalancers = append(p.newBalancers, added...)
 	select {
-	case p.greet <- struct{}{}:
+	case p.statusToNew <- struct{}{}:
 	default:
 	}
 }
@@ -97,7 +97,7 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-p.greet:
+		case <-p.statusToNew:
 			p.sendToNew()
 			continue
 		case <-p.wake:
@@ -267,5 +267,5 @@
 func (p *Process) addBalancers(addresses []anvilglade.IPv4) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.greetBalancers(p.roster.Add(addresses, time.Now()))
+	p.triggerStatusToNew(p.roster.Add(addresses, time.Now()))
 }
--- a/internal/operate/agpacketbalancer/status.go
+++ b/internal/operate/agpacketbalancer/status.go
@@ -26,9 +26,9 @@
 	// agentReplyInterval is the minimum time between two replies with the same data to
 	// an agent that requests ReplyPeriodic.
 	agentReplyInterval = 900 * time.Millisecond
-	// agentUpkeepInterval is the maximum time between two replies to any other agent.
+	// maxAgentReplyInterval is the maximum time between two replies to any other agent.
 	// It is well below the time after which an agent removes a balancer.
-	agentUpkeepInterval = 10 * time.Second
+	maxAgentReplyInterval = 10 * time.Second
 	// agentListInterval is the minimum time between two lists of balancers to an
 	// agent.
 	agentListInterval = 30 * time.Second
@@ -250,7 +250,7 @@
 	case anvilglade.ReplyNow:
 		return 0
 	case anvilglade.ReplyOnChange:
-		return agentUpkeepInterval
+		return maxAgentReplyInterval
 	}
 	return agpace.Interval(agentReplyInterval, len(p.fleet.LivingBalancers(now)))
 }
--- a/internal/state/agfleet/balancers.go
+++ b/internal/state/agfleet/balancers.go
@@ -21,13 +21,13 @@
 }
 
 // peerTimeout returns the time without a status after which another balancer is no
-// longer in touch.
+// longer responsive.
 func (f *Fleet) peerTimeout() time.Duration {
 	return max(LostAfter, lostStatuses*f.PeerInterval())
 }
 
-// inTouch reports whether a balancer has sent a status within peerTimeout.
-func (f *Fleet) inTouch(balancer *Balancer, now time.Time) bool {
+// responsive reports whether a balancer has sent a status within peerTimeout.
+func (f *Fleet) responsive(balancer *Balancer, now time.Time) bool {
 	return balancer.HasStatus && now.Sub(balancer.LastStatus) < f.peerTimeout()
 }
 
@@ -90,13 +90,13 @@
 	return list
 }
 
-// NewerPeer returns the balancer with the newest desired state among those in touch,
-// preferably one of this data centre. It
-// returns false if none has a newer one than this balancer.
+// NewerPeer returns the balancer with the newest desired state among the responsive
+// ones, preferably one of this data centre. It returns false if none has a newer one
+// than this balancer.
 func (f *Fleet) NewerPeer(now time.Time) (*Balancer, bool) {
 	var best *Balancer
 	for _, balancer := range f.balancers {
-		if !f.inTouch(balancer, now) || balancer.Desired <= f.desired.Version {
+		if !f.responsive(balancer, now) || balancer.Desired <= f.desired.Version {
 			continue
 		}
 		if best == nil || balancer.Desired > best.Desired || balancer.Desired == best.Desired && f.Local(balancer.DataCentre) {
@@ -112,11 +112,11 @@
 
 // UsesShortWait reports whether this balancer should watch the store with a
 // short wait: it is one of the shortWaitCount balancers of the lowest rank among
-// those in touch that are not leaving.
+// the responsive ones that are not leaving.
 func (f *Fleet) UsesShortWait(now time.Time) bool {
 	own, lower := rank(f.options.Self), 0
 	for address, balancer := range f.balancers {
-		if f.inTouch(balancer, now) && !balancer.Leaving && rank(address) < own {
+		if f.responsive(balancer, now) && !balancer.Leaving && rank(address) < own {
 			lower++
 		}
 	}
--- a/internal/state/agfleet/watchers.go
+++ b/internal/state/agfleet/watchers.go
@@ -32,7 +32,7 @@
 	}
 	own, lowerLocal, healthy := rank(f.options.Self), 0, 0
 	for address, balancer := range f.balancers {
-		if !f.inTouch(balancer, now) || balancer.Leaving {
+		if !f.responsive(balancer, now) || balancer.Leaving {
 			continue
 		}
 		lower := rank(address) < own
