Do not count late copies of answered requests as load

Cause: a copy of a request that arrived after the host's answer, such as one that a balancer had buffered during a search, counted as a new request in progress. It stayed counted until the next answer on its flow or for the idle timeout, and when the caller closed the flow it counted as a request that the host had failed. Traced with a build that printed the packets of such flows: the last packets are the answer, then the caller's packet again, then nothing. Change: an agent keeps the newest acknowledgement number of the host; a packet of the caller whose data the host has acknowledged starts no request.

--- a/internal/flow/agholder/holder.go
+++ b/internal/flow/agholder/holder.go
@@ -297,6 +297,7 @@
 		return
 	}
 	record.lastUsed = now
+	record.acknowledge(packet)
 	if packet.Flags.Has(anvilglade.FlagSYN) {
 		h.recordOffer(flow, record, packet, verdict)
 		return
--- a/internal/flow/agholder/record.go
+++ b/internal/flow/agholder/record.go
@@ -29,6 +29,28 @@
 	// acknowledged is the caller's newest acknowledgement number. A reset must
 	// carry it for the caller to accept the reset.
 	acknowledged uint32
+	// hostAcknowledged is the host's newest acknowledgement number, valid if
+	// hostHasAcknowledged is set.
+	hostAcknowledged    uint32
+	hostHasAcknowledged bool
+}
+
+// isCopy reports whether a packet of the caller has only data that the host has
+// acknowledged. Sequence numbers wrap around.
+func (r *flowRecord) isCopy(packet *anvilglade.Packet) bool {
+	end := packet.Sequence + uint32(packet.DataLength)
+	return r.hostHasAcknowledged && int32(end-r.hostAcknowledged) <= 0
+}
+
+// acknowledge records the acknowledgement number of a packet of the host. An answer to
+// an opening packet starts a new flow, which may have the addresses of a former one.
+func (r *flowRecord) acknowledge(packet *anvilglade.Packet) {
+	if packet.Flags.Has(anvilglade.FlagRST) {
+		return
+	}
+	if packet.Flags.Has(anvilglade.FlagSYN) || !r.hostHasAcknowledged || int32(packet.Acknowledged-r.hostAcknowledged) > 0 {
+		r.hostAcknowledged, r.hostHasAcknowledged = packet.Acknowledged, true
+	}
 }
 
 func (h *Holder) lifetime(record *flowRecord) time.Duration {
@@ -81,7 +103,7 @@
 		// The caller abandons a request that the host has not answered in time.
 		h.outcomes.add(true, now)
 	}
-	if packet.DataLength > 0 && record.unansweredSince.IsZero() {
+	if packet.DataLength > 0 && record.unansweredSince.IsZero() && !record.isCopy(packet) {
 		h.clearFirstRequest(record)
 		record.unansweredSince = now
 		h.activeRequests++
--- a/internal/flow/agholder/script_test.go
+++ b/internal/flow/agholder/script_test.go
@@ -100,6 +100,7 @@
 
 func (r *scriptRunner) fromBalancer(verb string, args []string) string {
 	packet := callerPacket(args[0])
+	packet.Sequence = numberOption(args, "Seq")
 	forward := agmessage.Forward{Service: service, Origin: ipOf(agscript.Option(args, "From", "b1")), ToHolder: slices.Contains(args, "Held"), OutsideRoute: slices.Contains(args, "Foreign")}
 	if slices.Contains(args, "Moved") {
 		forward.Service++
@@ -156,9 +157,19 @@
 			packet.DataLength = 10
 		}
 	}
+	packet.Acknowledged = numberOption(args, "Ack")
 	return packet
 }
 
+// numberOption returns the value of an option such as "Seq=100", 0 if there is none.
+func numberOption(args []string, name string) uint32 {
+	number, err := strconv.ParseUint(agscript.Option(args, name, "0"), 10, 32)
+	if err != nil {
+		panic(err)
+	}
+	return uint32(number)
+}
+
 var serviceEnd = anvilglade.Endpoint{IP: anvilglade.IPv4{198, 18, 0, 1}, Port: 443}
 
 func callerOf(name string) anvilglade.Endpoint {
