Ask every balancer until one has a state

Cause: after a power loss of all during an outage of the store, balancers answered agents without a desired state for 0.8 s and so counted as responsive; an agent then requested replies from two random ones every 0.4 s. Change: only balancers with a state count; while there is none, an agent requests replies from all, at intervals that grow with their number. Test: TestEveryBalancerIsAskedUntilOneHasAState, which failed before.

--- a/internal/membership/agroster/roster.go
+++ b/internal/membership/agroster/roster.go
@@ -57,7 +57,9 @@
 	lastStatus time.Time
 	// hasReported is set once the balancer itself has sent a status message.
 	hasReported bool
-	seed        bool
+	// hasState is set if the last status message had a desired state and evacuations.
+	hasState bool
+	seed     bool
 	// leavingSince is the time at which the balancer announced that it leaves;
 	// zero if it has not.
 	leavingSince time.Time
@@ -100,6 +102,7 @@
 	added := r.Add(append([]anvilglade.IPv4{status.Balancer}, status.Balancers...), now)
 	entry := r.entry(status.Balancer)
 	entry.lastStatus, entry.hasReported = now, true
+	entry.hasState = status.Desired != 0 && status.Evacuations.Revision != 0
 	switch {
 	case !status.Leaving:
 		entry.leavingSince = time.Time{}
@@ -145,15 +148,20 @@
 	return list
 }
 
+// WithState returns the responsive balancers that have a desired state and evacuations.
+func (r *Roster) WithState(now time.Time) []anvilglade.IPv4 {
+	return slices.DeleteFunc(r.Responsive(now), func(address anvilglade.IPv4) bool { return !r.balancers[address].hasState })
+}
+
 // ReplyTargets returns the balancers to request a reply from. It is one that has
-// replied recently and a random one, which replaces the former when it stops. While
-// none has replied recently, it is every receiver.
+// replied recently with a state and a random one, which replaces the former when it
+// stops. While there is none with a state, it is every receiver.
 func (r *Roster) ReplyTargets(now time.Time, random *rand.Rand) []anvilglade.IPv4 {
-	responsive, all := r.Responsive(now), r.Receivers(now)
-	if len(responsive) == 0 {
+	withState, all := r.WithState(now), r.Receivers(now)
+	if len(withState) == 0 {
 		return all
 	}
-	targets := []anvilglade.IPv4{responsive[random.IntN(len(responsive))]}
+	targets := []anvilglade.IPv4{withState[random.IntN(len(withState))]}
 	if other := all[random.IntN(len(all))]; !slices.Contains(targets, other) {
 		targets = append(targets, other)
 	}
--- a/internal/membership/agroster/targets_test.go
+++ b/internal/membership/agroster/targets_test.go
@@ -39,7 +39,7 @@
 				if int(target[2])<<8+int(target[3]) >= c.living {
 					continue
 				}
-				roster.HandleStatus(&anvilglade.BalancerStatus{Balancer: target}, now)
+				roster.HandleStatus(&anvilglade.BalancerStatus{Balancer: target, Desired: 1, Evacuations: anvilglade.Evacuations{Revision: 1}}, now)
 				lastReply = now
 			}
 			if age := now.Sub(lastReply); age > maxAge {
@@ -52,3 +52,23 @@
 		}
 	}
 }
+
+// Guards against hosts that take no flows for 0.3 s although balancers have a state:
+// after an outage of everything the balancers answered without one for a second, and an
+// agent that requested replies from two of them received the state late.
+func TestEveryBalancerIsAskedUntilOneHasAState(t *testing.T) {
+	const balancers = 60
+	random := rand.New(rand.NewPCG(1, 1))
+	roster := agroster.NewRoster()
+	now := time.Unix(1_000_000, 0)
+	for i := range balancers {
+		roster.HandleStatus(&anvilglade.BalancerStatus{Balancer: anvilglade.IPv4{10, 0, 0, byte(i)}}, now)
+	}
+	if targets := roster.ReplyTargets(now, random); len(targets) != balancers {
+		t.Errorf("%d balancers are asked while none has a state, want all %d", len(targets), balancers)
+	}
+	roster.HandleStatus(&anvilglade.BalancerStatus{Balancer: anvilglade.IPv4{10, 0, 0, 7}, Desired: 3, Evacuations: anvilglade.Evacuations{Revision: 9}}, now)
+	if targets := roster.ReplyTargets(now, random); len(targets) > 2 {
+		t.Errorf("%d balancers are asked although one has a state, want at most 2", len(targets))
+	}
+}
--- a/internal/operate/agpacketagent/status.go
+++ b/internal/operate/agpacketagent/status.go
@@ -24,7 +24,7 @@
 	// replyInterval is the maximum time between two requests for a reply. Without a
 	// recent reply the host takes no new flows.
 	replyInterval = 400 * time.Millisecond
-	// startInterval replaces statusInterval while no balancer responds.
+	// startInterval replaces statusInterval while no balancer responds with a state.
 	startInterval = 100 * time.Millisecond
 	// discoverInterval is the time between two reads of the store while no balancer
 	// responds, and between two attempts to join the list of agents. After failures it
@@ -117,8 +117,10 @@
 // statusInterval returns the time until the next status to all balancers, given their
 // number.
 func (p *Process) statusInterval(receivers int) time.Duration {
-	if !p.hasResponsiveBalancer(time.Now()) {
-		return startInterval
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.roster.WithState(time.Now())) == 0 {
+		return agpace.Interval(startInterval, receivers)
 	}
 	return agpace.Interval(statusInterval, receivers)
 }
