Notify agents whose statuses are missing

The agent got its lists from balancers that had just started and did not know the frozen one; lists come every 30 s since replies are requested, and the balancer sent its status only to agents that it did not know. Change: a balancer also sends its status to agents whose statuses are missing, so they add it to their roster at once. Test: TestAgentWithoutStatusIsNotified, which failed before.

--- a/internal/state/agfleet/agents.go
+++ b/internal/state/agfleet/agents.go
@@ -26,13 +26,20 @@
 	}
 }
 
-// PendingAgents returns the agents that have been listed by the store or by a
-// peer and have not sent a status yet.
+// PendingAgents returns the agents that may not know this balancer: those that have
+// been listed by the store or by a peer and have not sent a status yet, and those whose
+// statuses are missing although their host has not ended. An agent that has restarted
+// while this balancer was paused or cut off learns of it only from its status.
 func (f *Fleet) PendingAgents() []anvilglade.IPv4 {
 	list := make([]anvilglade.IPv4, 0, len(f.pending))
 	for address := range f.pending {
 		list = append(list, address)
 	}
+	for address, host := range f.hosts {
+		if host.StatusOverdue && !host.Ended {
+			list = append(list, address)
+		}
+	}
 	return list
 }
 
--- a/internal/state/agfleet/agents_test.go
+++ b/internal/state/agfleet/agents_test.go
@@ -24,3 +24,20 @@
 		}
 	}
 }
+
+// Guards against a balancer that takes a running host for lost: the host's agent has
+// restarted while the balancer was paused, so the agent does not know the balancer, and
+// the balancer does not send its status to an agent that it knows.
+func TestAgentWithoutStatusIsNotified(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	fleet := agfleet.NewFleet(agfleet.Options{Self: balancerIP(0)})
+	for i, ended := range []bool{false, true, false} {
+		fleet.UpdateAgent(anvilglade.AgentStatus{Agent: agentIP(i), Incarnation: 1, Sequence: 1, Ended: ended}, now)
+	}
+	later := now.Add(agfleet.SilentAfter + time.Millisecond)
+	fleet.UpdateAgent(anvilglade.AgentStatus{Agent: agentIP(2), Incarnation: 1, Sequence: 2}, later)
+	fleet.UpdateSilent(later)
+	if agents := fleet.PendingAgents(); len(agents) != 1 || agents[0] != agentIP(0) {
+		t.Errorf("agents to notify are %v, want only %v", agents, agentIP(0))
+	}
+}
