Move the watches of the store into a file of their own

Change: watch.go has the repeated reads with role and backoff, state.go what is read. No behaviour. Measured: go test ./internal/operate/agpacketbalancer passes.

--- /dev/null
+++ b/internal/operate/agpacketbalancer/watch.go
@@ -0,0 +1,198 @@
+package agpacketbalancer
+
+// Repeated reads of the store. Few balancers watch it (agfleet.WatchRole); the others
+// receive changes from their peers.
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/anvilglade/anvilglade"
+	"github.com/anvilglade/anvilglade/internal/runtime/agtask"
+)
+
+const (
+	// minBackoff and maxBackoff bound the pause after a failed call to the store. The
+	// end of an outage is detected within maxBackoff.
+	minBackoff = 150 * time.Millisecond
+	maxBackoff = 1500 * time.Millisecond
+	// minStandbyBackoff and maxStandbyBackoff bound the pause of a standby, whose calls
+	// grow with the fleet. Primaries detect the end of an outage earlier.
+	minStandbyBackoff = 1500 * time.Millisecond
+	maxStandbyBackoff = 10 * time.Second
+	// rolePoll is the time between two checks whether this balancer has to watch.
+	rolePoll = 200 * time.Millisecond
+	// peerGrace is how long a balancer that has just started waits for the status of a
+	// peer before it reads the store, stateGrace how long it waits for the state of a
+	// peer that has one.
+	peerGrace  = 100 * time.Millisecond
+	stateGrace = 150 * time.Millisecond
+	// startPoll is the time between two checks for peers during peerGrace.
+	startPoll = 10 * time.Millisecond
+	// batchDelay is the pause after a successful read. Changes in quick succession
+	// are read together, because each read costs a call to the store.
+	batchDelay = 150 * time.Millisecond
+	// shortWait and longWait are how long a watch waits for a change. A broken
+	// connection that returns no error is detected only after the wait. Meanwhile
+	// the balancers with a short wait report changes to the others.
+	shortWait = 4 * time.Second
+	longWait  = 25 * time.Second
+)
+
+// watchWait returns how long the next watch waits for a change. Each watch costs
+// a call to the store, so only a few balancers use the short wait.
+func (p *Process) watchWait() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.fleet.UsesShortWait(time.Now()) {
+		return shortWait
+	}
+	return longWait
+}
+
+// storeTask is a read of the store that is repeated.
+type storeTask struct {
+	what string
+	// health receives the role in which the last read was answered. Nil stands for a
+	// task that every balancer runs; its role determines the backoff only.
+	health *atomic.Uint32
+	read   func(context.Context) error
+}
+
+// watchStore repeats a read of the store until the context ends, while this balancer
+// has to watch. It backs off while the store does not answer.
+func (p *Process) watchStore(ctx context.Context, task storeTask) error {
+	var backoff time.Duration
+	reachable := true
+	for ctx.Err() == nil {
+		role, err := p.awaitRole(ctx, task)
+		if err != nil {
+			return err
+		}
+		err = task.read(ctx)
+		p.metrics.StoreCalls.WithLabelValues(task.what, outcomeOf(err)).Inc()
+		if ctx.Err() != nil {
+			break
+		}
+		if err == nil || errors.Is(err, anvilglade.ErrHistoryGone) {
+			if !reachable {
+				p.log.WithField("What", task.what).Info("Store answers again.")
+			}
+			task.setHealth(role)
+			reachable, backoff = true, 0
+			if err := agtask.Sleep(ctx, batchDelay); err != nil {
+				return err
+			}
+			continue
+		}
+		if reachable {
+			p.log.WithError(err).WithField("What", task.what).Warn("Store does not answer; the last state stays in effect.")
+		}
+		task.setHealth(anvilglade.WatchNone)
+		reachable, backoff = false, nextBackoff(backoff, role)
+		if err := agtask.Sleep(ctx, backoff/2+rand.N(backoff/2)); err != nil {
+			return err
+		}
+	}
+	return ctx.Err()
+}
+
+func (t *storeTask) setHealth(role anvilglade.StoreWatch) {
+	if t.health != nil {
+		t.health.Store(uint32(role))
+	}
+}
+
+// nextBackoff returns the pause after another failed call of a balancer with a role;
+// former is the pause before the call, 0 if it was the first.
+func nextBackoff(former time.Duration, role anvilglade.StoreWatch) time.Duration {
+	low, high := minBackoff, maxBackoff
+	if role != anvilglade.WatchPrimary {
+		low, high = minStandbyBackoff, maxStandbyBackoff
+	}
+	return min(max(2*former, low), high)
+}
+
+// awaitRole waits until this balancer has to watch the store and returns its role.
+func (p *Process) awaitRole(ctx context.Context, task storeTask) (anvilglade.StoreWatch, error) {
+	if task.health == nil {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return p.fleet.WatchRole(time.Now()), nil
+	}
+	if err := p.awaitPeers(ctx); err != nil {
+		return anvilglade.WatchNone, err
+	}
+	for {
+		p.mu.Lock()
+		role := p.fleet.WatchRole(time.Now())
+		p.mu.Unlock()
+		p.logRole(role)
+		if role != anvilglade.WatchNone {
+			return role, nil
+		}
+		task.setHealth(anvilglade.WatchNone)
+		if err := agtask.Sleep(ctx, rolePoll); err != nil {
+			return anvilglade.WatchNone, err
+		}
+	}
+}
+
+var roleNames = map[anvilglade.StoreWatch]string{
+	anvilglade.WatchNone:    "None",
+	anvilglade.WatchStandby: "Standby",
+	anvilglade.WatchPrimary: "Primary",
+}
+
+// logRole logs a change of the role of this balancer.
+func (p *Process) logRole(role anvilglade.StoreWatch) {
+	if former := p.loggedRole.Swap(uint32(role)); former != uint32(role) {
+		p.log.WithField("Before", roleNames[anvilglade.StoreWatch(former)]).WithField("Now", roleNames[role]).
+			Info("Role in watching the store has changed.")
+	}
+}
+
+// awaitPeers waits after the start of the process for peers that have a desired state,
+// so that a restart in a running fleet needs no calls to the store. It returns as soon
+// as a peer has sent a status without one, which means that the whole fleet starts.
+func (p *Process) awaitPeers(ctx context.Context) error {
+	for {
+		p.mu.Lock()
+		found, hasDesired := p.fleet.PeerState()
+		p.mu.Unlock()
+		age := time.Since(p.started)
+		if age > stateGrace || !hasDesired && (found || age > peerGrace) {
+			return nil
+		}
+		if err := agtask.Sleep(ctx, startPoll); err != nil {
+			return err
+		}
+	}
+}
+
+// watch returns the role in which this balancer watches the store, WatchNone unless
+// the store answers.
+func (p *Process) watch() anvilglade.StoreWatch {
+	return anvilglade.StoreWatch(min(p.desiredWatch.Load(), p.evacuationWatch.Load()))
+}
+
+// outcomeOf returns the outcome of a call to the store as a label of the counter
+// of calls.
+func outcomeOf(err error) string {
+	switch {
+	case err == nil:
+		return "Answered"
+	case errors.Is(err, anvilglade.ErrHistoryGone):
+		return "HistoryGone"
+	case errors.Is(err, anvilglade.ErrOverloaded):
+		return "Overloaded"
+	case errors.Is(err, anvilglade.ErrRateLimited):
+		return "RateLimited"
+	case errors.Is(err, context.DeadlineExceeded):
+		return "TimedOut"
+	}
+	return "Failed"
+}
