One host lookup for a packet; the state of a host on the host

Each retransmitted opening packet listed all hosts, also within the second in which no probes are started. Lost and MayHoldFlows stood on Fleet and Host. Change: the host knows the evidence on its data centre, checkHolder gets the host, Suspect says whether to probe, only packets after the opening one acknowledge.

--- a/internal/membership/agpath/prober.go
+++ b/internal/membership/agpath/prober.go
@@ -14,7 +14,9 @@
 // # Usage
 //
 //	prober := agpath.NewProber()
-//	prober.Suspect("dk1", agentsOfDataCentre, now)
+//	if prober.Suspect("dk1", now) {
+//		prober.Probe(agentsOfDataCentre)
+//	}
 //	for _, agent := range prober.Due(now) {
 //		// send a probe
 //	}
@@ -62,13 +64,18 @@
 	return &Prober{probes: make(map[anvilglade.IPv4]*probe), suspectedAt: make(map[anvilglade.DataCentreID]time.Time)}
 }
 
-// Suspect starts probes to the agents of a data centre, unless it has done so within
-// suspicionInterval.
-func (p *Prober) Suspect(dataCentre anvilglade.DataCentreID, agents []anvilglade.IPv4, now time.Time) {
+// Suspect handles a suspicion of a data centre and reports whether its agents have to be
+// probed. It returns false if it has returned true within suspicionInterval.
+func (p *Prober) Suspect(dataCentre anvilglade.DataCentreID, now time.Time) bool {
 	if last, suspected := p.suspectedAt[dataCentre]; suspected && now.Sub(last) < suspicionInterval {
-		return
+		return false
 	}
 	p.suspectedAt[dataCentre] = now
+	return true
+}
+
+// Probe starts probes to agents.
+func (p *Prober) Probe(agents []anvilglade.IPv4) {
 	for _, agent := range agents {
 		if p.probes[agent] == nil {
 			p.probes[agent] = &probe{}
--- a/internal/membership/agpath/script_test.go
+++ b/internal/membership/agpath/script_test.go
@@ -38,7 +38,9 @@
 	now := time.Unix(1_000_000, 0).Add(step.At)
 	switch step.Verb {
 	case "Suspect":
-		prober.Suspect(anvilglade.DataCentreID(step.Args[0]), agentsOf(step.Args[1:]), now)
+		if prober.Suspect(anvilglade.DataCentreID(step.Args[0]), now) {
+			prober.Probe(agentsOf(step.Args[1:]))
+		}
 	case "Due":
 		return namesOf(prober.Due(now))
 	case "Confirm":
--- a/internal/routing/agdispatch/bench_test.go
+++ b/internal/routing/agdispatch/bench_test.go
@@ -55,6 +55,25 @@
 	}
 }
 
+// BenchmarkAcknowledging measures a packet of an established flow in which the caller
+// acknowledges new data, as most packets after an answer do.
+func BenchmarkAcknowledging(b *testing.B) {
+	for _, hosts := range []int{10, 500} {
+		b.Run(fmt.Sprint(hosts), func(b *testing.B) {
+			dispatcher, packet, now := newBench(hosts)
+			var verdict agdispatch.Verdict
+			b.ReportAllocs()
+			for b.Loop() {
+				packet.Acknowledged++
+				dispatcher.FromCaller(packet, now, &verdict)
+			}
+			if !verdict.ToHolder {
+				b.Fatalf("%+v", verdict)
+			}
+		})
+	}
+}
+
 // BenchmarkOpen measures the placement of a new flow.
 func BenchmarkOpen(b *testing.B) {
 	for _, hosts := range []int{10, 60, 500} {
--- a/internal/routing/agdispatch/dispatch.go
+++ b/internal/routing/agdispatch/dispatch.go
@@ -142,19 +142,19 @@
 	entry := d.flows[flow]
 	if entry != nil {
 		entry.lastUsed = now
-		if entry.established && packet.Acknowledged != entry.acknowledged {
-			d.fleet.RecordProgress(entry.holder, now)
-		}
-		entry.acknowledged = packet.Acknowledged
 	}
 	if packet.Opens() {
 		d.open(flow, entry, now, verdict)
 		return
 	}
 	if entry != nil {
-		if holder, ok := d.holderOf(flow, entry, packet); ok && d.checkHolder(entry, holder, flow, now, verdict) {
-			d.forwardToHolder(entry, holder, verdict)
-			return
+		if holder, ok := d.holderOf(flow, entry, packet); ok {
+			host, _ := d.fleet.Host(holder)
+			entry.acknowledge(packet, host, now)
+			if d.checkHolder(entry, host, flow, now, verdict) {
+				d.forwardToHolder(entry, holder, verdict)
+				return
+			}
 		}
 		// checkHolder has set the action if the host is lost.
 		if verdict.Action == ActionReset {
@@ -178,13 +178,12 @@
 	return holder, ok
 }
 
-// checkHolder reports whether the host may still hold the flow. If the host is
-// unknown or lost, it also removes the entry and sets the verdict to a reset of the
+// checkHolder reports whether the host may still hold the flow; nil stands for an
+// unknown host. If the host is unknown or lost, it also removes the entry and sets the verdict to a reset of the
 // flow, unless this balancer is isolated. If the host has ended or restarted,
 // it returns false without a reset.
-func (d *Dispatcher) checkHolder(entry *flowEntry, holder anvilglade.IPv4, flow anvilglade.Flow, now time.Time, verdict *Verdict) bool {
-	host, known := d.fleet.Host(holder)
-	if !known || d.fleet.Lost(host, now) {
+func (d *Dispatcher) checkHolder(entry *flowEntry, host *agfleet.Host, flow anvilglade.Flow, now time.Time, verdict *Verdict) bool {
+	if host == nil || host.Lost(now) {
 		if d.fleet.Isolated(now) {
 			// This balancer receives statuses of so few hosts that it has probably
 			// lost its own network; another balancer may still reach the host.
@@ -194,7 +193,7 @@
 		d.removeEntry(flow, entry)
 		return false
 	}
-	return d.fleet.MayHoldFlows(host, now) && (entry.hostStarted == 0 || entry.hostStarted == host.Born)
+	return host.MayHoldFlows(now) && (entry.hostStarted == 0 || entry.hostStarted == host.Born)
 }
 
 // LostFlow is a flow to be reset because no running host holds it.
@@ -212,7 +211,7 @@
 	}
 	withoutFlows := make(map[anvilglade.IPv4]bool)
 	for _, host := range d.fleet.AllHosts() {
-		if !d.fleet.MayHoldFlows(host, now) {
+		if !host.MayHoldFlows(now) {
 			withoutFlows[host.Agent] = true
 		}
 	}
--- a/internal/routing/agdispatch/flow.go
+++ b/internal/routing/agdispatch/flow.go
@@ -65,6 +65,19 @@
 	e.holder, e.hostStarted, e.service, e.established = host.Agent, host.Born, host.Number, true
 }
 
+// acknowledge records the acknowledgement number of a packet after the opening one. New
+// data that the caller acknowledges shows that the holder's host runs; host is nil if it
+// is unknown.
+func (e *flowEntry) acknowledge(packet *anvilglade.Packet, host *agfleet.Host, now time.Time) {
+	if e.acknowledged == packet.Acknowledged {
+		return
+	}
+	e.acknowledged = packet.Acknowledged
+	if host != nil {
+		host.RecordProgress(now)
+	}
+}
+
 // startSearch marks the holder as unknown and records the route for the search.
 func (e *flowEntry) startSearch(route *anvilglade.PacketRoute, acknowledged uint32) {
 	e.established = false
--- a/internal/routing/agdispatch/opening.go
+++ b/internal/routing/agdispatch/opening.go
@@ -28,7 +28,8 @@
 // its opening packet.
 func (d *Dispatcher) open(flow anvilglade.Flow, entry *flowEntry, now time.Time, verdict *Verdict) {
 	if entry != nil && entry.established {
-		if d.checkHolder(entry, entry.holder, flow, now, verdict) {
+		host, _ := d.fleet.Host(entry.holder)
+		if d.checkHolder(entry, host, flow, now, verdict) {
 			d.forwardToHolder(entry, entry.holder, verdict)
 		}
 		return
@@ -81,7 +82,7 @@
 func (d *Dispatcher) suspect(entry *flowEntry, now time.Time) {
 	d.fleet.Suspect(entry.holder, entry.lastAttempt)
 	host, known := d.fleet.Host(entry.holder)
-	if !known {
+	if !known || !d.prober.Suspect(host.DataCentre, now) {
 		return
 	}
 	var agents []anvilglade.IPv4
@@ -90,7 +91,7 @@
 			agents = append(agents, other.Agent)
 		}
 	}
-	d.prober.Suspect(host.DataCentre, agents, now)
+	d.prober.Probe(agents)
 }
 
 // DueProbes returns the agents to send a probe to, so that a path to them that is
--- a/internal/routing/agdispatch/search.go
+++ b/internal/routing/agdispatch/search.go
@@ -135,7 +135,7 @@
 func (d *Dispatcher) possibleHolders(now time.Time) []anvilglade.IPv4 {
 	d.holders = d.holders[:0]
 	for _, host := range d.fleet.AllHosts() {
-		if d.fleet.MayHoldFlows(host, now) {
+		if host.MayHoldFlows(now) {
 			d.holders = append(d.holders, host.Agent)
 		}
 	}
--- a/internal/state/agfleet/agents.go
+++ b/internal/state/agfleet/agents.go
@@ -51,11 +51,11 @@
 	return f.agentsListed || now.Sub(started) >= LostAfter
 }
 
-// Agents returns the agents whose hosts may hold flows; see Fleet.MayHoldFlows.
+// Agents returns the agents whose hosts may hold flows; see Host.MayHoldFlows.
 func (f *Fleet) Agents(now time.Time) []anvilglade.IPv4 {
 	var list []anvilglade.IPv4
 	for address, host := range f.hosts {
-		if f.MayHoldFlows(host, now) {
+		if host.MayHoldFlows(now) {
 			list = append(list, address)
 		}
 	}
@@ -89,8 +89,7 @@
 	return max(LostAfter, lostStatuses*h.Interval)
 }
 
-// Lost reports whether no status has been received for Host.LostAfter. Without other
-// evidence the host counts as lost together with its VM; see Fleet.Lost.
-func (h *Host) Lost(now time.Time) bool {
+// statusesMissing reports whether no status has been received for Host.LostAfter.
+func (h *Host) statusesMissing(now time.Time) bool {
 	return now.Sub(h.LastStatus) >= h.LostAfter()
 }
--- a/internal/state/agfleet/fleet.go
+++ b/internal/state/agfleet/fleet.go
@@ -85,6 +85,8 @@
 	Suspect bool
 	// endedAt is the time at which the host was first reported as ended.
 	endedAt time.Time
+	// path has the evidence on the host's data centre.
+	path *centrePath
 }
 
 // Balancer is another balancer, as it last reported itself.
@@ -194,7 +196,8 @@
 	}
 	host.AgentStatus, host.LastStatus, host.PlacedFlows, host.Suspect = status, now, 0, false
 	host.Number = status.Service.Number()
-	f.pathOf(status.DataCentre).lastStatus = now
+	host.path = f.pathOf(status.DataCentre)
+	host.path.lastStatus = now
 	if !ok || serviceChanged {
 		f.indexHosts()
 	}
--- a/internal/state/agfleet/paths.go
+++ b/internal/state/agfleet/paths.go
@@ -33,35 +33,29 @@
 	return path
 }
 
-// RecordProgress records that a caller has acknowledged new data of an agent's host.
-func (f *Fleet) RecordProgress(agent anvilglade.IPv4, now time.Time) {
-	if host, ok := f.hosts[agent]; ok {
-		f.pathOf(host.DataCentre).lastProgress = now
-	}
+// RecordProgress records that a caller has acknowledged new data of the host.
+func (h *Host) RecordProgress(now time.Time) {
+	h.path.lastProgress = now
 }
 
-// statusesLost reports whether the statuses from a data centre are lost on their way:
+// statusesLost reports whether the statuses from the data centre are lost on their way:
 // there is none from any of its agents, although its hosts have served callers since.
-func (f *Fleet) statusesLost(dataCentre anvilglade.DataCentreID, now time.Time) bool {
-	path, ok := f.paths[dataCentre]
-	if !ok {
-		return false
-	}
-	return path.lastProgress.Sub(path.lastStatus) >= progressMargin && now.Sub(path.lastProgress) < LostAfter
+func (p *centrePath) statusesLost(now time.Time) bool {
+	return p.lastProgress.Sub(p.lastStatus) >= progressMargin && now.Sub(p.lastProgress) < LostAfter
 }
 
-// Lost reports whether a host counts as lost together with its VM: no status has
-// been received for Host.LostAfter, and there is no sign that the statuses from its
-// data centre are lost on their way.
-func (f *Fleet) Lost(host *Host, now time.Time) bool {
-	return host.Lost(now) && !f.statusesLost(host.DataCentre, now)
+// Lost reports whether the host counts as lost together with its VM: no status has been
+// received for LostAfter, and there is no sign that the statuses from its data centre
+// are lost on their way.
+func (h *Host) Lost(now time.Time) bool {
+	return h.statusesMissing(now) && !h.path.statusesLost(now)
 }
 
-// MayHoldFlows reports whether a host may be running and hold flows: it is not lost
+// MayHoldFlows reports whether the host may be running and hold flows: it is not lost
 // and has not been reported as ended.
-func (f *Fleet) MayHoldFlows(host *Host, now time.Time) bool {
-	if host.Ended && now.Sub(host.endedAt) >= endedMargin {
+func (h *Host) MayHoldFlows(now time.Time) bool {
+	if h.Ended && now.Sub(h.endedAt) >= endedMargin {
 		return false
 	}
-	return !f.Lost(host, now)
+	return !h.Lost(now)
 }
