Keep the meaning and the effect of a reason in one table

Cause: explain.go and window.go had a table each, keyed by the same reasons; Busy had an effect and no meaning. Five meanings said that a process hears, knows or is silent. Measured: go test ./internal/observe/... ./internal/operate/agcommand passes.

--- a/internal/observe/agexplain/explain.go
+++ b/internal/observe/agexplain/explain.go
@@ -253,40 +253,12 @@
 	if line.Decision == "" || slices.Contains(servedReasons, line.Reason) {
 		return
 	}
-	meaning, ok := reasonMeanings[line.Reason]
-	if !ok {
-		meaning = "see the line"
-	}
-	cause := fmt.Sprintf("%s at %s: %s", line.Reason, line.Node, meaning)
+	cause := fmt.Sprintf("%s at %s: %s", line.Reason, line.Node, meaningOf(line.Reason))
 	if !slices.Contains(e.Causes, cause) {
 		e.Causes = append(e.Causes, cause)
 	}
 }
 
-// reasonMeanings describes each reason in one sentence. The texts are part of the
-// output of the explain command.
-var reasonMeanings = map[string]string{
-	"NoRoute":        "the desired state in effect has no route for the service address; compare Version with the operators'",
-	"NoHost":         "no host of the service took new flows: draining, cold, evacuated, silent or in another region",
-	"NoDesiredState": "the balancer had just started and had no desired state yet",
-	"AllRefused":     "every host that was asked refused; the Passed and Refused lines of the agents say why",
-	"HeldNowhere":    "no host holds the flow any more: its host has ended or restarted",
-	"HostLost":       "the agent of the flow's host has been silent for longer than a restart takes",
-	"UnknownFlow":    "the balancer does not know the flow and a search goes on",
-	"Draining":       "the host had announced that it leaves",
-	"Evacuated":      "operators evacuate the host's data centre",
-	"Cold":           "the host has just started and takes only as many flows a second as its service allows",
-	"NoHeartbeat":    "the agent has not heard its host, or not for three heartbeats",
-	"StaleState":     "the agent has heard no balancer lately and does not know the evacuations",
-	"Gone":           "the host has ended",
-	"service moved":  "the address belongs to another service now",
-
-	"the host has lost the flow":               "the host has restarted since the flow was opened",
-	"returned by the host":                     "the host could not accept the flow, or does not hold it",
-	"returned under an unknown tag":            "the agent has restarted since it delivered the packet",
-	"host resets a flow that it was asked for": "the host was starting or ending; the search goes on elsewhere",
-}
-
 // Events converts the lines to events of a time line. Lines that log no decision
 // have the type "State".
 func (e *Explanation) Events() []anvilglade.Event {
--- /dev/null
+++ b/internal/observe/agexplain/reasons.go
@@ -0,0 +1,43 @@
+package agexplain
+
+// The reasons of decisions, as balancers log them in Reason and agents in Cause.
+
+// reason is what explanations say of a decision.
+type reason struct {
+	// meaning is one sentence of the output of the explain command. It is empty if the
+	// flow is served.
+	meaning string
+	// effect is what callers see, empty for nothing.
+	effect Effect
+}
+
+var reasons = map[string]reason{
+	"Lookup":                        {effect: EffectSearch},
+	"Busy":                          {meaning: "the host had too many requests in progress, so the next candidate was tried", effect: EffectBusy},
+	"NoRoute":                       {meaning: "the desired state in effect has no route for the service address; compare Version with the operators'"},
+	"NoHost":                        {meaning: "no host of the service took new flows: draining, cold, evacuated, without recent statuses or in another region", effect: EffectRefused},
+	"NoDesiredState":                {meaning: "the balancer had just started and had no desired state yet", effect: EffectNoState},
+	"AllRefused":                    {meaning: "every host that was asked refused; the Passed and Refused lines of the agents say why", effect: EffectRefused},
+	"HeldNowhere":                   {meaning: "no host holds the flow any more: its host has ended or restarted", effect: EffectFlowLost},
+	"HostLost":                      {meaning: "the agent of the flow's host has sent no status for longer than a restart takes", effect: EffectFlowLost},
+	"UnknownFlow":                   {meaning: "the flow is not in the balancer's cache and a search goes on"},
+	"Draining":                      {meaning: "the host had announced that it leaves", effect: EffectNotReady},
+	"Evacuated":                     {meaning: "operators evacuate the host's data centre", effect: EffectNotReady},
+	"Cold":                          {meaning: "the host has just started and takes only as many flows a second as its service allows", effect: EffectCold},
+	"NoHeartbeat":                   {meaning: "the agent has received no heartbeat of its host, or none for three intervals", effect: EffectNotReady},
+	"StaleState":                    {meaning: "the agent has received no recent status of a balancer, so its evacuations may be outdated", effect: EffectNotReady},
+	"Gone":                          {meaning: "the host has ended", effect: EffectNotReady},
+	"service moved":                 {meaning: "the address belongs to another service now"},
+	"the host has lost the flow":    {meaning: "the host has restarted since the flow was opened", effect: EffectFlowLost},
+	"returned by the host":          {meaning: "the host could not accept the flow, or does not hold it"},
+	"returned under an unknown tag": {meaning: "the agent has restarted since it delivered the packet"},
+	"host resets a flow that it was asked for": {meaning: "the host was starting or ending; the search goes on elsewhere"},
+}
+
+// meaningOf returns the meaning of a reason.
+func meaningOf(name string) string {
+	if meaning := reasons[name].meaning; meaning != "" {
+		return meaning
+	}
+	return "see the line"
+}
--- a/internal/observe/agexplain/window.go
+++ b/internal/observe/agexplain/window.go
@@ -35,25 +35,6 @@
 // Effects lists all effects in the order of their columns.
 var Effects = []Effect{EffectNoState, EffectSearch, EffectFlowLost, EffectBusy, EffectCold, EffectNotReady, EffectRefused}
 
-// effectsByReason maps the reason of a balancer's decision, or the cause of an
-// agent's, to its effect. Other decisions have none.
-var effectsByReason = map[string]Effect{
-	"NoDesiredState":             EffectNoState,
-	"Lookup":                     EffectSearch,
-	"HeldNowhere":                EffectFlowLost,
-	"HostLost":                   EffectFlowLost,
-	"the host has lost the flow": EffectFlowLost,
-	"Busy":                       EffectBusy,
-	"Cold":                       EffectCold,
-	"NoHeartbeat":                EffectNotReady,
-	"StaleState":                 EffectNotReady,
-	"Draining":                   EffectNotReady,
-	"Gone":                       EffectNotReady,
-	"Evacuated":                  EffectNotReady,
-	"NoHost":                     EffectRefused,
-	"AllRefused":                 EffectRefused,
-}
-
 // Span is a span of time that is divided into steps.
 type Span struct {
 	From, To time.Time
@@ -89,7 +70,7 @@
 		if slices.Contains(startMessages, line.Message) {
 			step.Started++
 		}
-		if effect, ok := effectsByReason[line.Reason]; ok && line.Decision != "" {
+		if effect := reasons[line.Reason].effect; effect != "" && line.Decision != "" {
 			step.Counts[effect] += 1 + line.Omitted
 		}
 	}
