Bound the statuses to agents that do not respond

Cause: since a balancer sent its status four times a second to every agent whose statuses were missing: after the loss of a data centre of 420 hosts 1,680 datagrams a second for up to 90 s (worked out). The check for newly listed agents built the same list twice for each status of a balancer, and any lost host kept it from waking the task. An agent counted the statuses that request replies when it chose the one with its list, so beyond 64 balancers the list went to two of them instead of all (read in the code). Change: at most 8 overdue agents a tick, chosen at random (OverdueAgents); HasPendingAgents counts; an agent counts its statuses to all. Test: TestAgentWithoutStatusIsNotified now asks OverdueAgents for the same agent, and TestOverdueAgentsAreNotifiedInTurn is new.

--- a/internal/operate/agpacketagent/process.go
+++ b/internal/operate/agpacketagent/process.go
@@ -79,10 +79,12 @@
 	wake        chan struct{}
 	statusToNew chan struct{}
 
-	mu             sync.Mutex
-	gate           *agopen.Gate
-	holder         *agholder.Holder
-	sequence       anvilglade.Sequence
+	mu       sync.Mutex
+	gate     *agopen.Gate
+	holder   *agholder.Holder
+	sequence anvilglade.Sequence
+	// broadcasts is the number of statuses that were sent to all balancers.
+	broadcasts     uint64
 	admissionState agopen.Refusal
 	// failing is set while the share of failed requests of the host is at least
 	// failingThreshold.
--- a/internal/operate/agpacketagent/status.go
+++ b/internal/operate/agpacketagent/status.go
@@ -35,7 +35,8 @@
 	// seedGrace is how long an agent that has just started waits for a status of a
 	// balancer before it reads the list of balancers from the store.
 	seedGrace = 300 * time.Millisecond
-	// statusesPerList is the number of statuses of which one lists the balancers.
+	// statusesPerList is the number of statuses to all balancers of which one lists the
+	// balancers.
 	statusesPerList = 8
 	// maxListEntries limits the balancers that a status lists.
 	maxListEntries = 250
@@ -139,6 +140,10 @@
 	receivers := p.roster.Receivers(now)
 	targets := p.roster.ReplyTargets(now, p.random)
 	status := p.status(now, len(receivers))
+	if p.broadcasts++; p.broadcasts%agpace.MessagesPerList(statusesPerList, len(receivers)) == 1 {
+		balancers := p.roster.Responsive(now)
+		status.Balancers = balancers[:min(len(balancers), maxListEntries)]
+	}
 	p.newBalancers = nil
 	p.mu.Unlock()
 	receivers = slices.DeleteFunc(receivers, func(address anvilglade.IPv4) bool { return slices.Contains(targets, address) })
@@ -189,8 +194,8 @@
 	}
 }
 
-// status returns the next status of this agent. The number of receivers determines
-// how often the status lists the balancers. The caller holds the mutex.
+// status returns the next status of this agent, without a list of balancers. The number
+// of receivers determines its interval. The caller holds the mutex.
 func (p *Process) status(now time.Time, receivers int) anvilglade.AgentStatus {
 	p.sequence++
 	flows, _, latency := p.holder.Load()
@@ -212,11 +217,6 @@
 	if host, ok := p.gate.Host(); ok {
 		status.Host, status.Born, status.Slots = host.Host, host.Born.UnixMilli(), host.Slots
 	}
-	if uint64(p.sequence)%agpace.MessagesPerList(statusesPerList, receivers) != 1 {
-		return status
-	}
-	balancers := p.roster.Responsive(now)
-	status.Balancers = balancers[:min(len(balancers), maxListEntries)]
 	return status
 }
 
--- a/internal/operate/agpacketbalancer/packets.go
+++ b/internal/operate/agpacketbalancer/packets.go
@@ -146,11 +146,11 @@
 		p.metrics.Malformed.WithLabelValues("BalancerStatus").Inc()
 		return
 	}
-	hadPending := len(p.fleet.PendingAgents()) > 0
+	hadPending := p.fleet.HasPendingAgents()
 	if started := p.fleet.UpdateBalancer(status, now); started {
 		p.sendFullStatus(writer, from, now)
 	}
-	if !hadPending && len(p.fleet.PendingAgents()) > 0 {
+	if !hadPending && p.fleet.HasPendingAgents() {
 		p.wakeNotify()
 	}
 	if desired, _ := p.fleet.Desired(); status.Desired > desired.Version {
--- a/internal/operate/agpacketbalancer/status.go
+++ b/internal/operate/agpacketbalancer/status.go
@@ -54,7 +54,7 @@
 			lastSent = now
 			p.broadcast()
 		}
-		p.notifyPendingAgents()
+		p.notifyAgents()
 		p.resetLostFlows()
 		select {
 		case <-ctx.Done():
@@ -146,12 +146,13 @@
 	}
 }
 
-// notifyPendingAgents sends the status to agents that the store or a peer has
-// listed and that have not sent a status yet. An agent adds the balancer to its
-// roster and sends its own status in return.
-func (p *Process) notifyPendingAgents() {
+// notifyAgents sends the status to agents that may not have this balancer in their
+// roster: those that the store or a peer has listed and that have not sent a status yet,
+// and some of those whose statuses are missing. An agent adds the balancer and sends its
+// own status in return.
+func (p *Process) notifyAgents() {
 	p.mu.Lock()
-	agents := p.fleet.PendingAgents()
+	agents := append(p.fleet.PendingAgents(), p.fleet.OverdueAgents()...)
 	if len(agents) == 0 {
 		p.mu.Unlock()
 		return
--- a/internal/state/agfleet/agents.go
+++ b/internal/state/agfleet/agents.go
@@ -9,6 +9,10 @@
 	"github.com/anvilglade/anvilglade"
 )
 
+// maxOverdue is the maximum number of agents that OverdueAgents returns. After the loss
+// of a data centre most of them do not run.
+const maxOverdue = 8
+
 // AdoptAgentList adds the agents from the store's complete list of agents.
 func (f *Fleet) AdoptAgentList(agents []anvilglade.IPv4, now time.Time) {
 	f.addPending(agents, now)
@@ -26,16 +30,31 @@
 	}
 }
 
-// PendingAgents returns the agents that may not know this balancer: those that have
-// been listed by the store or by a peer and have not sent a status yet, and those whose
-// statuses are missing although their host has not ended. An agent that has restarted
-// while this balancer was paused or cut off learns of it only from its status.
+// PendingAgents returns the agents that have been listed by the store or by a
+// peer and have not sent a status yet.
 func (f *Fleet) PendingAgents() []anvilglade.IPv4 {
 	list := make([]anvilglade.IPv4, 0, len(f.pending))
 	for address := range f.pending {
 		list = append(list, address)
 	}
+	return list
+}
+
+// HasPendingAgents reports whether PendingAgents returns any.
+func (f *Fleet) HasPendingAgents() bool {
+	return len(f.pending) > 0
+}
+
+// OverdueAgents returns up to maxOverdue agents, chosen at random, whose statuses are
+// missing although their hosts have not ended. Such an agent may have restarted while
+// this balancer was paused or cut off, and then has this balancer in no list.
+func (f *Fleet) OverdueAgents() []anvilglade.IPv4 {
+	var list []anvilglade.IPv4
+	// The order of a map is random.
 	for address, host := range f.hosts {
+		if len(list) == maxOverdue {
+			break
+		}
 		if host.StatusOverdue && !host.Ended {
 			list = append(list, address)
 		}
--- a/internal/state/agfleet/agents_test.go
+++ b/internal/state/agfleet/agents_test.go
@@ -37,7 +37,37 @@
 	later := now.Add(agfleet.SilentAfter + time.Millisecond)
 	fleet.UpdateAgent(anvilglade.AgentStatus{Agent: agentIP(2), Incarnation: 1, Sequence: 2}, later)
 	fleet.UpdateSilent(later)
-	if agents := fleet.PendingAgents(); len(agents) != 1 || agents[0] != agentIP(0) {
+	if agents := fleet.OverdueAgents(); len(agents) != 1 || agents[0] != agentIP(0) {
 		t.Errorf("agents to notify are %v, want only %v", agents, agentIP(0))
 	}
 }
+
+// Guards against a loss of a data centre after which every balancer sends its status to
+// hundreds of lost agents several times a second, and against a selection that never
+// reaches the one that runs.
+func TestOverdueAgentsAreNotifiedInTurn(t *testing.T) {
+	const (
+		agents    = 200
+		perSecond = 4
+		seconds   = 30
+	)
+	now := time.Unix(1_000_000, 0)
+	fleet := agfleet.NewFleet(agfleet.Options{Self: balancerIP(0)})
+	for i := range agents {
+		fleet.UpdateAgent(anvilglade.AgentStatus{Agent: agentIP(i), Incarnation: 1, Sequence: 1}, now)
+	}
+	fleet.UpdateSilent(now.Add(agfleet.LostAfter))
+	notified := make(map[anvilglade.IPv4]bool)
+	for range perSecond * seconds {
+		selected := fleet.OverdueAgents()
+		if len(selected) > 8 {
+			t.Fatalf("%d agents are notified at once, want at most 8", len(selected))
+		}
+		for _, agent := range selected {
+			notified[agent] = true
+		}
+	}
+	if len(notified) < agents*9/10 {
+		t.Errorf("%d of %d agents were notified in %d s", len(notified), agents, seconds)
+	}
+}
