Carry the class of a route's requests to agents

Cause: no decision knows the priority, the repeatability, the timeout or the latency target of a flow's requests; the adapter drops them.

Balancers send the class with each packet to agents that take it (Forward.Class, AgentStatus.TakesClass). The holder reports the requests of a host to a RequestObserver.

Package tests pass.

--- a/fleet.go
+++ b/fleet.go
@@ -32,6 +32,8 @@
 	// Regions lists the regions whose hosts may serve the route. An empty list
 	// allows all regions.
 	Regions []RegionID
+	// Class is the class of the requests on the route's flows.
+	Class RequestClass
 }
 
 // WeightedService is a service and its share of the new flows of a route.
@@ -116,6 +118,16 @@
 	// Balancers lists the balancers that the agent has discovered.
 	Balancers []IPv4       `cbor:"16,keyasint,omitempty"`
 	Reply     ReplyRequest `cbor:"19,keyasint,omitempty"`
+	// TakesClass is set if the agent decodes the class of forwarded packets. Agents of
+	// earlier builds do not.
+	TakesClass bool `cbor:"20,keyasint,omitempty"`
+	// ServiceTime is the mean time for which a request occupies a slot of the host, as
+	// its agent has measured it; 0 if unknown.
+	ServiceTime time.Duration `cbor:"21,keyasint,omitempty"`
+	// Wait is the time for which the next request is expected to wait for a slot.
+	Wait time.Duration `cbor:"22,keyasint,omitempty"`
+	// RequestRate is the number of requests per second on all flows of the host.
+	RequestRate float32 `cbor:"23,keyasint,omitempty"`
 }
 
 // ReplyRequest states when the receiver of an agent's status replies to it.
@@ -154,6 +166,8 @@
 	// Watch is the role in which the sender watches the store, WatchNone while the
 	// store does not answer it.
 	Watch StoreWatch `cbor:"12,keyasint,omitempty"`
+	// Capacity is the relative capacity of the balancer, 0 if unknown.
+	Capacity uint16 `cbor:"13,keyasint,omitempty"`
 }
 
 // StoreWatch is the role of a balancer in watching the platform's store.
--- a/internal/flow/agholder/holder.go
+++ b/internal/flow/agholder/holder.go
@@ -129,11 +129,14 @@
 	// flow's holder.
 	toHolder   bool
 	candidates []anvilglade.IPv4
+	class      anvilglade.RequestClass
 }
 
 // Holder keeps the records of the flows of one host.
 type Holder struct {
 	options Options
+	// Observer, if set, receives the arrival and the end of each request.
+	Observer anvilglade.RequestObserver
 	// OnAnswer, if set, is called with the time from each request to the first
 	// byte of its answer.
 	OnAnswer       func(latency time.Duration)
@@ -213,6 +216,7 @@
 	}
 	record.lookupPending = !forward.ToHolder && !packet.Opens()
 	record.acknowledged = packet.Acknowledged
+	record.class = forward.Class
 	h.recordCallerPacket(record, packet, now)
 	if record.state == stateOpen && !forward.ToHolder && !record.originNotified {
 		h.notifyOrigin(verdict.Flow, record, verdict)
@@ -247,7 +251,7 @@
 	h.tag++
 	slot := &h.pending[h.tag%pendingPackets]
 	slot.tag, slot.origin, slot.toHolder = h.tag, forward.Origin, forward.ToHolder
-	slot.candidates = append(slot.candidates[:0], forward.Candidates...)
+	slot.candidates, slot.class = append(slot.candidates[:0], forward.Candidates...), forward.Class
 	verdict.Action, verdict.Tag = ActionDeliver, h.tag
 }
 
@@ -262,16 +266,16 @@
 		}
 		return
 	}
-	h.forwardToNext(forward.Origin, forward.Candidates, forward.Service, verdict)
+	h.forwardToNext(forward.Origin, forward.Candidates, forward.Service, forward.Class, verdict)
 }
 
-func (h *Holder) forwardToNext(origin anvilglade.IPv4, candidates []anvilglade.IPv4, service anvilglade.ServiceNumber, verdict *Verdict) {
+func (h *Holder) forwardToNext(origin anvilglade.IPv4, candidates []anvilglade.IPv4, service anvilglade.ServiceNumber, class anvilglade.RequestClass, verdict *Verdict) {
 	if len(candidates) == 0 {
 		verdict.Action, verdict.To = ActionExhausted, origin
 		return
 	}
 	verdict.Action, verdict.To = ActionForward, candidates[0]
-	verdict.Forward.Origin, verdict.Forward.Service = origin, service
+	verdict.Forward.Origin, verdict.Forward.Service, verdict.Forward.Class = origin, service, class
 	verdict.Forward.Candidates = append(verdict.Forward.Candidates[:0], candidates[1:]...)
 }
 
@@ -280,7 +284,7 @@
 func (h *Holder) FromHost(packet *anvilglade.Packet, now time.Time, verdict *Verdict) {
 	h.hostUnansweredSince = time.Time{}
 	if packet.Flags.Has(anvilglade.FlagReturned) {
-		h.handleReturned(packet, verdict)
+		h.handleReturned(packet, now, verdict)
 		return
 	}
 	flow := packet.FromHost()
@@ -292,7 +296,7 @@
 	if packet.Flags.Has(anvilglade.FlagRST) && record.state == stateUnconfirmed && record.lookupPending {
 		// A host that is starting or stopping also resets flows that it never
 		// held, so this reset must not reach the caller.
-		h.removeFlow(flow, record)
+		h.removeFlow(flow, record, now)
 		verdict.Action, verdict.To, verdict.Cause = ActionAbsent, record.origin, "host resets a flow that it was asked for"
 		return
 	}
@@ -331,7 +335,7 @@
 }
 
 // handleReturned decides on a packet that the host has returned.
-func (h *Holder) handleReturned(packet *anvilglade.Packet, verdict *Verdict) {
+func (h *Holder) handleReturned(packet *anvilglade.Packet, now time.Time, verdict *Verdict) {
 	flow := packet.FromCaller()
 	*verdict = Verdict{Flow: flow, Cause: "returned by the host", Forward: agmessage.Forward{Candidates: verdict.Forward.Candidates[:0]}}
 	slot := &h.pending[packet.Tag%pendingPackets]
@@ -342,18 +346,18 @@
 	record := h.flows[flow]
 	if packet.Opens() {
 		if record != nil && record.state == stateUnconfirmed {
-			h.removeFlow(flow, record)
+			h.removeFlow(flow, record, now)
 		}
-		h.forwardToNext(slot.origin, slot.candidates, h.options.Service, verdict)
+		h.forwardToNext(slot.origin, slot.candidates, h.options.Service, slot.class, verdict)
 		return
 	}
 	if record != nil && record.state == stateOpen && !record.hostClosed {
-		h.removeFlow(flow, record)
+		h.removeFlow(flow, record, now)
 		verdict.Action, verdict.Cause = ActionReset, "the host has lost the flow"
 		return
 	}
 	if record != nil && record.state != stateEnded {
-		h.removeFlow(flow, record)
+		h.removeFlow(flow, record, now)
 	}
 	verdict.Action, verdict.To = ActionAbsent, slot.origin
 	if slot.toHolder {
@@ -373,13 +377,13 @@
 
 // RemoveAll removes all records and returns the flows that were open. It is called
 // when the host has terminated.
-func (h *Holder) RemoveAll() []LostFlow {
+func (h *Holder) RemoveAll(now time.Time) []LostFlow {
 	var lost []LostFlow
 	for flow, record := range h.flows {
 		if record.state == stateOpen && !record.hostClosed {
 			lost = append(lost, LostFlow{Flow: flow, Acknowledged: record.acknowledged})
 		}
-		h.removeFlow(flow, record)
+		h.removeFlow(flow, record, now)
 	}
 	return lost
 }
@@ -402,7 +406,7 @@
 			h.clearFirstRequest(record)
 		}
 		if now.Sub(record.lastUsed) > h.lifetime(record) {
-			h.removeFlow(flow, record)
+			h.removeFlow(flow, record, now)
 		}
 	}
 }
--- a/internal/flow/agholder/record.go
+++ b/internal/flow/agholder/record.go
@@ -9,6 +9,8 @@
 )
 
 type flowRecord struct {
+	flow     anvilglade.Flow
+	class    anvilglade.RequestClass
 	state    flowState
 	lastUsed time.Time
 	// origin is the balancer that last forwarded a packet of the flow or
@@ -70,11 +72,11 @@
 	if len(h.flows) >= maxFlows {
 		// Evict an arbitrary record.
 		for other, record := range h.flows {
-			h.removeFlow(other, record)
+			h.removeFlow(other, record, now)
 			break
 		}
 	}
-	record := &flowRecord{lastUsed: now}
+	record := &flowRecord{flow: flow, lastUsed: now}
 	h.flows[flow] = record
 	return record
 }
@@ -89,8 +91,8 @@
 	}
 }
 
-func (h *Holder) removeFlow(flow anvilglade.Flow, record *flowRecord) {
-	h.clearRequest(record)
+func (h *Holder) removeFlow(flow anvilglade.Flow, record *flowRecord, now time.Time) {
+	h.abandonRequest(record, now)
 	if record.state == stateHalfOpen || record.state == stateOpen {
 		h.openFlows--
 	}
@@ -107,10 +109,13 @@
 		h.clearFirstRequest(record)
 		record.unansweredSince = now
 		h.activeRequests++
+		if h.Observer != nil {
+			h.Observer.Arrive(record.flow, record.class, now)
+		}
 	}
 	if packet.Flags.Has(anvilglade.FlagFIN) {
 		record.callerClosed = true
-		h.checkEnded(record)
+		h.checkEnded(record, now)
 	}
 }
 
@@ -124,6 +129,9 @@
 		if h.OnAnswer != nil {
 			h.OnAnswer(answerTime)
 		}
+		if h.Observer != nil {
+			h.Observer.Answer(record.flow, now)
+		}
 		h.clearRequest(record)
 		h.outcomes.add(false, now)
 	}
@@ -133,7 +141,7 @@
 	if packet.Flags.Has(anvilglade.FlagFIN) || packet.Flags.Has(anvilglade.FlagRST) {
 		record.hostClosed = true
 		record.callerClosed = record.callerClosed || packet.Flags.Has(anvilglade.FlagRST)
-		h.checkEnded(record)
+		h.checkEnded(record, now)
 	}
 }
 
@@ -161,11 +169,19 @@
 	}
 }
 
-func (h *Holder) checkEnded(record *flowRecord) {
+// abandonRequest stops counting a request that the host has not answered.
+func (h *Holder) abandonRequest(record *flowRecord, now time.Time) {
+	if h.Observer != nil && !record.unansweredSince.IsZero() {
+		h.Observer.Abandon(record.flow, now)
+	}
+	h.clearRequest(record)
+}
+
+func (h *Holder) checkEnded(record *flowRecord, now time.Time) {
 	if !record.callerClosed || !record.hostClosed || record.state == stateEnded {
 		return
 	}
-	h.clearRequest(record)
+	h.abandonRequest(record, now)
 	if record.state == stateHalfOpen || record.state == stateOpen {
 		h.openFlows--
 	}
--- a/internal/flow/agholder/script_test.go
+++ b/internal/flow/agholder/script_test.go
@@ -79,7 +79,7 @@
 		state := r.holder.Find(callerPacket(args[0]).FromCaller(), ipOf(agscript.Option(args, "From", "b1")), slices.Contains(args, "Complete"), slices.Contains(args, "Ended"), r.now)
 		return []string{"Absent", "Held", "Unsure"}[state]
 	case "Lost":
-		return fmt.Sprint(len(r.holder.RemoveAll()))
+		return fmt.Sprint(len(r.holder.RemoveAll(r.now)))
 	case "Expire":
 		r.holder.Expire(r.now)
 		return ""
--- a/internal/operate/agpacketagent/host.go
+++ b/internal/operate/agpacketagent/host.go
@@ -152,7 +152,7 @@
 func (p *Process) handleHostEnded(writer *agsocket.Writer) {
 	p.mu.Lock()
 	p.gate.MarkHostDown()
-	lostFlows := p.holder.RemoveAll()
+	lostFlows := p.holder.RemoveAll(time.Now())
 	p.updateAdmissionState(time.Now())
 	p.mu.Unlock()
 	for _, flow := range lostFlows {
--- a/internal/operate/agpacketagent/status.go
+++ b/internal/operate/agpacketagent/status.go
@@ -213,6 +213,7 @@
 		Latency:        latency,
 		Failing:        float32(p.holder.Failing(now)),
 		Interval:       agpace.Interval(statusInterval, receivers),
+		TakesClass:     true,
 	}
 	if host, ok := p.gate.Host(); ok {
 		status.Host, status.Born, status.Slots = host.Host, host.Born.UnixMilli(), host.Slots
--- a/internal/operate/agpacketbalancer/packets.go
+++ b/internal/operate/agpacketbalancer/packets.go
@@ -57,7 +57,7 @@
 func (p *Process) applyVerdict(writer *agsocket.Writer, data []byte, packet *anvilglade.Packet, verdict *agdispatch.Verdict) {
 	switch verdict.Action {
 	case agdispatch.ActionForward:
-		forward := agmessage.Forward{Service: verdict.Service, Origin: p.settings.IP, ToHolder: verdict.ToHolder, OutsideRoute: verdict.OutsideRoute, Candidates: verdict.Candidates}
+		forward := agmessage.Forward{Service: verdict.Service, Origin: p.settings.IP, ToHolder: verdict.ToHolder, OutsideRoute: verdict.OutsideRoute, Candidates: verdict.Candidates, Class: verdict.Class}
 		for _, agent := range verdict.To {
 			buffer := agmessage.AppendForward(writer.Buffer(), &forward, data)
 			writer.Add(buffer, p.endpointOf(agent, p.settings.PacketPort).AddrPort())
--- a/internal/packet/agmessage/message.go
+++ b/internal/packet/agmessage/message.go
@@ -20,6 +20,8 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"math"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -76,6 +78,9 @@
 	OutsideRoute bool
 	// Candidates are the agents to try after the receiver, in order.
 	Candidates []anvilglade.IPv4
+	// Class is the class of the flow's requests. It is encoded only if it has a latency
+	// target, and must be sent only to agents whose status has TakesClass.
+	Class anvilglade.RequestClass
 }
 
 // Owner reports that a host holds a flow or has offered to hold it.
@@ -111,6 +116,9 @@
 	flowKeySize       = 12
 	flagHeld          = 1
 	flagForeign       = 2
+	flagClass         = 4
+	classSize         = 1 + 1 + 2 + 2
+	flagRepeatable    = 1
 	flagEstablished   = 1
 )
 
@@ -134,6 +142,9 @@
 	if forward.OutsideRoute {
 		flags |= flagForeign
 	}
+	if forward.Class.HasTarget() {
+		flags |= flagClass
+	}
 	count := min(len(forward.Candidates), MaxCandidates)
 	dst = append(dst, byte(KindForward), flags, byte(count))
 	dst = binary.BigEndian.AppendUint64(dst, uint64(forward.Service))
@@ -141,9 +152,37 @@
 	for _, candidate := range forward.Candidates[:count] {
 		dst = append(dst, candidate[:]...)
 	}
+	if forward.Class.HasTarget() {
+		dst = appendClass(dst, forward.Class)
+	}
 	return append(dst, packet...)
 }
 
+// appendClass appends the class of a flow's requests. Durations above the range of the
+// field are encoded as its largest value.
+func appendClass(dst []byte, class anvilglade.RequestClass) []byte {
+	var flags byte
+	if class.Repeatable {
+		flags |= flagRepeatable
+	}
+	dst = append(dst, byte(class.Priority), flags)
+	dst = binary.BigEndian.AppendUint16(dst, clampMilliseconds(class.Target))
+	return binary.BigEndian.AppendUint16(dst, clampMilliseconds(class.Timeout))
+}
+
+func clampMilliseconds(duration time.Duration) uint16 {
+	return uint16(min(max(duration.Milliseconds(), 0), math.MaxUint16))
+}
+
+func classAt(data []byte) anvilglade.RequestClass {
+	return anvilglade.RequestClass{
+		Priority:   anvilglade.Priority(data[0]),
+		Repeatable: data[1]&flagRepeatable != 0,
+		Target:     time.Duration(binary.BigEndian.Uint16(data[2:])) * time.Millisecond,
+		Timeout:    time.Duration(binary.BigEndian.Uint16(data[4:])) * time.Millisecond,
+	}
+}
+
 // ParseForward decodes a Forward and returns the packet, which shares memory
 // with the datagram. It reuses forward.Candidates. It returns an error if the
 // datagram is too short.
@@ -164,6 +203,19 @@
 	for at := forwardHeaderSize; at < end; at += len(anvilglade.IPv4{}) {
 		forward.Candidates = append(forward.Candidates, anvilglade.IPv4(datagram[at:at+4]))
 	}
+	forward.Class = anvilglade.RequestClass{}
+	if datagram[1]&flagClass != 0 {
+		if len(datagram) < end+classSize {
+			return nil, fmt.Errorf("class of a forwarded packet: %w", errTooShort)
+		}
+		if datagram[end+1]&^flagRepeatable != 0 {
+			return nil, fmt.Errorf("class of a forwarded packet has unknown flags %#x", datagram[end+1])
+		}
+		if forward.Class = classAt(datagram[end:]); !forward.Class.HasTarget() {
+			return nil, errors.New("class of a forwarded packet has no latency target")
+		}
+		end += classSize
+	}
 	return datagram[end:], nil
 }
 
--- a/internal/packet/agmessage/message_test.go
+++ b/internal/packet/agmessage/message_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"reflect"
 	"testing"
+	"time"
 
 	"github.com/anvilglade/anvilglade"
 	"github.com/anvilglade/anvilglade/internal/packet/agmessage"
@@ -25,6 +26,12 @@
 	if err != nil || string(packet) != "packet" || !reflect.DeepEqual(parsed, forward) {
 		t.Errorf("%+v %q %v", parsed, packet, err)
 	}
+	classified := forward
+	classified.Class = anvilglade.RequestClass{Priority: 3, Repeatable: true, Target: 200 * time.Millisecond, Timeout: 2 * time.Second}
+	packet, err = agmessage.ParseForward(agmessage.AppendForward(nil, &classified, []byte("packet")), &parsed)
+	if err != nil || string(packet) != "packet" || !reflect.DeepEqual(parsed, classified) {
+		t.Errorf("%+v %q %v", parsed, packet, err)
+	}
 	owner := agmessage.Owner{Flow: flow, Established: true, Sequence: 1 << 31, Flows: 9, ActiveRequests: 3}
 	if got, err := agmessage.ParseOwner(agmessage.AppendOwner(nil, &owner)); err != nil || got != owner {
 		t.Errorf("%+v %v", got, err)
@@ -73,6 +80,7 @@
 // Guards against a datagram from outside the fleet that crashes the process.
 func FuzzMessages(f *testing.F) {
 	f.Add(agmessage.AppendForward(nil, &forward, []byte("packet")))
+	f.Add(agmessage.AppendForward(nil, &agmessage.Forward{Class: anvilglade.RequestClass{Target: time.Second}}, []byte("packet")))
 	f.Add(agmessage.AppendOwner(nil, &agmessage.Owner{Flow: flow}))
 	f.Add(agmessage.AppendFlowAbsent(nil, flow))
 	f.Add(agmessage.AppendFlowQuery(nil, 1, []anvilglade.Flow{flow}))
--- a/internal/routing/agdispatch/dispatch.go
+++ b/internal/routing/agdispatch/dispatch.go
@@ -105,6 +105,9 @@
 	Acknowledged uint32
 	// Candidates lists the agents that an opening packet may be passed on to.
 	Candidates []anvilglade.IPv4
+	// Class is the class of the flow's requests, the zero value if the flow's route is
+	// unknown or states none.
+	Class anvilglade.RequestClass
 }
 
 // Dispatcher caches the flows of one balancer and decides on their packets.
@@ -152,7 +155,7 @@
 			host, _ := d.fleet.Host(holder)
 			entry.acknowledge(packet, host, now)
 			if d.checkHolder(entry, host, flow, now, verdict) {
-				d.forwardToHolder(entry, holder, verdict)
+				d.forwardToHolder(flow, entry, holder, verdict)
 				return
 			}
 		}
@@ -228,10 +231,29 @@
 	return lost
 }
 
-func (d *Dispatcher) forwardToHolder(entry *flowEntry, holder anvilglade.IPv4, verdict *Verdict) {
+func (d *Dispatcher) forwardToHolder(flow anvilglade.Flow, entry *flowEntry, holder anvilglade.IPv4, verdict *Verdict) {
 	verdict.Action, verdict.Reason, verdict.ToHolder = ActionForward, ReasonHeld, true
 	verdict.Service = entry.service
 	verdict.To = append(verdict.To, holder)
+	d.setClass(flow, verdict)
+}
+
+// setClass sets the class of a verdict to that of the flow's route. It leaves the class
+// out if one of the agents that may receive the packet cannot decode it.
+func (d *Dispatcher) setClass(flow anvilglade.Flow, verdict *Verdict) {
+	route, ok := d.fleet.Route(flow.Service)
+	if ok && route.Class.HasTarget() && d.takeClass(verdict.To) && d.takeClass(verdict.Candidates) {
+		verdict.Class = route.Class
+	}
+}
+
+func (d *Dispatcher) takeClass(agents []anvilglade.IPv4) bool {
+	for _, agent := range agents {
+		if host, known := d.fleet.Host(agent); !known || !host.TakesClass {
+			return false
+		}
+	}
+	return true
 }
 
 // HandleHolder handles a message in which an agent reports that its host holds a
--- a/internal/routing/agdispatch/opening.go
+++ b/internal/routing/agdispatch/opening.go
@@ -30,7 +30,7 @@
 	if entry != nil && entry.established {
 		host, _ := d.fleet.Host(entry.holder)
 		if d.checkHolder(entry, host, flow, now, verdict) {
-			d.forwardToHolder(entry, entry.holder, verdict)
+			d.forwardToHolder(flow, entry, entry.holder, verdict)
 		}
 		return
 	}
@@ -57,6 +57,7 @@
 		// A host has offered to take the flow, but its answer has not reached the
 		// caller.
 		d.forwardToOffer(entry, verdict)
+		d.setClass(flow, verdict)
 		return
 	}
 	if len(entry.attempts) > 0 {
@@ -71,6 +72,7 @@
 	verdict.Action, verdict.Reason = ActionForward, ReasonPlaced
 	verdict.To = append(verdict.To, d.ranked[0])
 	verdict.Candidates = append(verdict.Candidates, d.ranked[1:min(len(d.ranked), 1+maxCandidates)]...)
+	d.setClass(flow, verdict)
 	entry.addAttempt(d.ranked[0], now)
 	if host, ok := d.fleet.Host(d.ranked[0]); ok {
 		host.PlacedFlows++
--- a/internal/routing/agdispatch/search.go
+++ b/internal/routing/agdispatch/search.go
@@ -53,7 +53,7 @@
 	if entry == nil || !entry.established {
 		return nil
 	}
-	d.forwardToHolder(entry, entry.holder, verdict)
+	d.forwardToHolder(flow, entry, entry.holder, verdict)
 	return d.takePackets(entry)
 }
 
@@ -98,6 +98,7 @@
 	verdict.Action, verdict.Reason = ActionForward, ReasonLookup
 	verdict.Service, verdict.OutsideRoute = host.Number, entry.route != nil && !routeHasService(entry.route, host.Service)
 	verdict.To = append(verdict.To, agent)
+	d.setClass(flow, verdict)
 	return entry.packets[0]
 }
 
