--- a/internal/admission/agopen/gate.go
+++ b/internal/admission/agopen/gate.go
@@ -6,7 +6,8 @@
 // from balancers. An agent without a recent state of its host, because the agent
 // has just started or because heartbeats are missing, takes no flows. A cold host
 // receives new flows at the rate given by its service, counted over a sliding
-// window of one second.
+// window of one second. A host that returns opening packets receives none for a time
+// that grows with each further one, and then one at a time until it accepts one.
 //
 // # Usage
 //
@@ -36,6 +37,7 @@
 	RefusalCold        Refusal = "Cold"
 	RefusalStale       Refusal = "StaleState"
 	RefusalBusy        Refusal = "Busy"
+	RefusalReturned    Refusal = "HostReturnsFlows"
 )
 
 // HeartbeatResult is the result of handling a heartbeat.
@@ -107,6 +109,7 @@
 	coldUntil   time.Time
 	coldRate    float64
 	recentFlows []time.Time
+	breaker     breaker
 	// evacuated is the state of the data centre as of policyAt.
 	evacuated bool
 	policyAt  time.Time
@@ -128,7 +131,7 @@
 		return HeartbeatOld
 	}
 	if newBoot := !g.hasHeartbeat || heartbeat.Born.After(g.heartbeat.Born); newBoot {
-		g.coldUntil = time.Time{}
+		g.coldUntil, g.breaker = time.Time{}, breaker{}
 		g.hasAllFlows = g.hasHeartbeat || g.hostEnded || heartbeat.Sequence <= firstSequence || g.startedWithProcess(heartbeat.Born, now)
 	}
 	if heartbeat.ColdLeft > 0 {
@@ -224,10 +227,23 @@
 		return RefusalEvacuated
 	case g.policyAt.IsZero() || now.Sub(g.policyAt) > staleAfter:
 		return RefusalStale
+	case g.breaker.open(now):
+		return RefusalReturned
 	}
 	return RefusalNone
 }
 
+// FlowReturned records that the host has returned an opening packet, so that the next
+// flows go to other hosts.
+func (g *Gate) FlowReturned(now time.Time) {
+	g.breaker.returned(now)
+}
+
+// FlowAccepted records that the host has accepted a flow.
+func (g *Gate) FlowAccepted(now time.Time) {
+	g.breaker.accepted(now)
+}
+
 // Busy reports whether another host should be tried first, given the number of
 // requests that the host has or is expected to receive. Balancers place flows by
 // loads that are a few milliseconds old, and after an outage hundreds of flows
@@ -243,7 +259,7 @@
 		return refusal
 	}
 	if !g.Cold(now) || g.coldRate <= 0 {
-		return RefusalNone
+		return g.admitTrial(now)
 	}
 	for len(g.recentFlows) > 0 && now.Sub(g.recentFlows[0]) > coldWindow {
 		g.recentFlows = g.recentFlows[1:]
@@ -251,6 +267,18 @@
 	if float64(len(g.recentFlows)+1) > g.coldRate+g.options.ColdSlack-coldMargin {
 		return RefusalCold
 	}
+	if refusal := g.admitTrial(now); refusal != RefusalNone {
+		return refusal
+	}
 	g.recentFlows = append(g.recentFlows, now)
 	return RefusalNone
 }
+
+// admitTrial refuses a flow if the host has returned opening packets and another trial
+// flow is in progress.
+func (g *Gate) admitTrial(now time.Time) Refusal {
+	if !g.breaker.admit(now) {
+		return RefusalReturned
+	}
+	return RefusalNone
+}
--- a/internal/admission/agopen/gate_test.go
+++ b/internal/admission/agopen/gate_test.go
@@ -55,6 +55,44 @@
 		Expect(gate.Busy(8)).To(BeTrue())
 	})
 
+	// Guards against a crashed host that returns each opening packet at once: it had no
+	// load, attracted all new flows of its service until three heartbeats were missing,
+	// and all of them were reset.
+	It("takes no flows for a growing time after its host has returned some", func() {
+		beat(1, 1, 0)
+		gate.SetPolicy(false, 0, at(0))
+		now := time.Duration(0)
+		for _, holdOff := range []time.Duration{250, 500, 1000, 2000, 4000, 4000} {
+			Expect(gate.AdmitFlow(at(now))).To(Equal(agopen.RefusalNone))
+			gate.FlowReturned(at(now))
+			gate.FlowReturned(at(now + time.Millisecond))
+			gate.FlowAccepted(at(now + time.Millisecond))
+			end := now + holdOff*time.Millisecond
+			gate.SetPolicy(false, 0, at(end))
+			beat(1, anvilglade.Sequence(2+end/time.Millisecond), end-time.Millisecond)
+			Expect(gate.AdmissionState(at(end - 1))).To(Equal(agopen.RefusalReturned))
+			Expect(gate.AdmissionState(at(end))).To(Equal(agopen.RefusalNone))
+			now = end
+		}
+	})
+
+	// Guards against a flood of flows to a host that has returned some, before it has
+	// accepted one again, and against a hold-off that outlives a restart of the host.
+	It("takes one flow at a time until its host has accepted one", func() {
+		beat(1, 1, 0)
+		gate.SetPolicy(false, 0, at(0))
+		gate.FlowReturned(at(0))
+		Expect(gate.AdmitFlow(at(250 * time.Millisecond))).To(Equal(agopen.RefusalNone))
+		Expect(gate.AdmitFlow(at(251 * time.Millisecond))).To(Equal(agopen.RefusalReturned))
+		Expect(gate.AdmitFlow(at(450 * time.Millisecond))).To(Equal(agopen.RefusalNone))
+		gate.FlowAccepted(at(451 * time.Millisecond))
+		Expect(gate.AdmitFlow(at(452 * time.Millisecond))).To(Equal(agopen.RefusalNone))
+		Expect(gate.AdmitFlow(at(452 * time.Millisecond))).To(Equal(agopen.RefusalNone))
+		gate.FlowReturned(at(453 * time.Millisecond))
+		beat(2, 1, 454*time.Millisecond)
+		Expect(gate.AdmitFlow(at(454 * time.Millisecond))).To(Equal(agopen.RefusalNone))
+	})
+
 	// Guards against searches that wait for an agent without a host. In the case
 	// diskglas-net-grown trouble-2 all callers whose flows were lost in an outage
 	// waited up to 7 s for a reset.
--- a/internal/flow/agholder/script_test.go
+++ b/internal/flow/agholder/script_test.go
@@ -90,6 +90,8 @@
 		return fmt.Sprint(r.holder.ExpectedRequests())
 	case "Failing":
 		return fmt.Sprintf("%.2f", r.holder.Failing(r.now))
+	case "LooksEnded":
+		return fmt.Sprint(r.holder.LooksEnded(r.now))
 	case "Unanswered":
 		return r.holder.UnansweredTime(r.now).String()
 	default:
--- a/internal/operate/agpacketagent/packets.go
+++ b/internal/operate/agpacketagent/packets.go
@@ -134,6 +134,7 @@
 				p.metrics.Malformed.WithLabelValues("HostPacket").Inc()
 				continue
 			}
+			p.recordOpening(&packet, now)
 			p.holder.FromHost(&packet, now, &verdict)
 			p.applyVerdict(&out, batch[i].Data, &packet, &verdict)
 		}
@@ -146,6 +147,22 @@
 	}
 }
 
+// recordOpening records whether the host has accepted or returned an opening packet, and
+// notifies balancers if the host takes no more flows. The caller holds the mutex.
+func (p *Process) recordOpening(packet *anvilglade.Packet, now time.Time) {
+	switch {
+	case !packet.Flags.Has(anvilglade.FlagSYN):
+		return
+	case packet.Flags.Has(anvilglade.FlagReturned):
+		p.gate.FlowReturned(now)
+	default:
+		p.gate.FlowAccepted(now)
+	}
+	if p.updateAdmissionState(now) {
+		p.wakeStatus()
+	}
+}
+
 // applyVerdict sends the datagrams that a verdict requires.
 func (p *Process) applyVerdict(out *writers, raw []byte, packet *anvilglade.Packet, verdict *agholder.Verdict) {
 	switch verdict.Action {
