Run test scripts with one loop

Change: agscript.Run runs the scripts of a package; a Player runs one step. The checks are the same.

--- a/internal/flow/agholder/script_test.go
+++ b/internal/flow/agholder/script_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -19,25 +18,13 @@
 // arguments and, after "=>", the expected result. The comment at the top of a
 // script names the failure that the script guards against.
 func TestScripts(t *testing.T) {
-	scripts, err := agscript.Load(os.DirFS("testdata"))
-	if err != nil {
-		t.Fatal(err)
-	}
-	for _, script := range scripts {
-		t.Run(script.Name, func(t *testing.T) {
-			runner := newScriptRunner()
-			for i := range script.Steps {
-				runner.runStep(t, &script.Steps[i])
-			}
-		})
-	}
+	agscript.Run(t, func() agscript.Player { return newScriptRunner().runStep })
 }
 
 const service anvilglade.ServiceNumber = 7
 
 // scriptRunner runs the steps of one script against a Holder.
 type scriptRunner struct {
-	start  time.Time
 	now    time.Time
 	holder *agholder.Holder
 	tags   map[string]uint32
@@ -45,15 +32,13 @@
 
 func newScriptRunner() *scriptRunner {
 	start := time.Unix(1_000_000, 0)
-	return &scriptRunner{start: start, holder: agholder.NewHolder(agholder.Options{Service: service, IdleTimeout: time.Minute}, start), tags: map[string]uint32{}}
+	return &scriptRunner{holder: agholder.NewHolder(agholder.Options{Service: service, IdleTimeout: time.Minute}, start), tags: map[string]uint32{}}
 }
 
-func (r *scriptRunner) runStep(t *testing.T, step *agscript.Step) {
+func (r *scriptRunner) runStep(t *testing.T, step *agscript.Step, now time.Time) string {
 	t.Helper()
-	r.now = r.start.Add(step.At)
-	if got := r.step(t, step.Verb, step.Args); !step.Matches(got) {
-		t.Errorf("%s\n got %s", step.Source, got)
-	}
+	r.now = now
+	return r.step(t, step.Verb, step.Args)
 }
 
 var flagNames = map[string]anvilglade.PacketFlags{"SYN": anvilglade.FlagSYN, "FIN": anvilglade.FlagFIN, "RST": anvilglade.FlagRST}
--- a/internal/membership/agpath/script_test.go
+++ b/internal/membership/agpath/script_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"os"
 	"slices"
 	"strings"
 	"testing"
@@ -16,26 +15,17 @@
 // TestScripts runs each script of testdata. Agents a1, a2 stand for addresses. The
 // comment at the top of a script states the failure that it guards against.
 func TestScripts(t *testing.T) {
-	scripts, err := agscript.Load(os.DirFS("testdata"))
-	if err != nil {
-		t.Fatal(err)
-	}
-	for _, script := range scripts {
-		t.Run(script.Name, func(t *testing.T) {
-			prober := agpath.NewProber()
-			for i := range script.Steps {
-				step := &script.Steps[i]
-				if got := runStep(t, prober, step); !step.Matches(got) {
-					t.Errorf("%s\n got %s", step.Source, got)
-				}
-			}
-		})
-	}
+	agscript.Run(t, func() agscript.Player {
+		prober := agpath.NewProber()
+		return func(t *testing.T, step *agscript.Step, now time.Time) string {
+			t.Helper()
+			return runStep(t, prober, step, now)
+		}
+	})
 }
 
-func runStep(t *testing.T, prober *agpath.Prober, step *agscript.Step) string {
+func runStep(t *testing.T, prober *agpath.Prober, step *agscript.Step, now time.Time) string {
 	t.Helper()
-	now := time.Unix(1_000_000, 0).Add(step.At)
 	switch step.Verb {
 	case "Suspect":
 		if prober.Suspect(anvilglade.DataCentreID(step.Args[0]), now) {
--- a/internal/membership/agroster/script_test.go
+++ b/internal/membership/agroster/script_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"os"
 	"slices"
 	"strings"
 	"testing"
@@ -15,21 +14,13 @@
 
 // TestScripts runs each script in testdata; b1 and b2 denote balancers.
 func TestScripts(t *testing.T) {
-	scripts, err := agscript.Load(os.DirFS("testdata"))
-	if err != nil {
-		t.Fatal(err)
-	}
-	for _, script := range scripts {
-		t.Run(script.Name, func(t *testing.T) {
-			roster, start := agroster.NewRoster(), time.Unix(1_000_000, 0)
-			for i := range script.Steps {
-				step := &script.Steps[i]
-				if got := runStep(t, roster, step, start.Add(step.At)); !step.Matches(got) {
-					t.Errorf("%s\n got %s", step.Source, got)
-				}
-			}
-		})
-	}
+	agscript.Run(t, func() agscript.Player {
+		roster := agroster.NewRoster()
+		return func(t *testing.T, step *agscript.Step, now time.Time) string {
+			t.Helper()
+			return runStep(t, roster, step, now)
+		}
+	})
 }
 
 func runStep(t *testing.T, roster *agroster.Roster, step *agscript.Step, now time.Time) string {
--- a/internal/routing/agdispatch/script_test.go
+++ b/internal/routing/agdispatch/script_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -22,22 +21,10 @@
 // and service addresses s1, s2 stand for addresses. The comment at the top of a
 // script states the failure that it guards against.
 func TestScripts(t *testing.T) {
-	scripts, err := agscript.Load(os.DirFS("testdata"))
-	if err != nil {
-		t.Fatal(err)
-	}
-	for _, script := range scripts {
-		t.Run(script.Name, func(t *testing.T) {
-			player := newPlayer()
-			for i := range script.Steps {
-				player.runStep(t, &script.Steps[i])
-			}
-		})
-	}
+	agscript.Run(t, func() agscript.Player { return newPlayer().runStep })
 }
 
 type player struct {
-	start      time.Time
 	now        time.Time
 	fleet      *agfleet.Fleet
 	dispatcher *agdispatch.Dispatcher
@@ -47,15 +34,13 @@
 func newPlayer() *player {
 	start := time.Unix(1_000_000, 0)
 	fleet := agfleet.NewFleet(agfleet.Options{Self: ipOf("b1"), DataCentre: "dk1", Regions: map[anvilglade.DataCentreID]anvilglade.RegionID{"dk1": "dk", "dk2": "dk", "uk1": "uk"}})
-	return &player{start: start, fleet: fleet, dispatcher: agdispatch.NewDispatcher(fleet, rand.New(rand.NewPCG(1, 1)), start)}
+	return &player{fleet: fleet, dispatcher: agdispatch.NewDispatcher(fleet, rand.New(rand.NewPCG(1, 1)), start)}
 }
 
-func (p *player) runStep(t *testing.T, step *agscript.Step) {
+func (p *player) runStep(t *testing.T, step *agscript.Step, now time.Time) string {
 	t.Helper()
-	p.now = p.start.Add(step.At)
-	if got := p.step(t, step.Verb, step.Args); !step.Matches(got) {
-		t.Errorf("%s\n got %s", step.Source, got)
-	}
+	p.now = now
+	return p.step(t, step.Verb, step.Args)
 }
 
 // verbs maps the verbs of a script to functions that return the text to compare
--- a/internal/routing/agsearch/script_test.go
+++ b/internal/routing/agsearch/script_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -18,21 +17,13 @@
 // TestScripts runs each script of testdata. c1 and c2 stand for flows, a1 and a2
 // for agents; c1-90 and a1-60 are ranges of them.
 func TestScripts(t *testing.T) {
-	scripts, err := agscript.Load(os.DirFS("testdata"))
-	if err != nil {
-		t.Fatal(err)
-	}
-	for _, script := range scripts {
-		t.Run(script.Name, func(t *testing.T) {
-			searcher, start := agsearch.NewSearcher(), time.Unix(1_000_000, 0)
-			for i := range script.Steps {
-				step := &script.Steps[i]
-				if got := runStep(t, searcher, step, start.Add(step.At)); !step.Matches(got) {
-					t.Errorf("%s\n got %s", step.Source, got)
-				}
-			}
-		})
-	}
+	agscript.Run(t, func() agscript.Player {
+		searcher := agsearch.NewSearcher()
+		return func(t *testing.T, step *agscript.Step, now time.Time) string {
+			t.Helper()
+			return runStep(t, searcher, step, now)
+		}
+	})
 }
 
 func runStep(t *testing.T, searcher *agsearch.Searcher, step *agscript.Step, now time.Time) string {
--- a/internal/stand/agscript/script.go
+++ b/internal/stand/agscript/script.go
@@ -8,15 +8,12 @@
 //
 // # Usage
 //
-//	scripts, err := agscript.Load(os.DirFS("testdata"))
-//	for _, script := range scripts {
-//		for _, step := range script.Steps {
-//			got := play(start.Add(step.At), step.Verb, step.Args)
-//			if !step.Matches(got) {
-//				t.Errorf("%s: %s", step.Source, got)
-//			}
+//	agscript.Run(t, func() agscript.Player {
+//		component := agfoo.New()
+//		return func(t *testing.T, step *agscript.Step, now time.Time) string {
+//			return component.Handle(step.Verb, step.Args, now)
 //		}
-//	}
+//	})
 package agscript
 
 import (
