--- a/internal/observe/agexplain/reasons.go
+++ b/internal/observe/agexplain/reasons.go
@@ -26,6 +26,7 @@
 	"Cold":                          {meaning: "the host has just started and takes only as many flows a second as its service allows", effect: EffectCold},
 	"NoHeartbeat":                   {meaning: "the agent has received no heartbeat of its host, or none for three intervals", effect: EffectNotReady},
 	"StaleState":                    {meaning: "the agent has received no recent status of a balancer, so its evacuations may be outdated", effect: EffectNotReady},
+	"HostReturnsFlows":              {meaning: "the host has returned opening packets, so it gets none for some time and then one at a time", effect: EffectNotReady},
 	"Gone":                          {meaning: "the host has ended", effect: EffectNotReady},
 	"service moved":                 {meaning: "the address belongs to another service now"},
 	"the host has lost the flow":    {meaning: "the host has restarted since the flow was opened", effect: EffectFlowLost},
