Report whether a packet starts a request on a held flow

Cause: a queue in front of the holder must know which packets start a request, and packets that it releases reach the holder after later acknowledgements, so that a reset of a lost flow carried an old number, which the caller ignores.

Change: Holder.StartsRequest; the caller's acknowledgement number in a record only grows until a new opening packet.

Result: queued-packets.txt got 100 instead of 200 before; package tests pass.

--- a/internal/flow/agholder/holder.go
+++ b/internal/flow/agholder/holder.go
@@ -166,6 +166,14 @@
 	return record != nil && record.state != stateUnconfirmed
 }
 
+// StartsRequest reports whether a packet of a caller has the first data of a request on a
+// flow that the host holds.
+func (h *Holder) StartsRequest(packet *anvilglade.Packet) bool {
+	record := h.flows[packet.FromCaller()]
+	held := record != nil && (record.state == stateHalfOpen || record.state == stateOpen)
+	return held && !packet.Opens() && record.startsRequest(packet)
+}
+
 // Load returns the number of the host's open flows, the number of flows with a
 // request in progress, and the average latency of answers.
 func (h *Holder) Load() (flows, activeRequests int, latency time.Duration) {
@@ -215,7 +223,7 @@
 		record.origin, record.originNotified = forward.Origin, false
 	}
 	record.lookupPending = !forward.ToHolder && !packet.Opens()
-	record.acknowledged = packet.Acknowledged
+	record.acknowledgeCaller(packet)
 	record.class = forward.Class
 	h.recordCallerPacket(record, packet, now)
 	if record.state == stateOpen && !forward.ToHolder && !record.originNotified {
--- a/internal/flow/agholder/record.go
+++ b/internal/flow/agholder/record.go
@@ -44,6 +44,11 @@
 	return r.hostHasAcknowledged && int32(end-r.hostAcknowledged) <= 0
 }
 
+// startsRequest reports whether a packet of the caller has the first data of a request.
+func (r *flowRecord) startsRequest(packet *anvilglade.Packet) bool {
+	return packet.DataLength > 0 && r.unansweredSince.IsZero() && !r.isCopy(packet)
+}
+
 // acknowledge records the acknowledgement number of a packet of the host. An answer to
 // an opening packet starts a new flow, which may have the addresses of a former one.
 func (r *flowRecord) acknowledge(packet *anvilglade.Packet) {
@@ -55,6 +60,14 @@
 	}
 }
 
+// acknowledgeCaller records the acknowledgement number of a packet of the caller. Packets
+// that were queued arrive after later acknowledgements.
+func (r *flowRecord) acknowledgeCaller(packet *anvilglade.Packet) {
+	if packet.Opens() || r.acknowledged == 0 || int32(packet.Acknowledged-r.acknowledged) > 0 {
+		r.acknowledged = packet.Acknowledged
+	}
+}
+
 func (h *Holder) lifetime(record *flowRecord) time.Duration {
 	switch record.state {
 	case stateUnconfirmed:
@@ -105,7 +118,7 @@
 		// The caller abandons a request that the host has not answered in time.
 		h.outcomes.add(true, now)
 	}
-	if packet.DataLength > 0 && record.unansweredSince.IsZero() && !record.isCopy(packet) {
+	if record.startsRequest(packet) {
 		h.clearFirstRequest(record)
 		record.unansweredSince = now
 		h.activeRequests++
--- a/internal/flow/agholder/script_test.go
+++ b/internal/flow/agholder/script_test.go
@@ -80,6 +80,8 @@
 		return []string{"Absent", "Held", "Unsure"}[state]
 	case "Lost":
 		return fmt.Sprint(len(r.holder.RemoveAll(r.now)))
+	case "LostAt":
+		return fmt.Sprint(r.holder.RemoveAll(r.now)[0].Acknowledged)
 	case "Expire":
 		r.holder.Expire(r.now)
 		return ""
@@ -101,6 +103,7 @@
 func (r *scriptRunner) fromBalancer(verb string, args []string) string {
 	packet := callerPacket(args[0])
 	packet.Sequence = numberOption(args, "Seq")
+	packet.Acknowledged = numberOption(args, "Ack")
 	forward := agmessage.Forward{Service: service, Origin: ipOf(agscript.Option(args, "From", "b1")), ToHolder: slices.Contains(args, "Held"), OutsideRoute: slices.Contains(args, "Foreign")}
 	if slices.Contains(args, "Moved") {
 		forward.Service++
