Wire the queue into the agent, with metrics, log and explain

Cause: agqueue decides, but no packet passes it.

Change: handleForward offers each packet to the queue before the holder sees it. Released datagrams are handled as newly arrived ones, after each packet of the host and by the task queue, whose timer is stopped while the queue is empty. The writer to the host is flushed under the mutex when a packet is queued or released, because several tasks deliver packets of a flow. connectQueue takes the load of the host and its observer; both are nil until the estimator exists, so that nothing is queued. Counters, a histogram and a gauge by class, log samples of the kind Queued, and their meaning in explain.

Result: tests with sockets cover the release by an answer and by the timer, a caller that leaves, a restart and the explanation with class, outstanding requests and limit; packets that are not queued cause no allocation.

--- a/internal/observe/agmetric/metric.go
+++ b/internal/observe/agmetric/metric.go
@@ -15,6 +15,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -36,6 +37,10 @@
 // range from a lookup within one data centre to the time limit of callers.
 var latencyBuckets = []float64{0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5}
 
+// queueBuckets lists the upper bounds of the histogram of the time in the queue in
+// seconds, up to the longest time that a request is queued.
+var queueBuckets = []float64{0.001, 0.0025, 0.005, 0.01, 0.02, 0.035, 0.05, 0.075, 0.1}
+
 // Metrics contains the metrics of one process.
 type Metrics struct {
 	registry *prometheus.Registry
@@ -51,6 +56,15 @@
 	// response and, at a balancer, the time from the packet that opens a flow to
 	// the host's response.
 	Latency *prometheus.HistogramVec
+	// Queue counts the requests that an agent queues, by class and outcome.
+	Queue *prometheus.CounterVec
+	// QueueTime is the time of requests in the queue of an agent, by class.
+	QueueTime *prometheus.HistogramVec
+}
+
+// ClassLabel returns the value of the label class for a priority.
+func ClassLabel(priority anvilglade.Priority) string {
+	return "p" + strconv.Itoa(int(priority))
 }
 
 // NewMetrics returns the metrics of a process with the given role in a data centre.
@@ -68,8 +82,12 @@
 		Latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Namespace: namespace, Name: "latency_seconds", Help: "Latency of flows and answers.", ConstLabels: labels, Buckets: latencyBuckets,
 		}, []string{"service"}),
+		Queue: counter("queue_requests_total", "Requests that the agent has queued and their outcomes.", "class", "outcome"),
+		QueueTime: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "queue_seconds", Help: "Time of requests in the queue of the agent.", ConstLabels: labels, Buckets: queueBuckets,
+		}, []string{"class"}),
 	}
-	m.registry.MustRegister(m.Decisions, m.Malformed, m.StoreCalls, m.Latency)
+	m.registry.MustRegister(m.Decisions, m.Malformed, m.StoreCalls, m.Latency, m.Queue, m.QueueTime)
 	return m
 }
 
--- a/internal/operate/agpacketagent/metrics.go
+++ b/internal/operate/agpacketagent/metrics.go
@@ -28,6 +28,9 @@
 	p.metrics.Gauge("host_failing", "Share of the newest requests that the host has failed.", locked(func(now time.Time) float64 {
 		return p.holder.Failing(now)
 	}))
+	p.metrics.Gauge("queue_packets", "Packets in the queue of the agent.", locked(func(time.Time) float64 {
+		return float64(p.queue.Packets())
+	}))
 	p.metrics.Gauge("host_accepts", "1 while the host takes new flows.", locked(func(now time.Time) float64 {
 		if p.gate.AdmissionState(now) == agopen.RefusalNone {
 			return 1
--- a/internal/operate/agpacketagent/packets.go
+++ b/internal/operate/agpacketagent/packets.go
@@ -29,8 +29,7 @@
 func (p *Process) readPackets(ctx context.Context) error {
 	reader := p.packets.NewReader(batchSize, maxDatagram)
 	out := writers{packets: p.packets.NewWriter(batchSize), host: p.hostSocket.NewWriter(batchSize)}
-	var verdict agholder.Verdict
-	var forward agmessage.Forward
+	var buffer forwardBuffer
 	var query queryBuffer
 	for {
 		batch, err := reader.Read()
@@ -42,7 +41,7 @@
 		for i := range batch {
 			switch agmessage.KindOf(batch[i].Data) {
 			case agmessage.KindForward:
-				p.handleForward(&out, batch[i].Data, &forward, now, &verdict)
+				p.handleForward(&out, batch[i].Data, &buffer, now)
 			case agmessage.KindFlowQuery:
 				p.handleFlowQuery(&out, batch[i].Data, batch[i].From.Addr(), &query, now)
 			case agmessage.KindBalancerStatus:
@@ -88,23 +87,56 @@
 	w.host.Flush()
 }
 
-func (p *Process) handleForward(out *writers, datagram []byte, forward *agmessage.Forward, now time.Time, verdict *agholder.Verdict) {
-	raw, err := agmessage.ParseForward(datagram, forward)
+// forwardBuffer is the reused buffer for a forwarded packet and the decision on it.
+type forwardBuffer struct {
+	forward agmessage.Forward
+	raw     []byte
+	packet  anvilglade.Packet
+	verdict agholder.Verdict
+}
+
+// handleForward handles a datagram that has arrived: the queue keeps it, or it is passed
+// on after the datagrams that leave the queue before it.
+func (p *Process) handleForward(out *writers, datagram []byte, buffer *forwardBuffer, now time.Time) {
+	if !p.parseForward(datagram, buffer) {
+		return
+	}
+	p.releaseQueued(out, now)
+	decision := p.offerToQueue(datagram, buffer, now)
+	p.releaseQueued(out, now)
+	if decision.Delivers() {
+		p.passForward(out, buffer, now)
+		return
+	}
+	// The task that releases the packet has another writer. What this one holds of the
+	// flow is sent before.
+	out.host.Flush()
+}
+
+// parseForward decodes a datagram and reports whether it is valid.
+func (p *Process) parseForward(datagram []byte, buffer *forwardBuffer) bool {
+	raw, err := agmessage.ParseForward(datagram, &buffer.forward)
 	if err != nil {
 		p.metrics.Malformed.WithLabelValues("Forward").Inc()
-		return
+		return false
 	}
-	var packet anvilglade.Packet
-	if err := p.parts.Codec.Parse(raw, &packet); err != nil {
+	if err := p.parts.Codec.Parse(raw, &buffer.packet); err != nil {
 		p.metrics.Malformed.WithLabelValues("Packet").Inc()
-		return
+		return false
 	}
+	buffer.raw = raw
+	return true
+}
+
+// passForward passes a packet to the holder and applies its verdict.
+func (p *Process) passForward(out *writers, buffer *forwardBuffer, now time.Time) {
+	forward, packet := &buffer.forward, &buffer.packet
 	refusal := ""
 	if packet.Opens() && forward.Service == p.settings.Service.Number() && !p.holder.Holds(packet.FromCaller()) {
 		refusal = string(p.refusal(forward, now))
 	}
-	p.holder.FromBalancer(forward, &packet, refusal, p.gate.Ended(), now, verdict)
-	p.applyVerdict(out, raw, &packet, verdict)
+	p.holder.FromBalancer(forward, packet, refusal, p.gate.Ended(), now, &buffer.verdict)
+	p.applyVerdict(out, buffer.raw, packet, &buffer.verdict)
 }
 
 // refusal returns the reason to refuse a new flow, or agopen.RefusalNone to accept
@@ -136,6 +168,7 @@
 			}
 			p.holder.FromHost(&packet, now, &verdict)
 			p.applyVerdict(&out, batch[i].Data, &packet, &verdict)
+			p.releaseQueued(&out, now)
 		}
 		startedFailing := p.updateFailing(now)
 		p.mu.Unlock()
--- a/internal/operate/agpacketagent/process.go
+++ b/internal/operate/agpacketagent/process.go
@@ -1,11 +1,12 @@
 // Package agpacketagent runs the agent of packet services on the VM of a host.
 //
-// It connects two parts: agopen decides on new flows from the host's heartbeats
-// and the statuses of balancers, and agholder decides how each packet is handled.
+// It connects three parts: agopen decides on new flows from the host's heartbeats
+// and the statuses of balancers, agqueue keeps requests of the highest priority while
+// the host is full, and agholder decides how each packet is handled.
 // No flow depends on state that only this process has: the host holds its flows.
 // The agent sends the host's packets directly to the caller, without a balancer.
 //
-// The tasks share the gate and the holder under one mutex, which each task holds
+// The tasks share the gate, the queue and the holder under one mutex, which each task holds
 // for one batch of datagrams at most.
 //
 // # Usage
@@ -29,6 +30,7 @@
 
 	"github.com/anvilglade/anvilglade"
 	"github.com/anvilglade/anvilglade/internal/admission/agopen"
+	"github.com/anvilglade/anvilglade/internal/admission/agqueue"
 	"github.com/anvilglade/anvilglade/internal/flow/agholder"
 	"github.com/anvilglade/anvilglade/internal/membership/agregistry"
 	"github.com/anvilglade/anvilglade/internal/membership/agroster"
@@ -79,10 +81,17 @@
 	wake        chan struct{}
 	statusToNew chan struct{}
 
-	mu       sync.Mutex
-	gate     *agopen.Gate
-	holder   *agholder.Holder
-	sequence anvilglade.Sequence
+	mu     sync.Mutex
+	gate   *agopen.Gate
+	holder *agholder.Holder
+	queue  *agqueue.Queue
+	// released has the buffers for packets that leave the queue.
+	released forwardBuffer
+	// releaseTimer fires at releaseAt, the deadline of the queue. It is stopped while
+	// the queue is empty.
+	releaseTimer *time.Timer
+	releaseAt    time.Time
+	sequence     anvilglade.Sequence
 	// broadcasts is the number of statuses that were sent to all balancers.
 	broadcasts     uint64
 	admissionState agopen.Refusal
@@ -129,6 +138,7 @@
 			ColdSlack:         settings.ColdSlack,
 		}),
 		holder:         agholder.NewHolder(agholder.Options{Service: settings.Service.Number(), IdleTimeout: settings.MaxFlowAge}, time.Now()),
+		releaseTimer:   newStoppedTimer(),
 		admissionState: agopen.RefusalNoHeartbeat,
 		roster:         agroster.NewRoster(),
 		random:         rand.New(rand.NewPCG(seed, seed)),
@@ -136,8 +146,9 @@
 		metrics:        agmetric.NewMetrics("packet-agent", settings.DataCentre),
 	}
 	p.roster.AddSeeds(settings.Seeds)
+	p.connectQueue(nil, nil)
 	p.addMetrics()
-	return p, func() { closePackets(); closeHostSocket() }, nil
+	return p, func() { p.releaseTimer.Stop(); closePackets(); closeHostSocket() }, nil
 }
 
 // Run runs the tasks until the agent has stopped after a signal, the context ends
@@ -162,6 +173,7 @@
 			return agpackettask.ServeMetrics(ctx, p.log, p.settings.IP, p.metrics)
 		}},
 		{Name: "status", Run: p.sendStatus},
+		{Name: "queue", Run: p.releaseExpired},
 		{Name: "watch", Run: p.watchHost},
 		{Name: "discover", Run: p.discover},
 		{Name: "expire", Run: p.expire},
