Estimate the service time and the queue of a host at its agent

Cause: agents know how many requests a host has, but not how long one takes nor at which number the host sheds further ones. A slow host takes as many flows as a fast one.

Change: agcapacity, a queueing model of one host that is fed by the hooks of agholder. It gives the service time, the wait of the next request, the queue limit and the rate of requests.

Nothing uses it yet.

--- /dev/null
+++ b/internal/admission/agcapacity/estimator_test.go
@@ -0,0 +1,136 @@
+package agcapacity_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/anvilglade/anvilglade"
+	"github.com/anvilglade/anvilglade/internal/admission/agcapacity"
+	"github.com/anvilglade/anvilglade/internal/stand/agscript"
+)
+
+const slots = 2
+
+// TestScripts runs each script in testdata against an Estimator of a host with two
+// slots. The comment at the top of a script names the failure that it guards against.
+func TestScripts(t *testing.T) {
+	scripts, err := agscript.Load(os.DirFS("testdata"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, script := range scripts {
+		t.Run(script.Name, func(t *testing.T) {
+			runner := &scriptRunner{t: t, start: time.Unix(1_000_000, 0), random: rand.New(rand.NewPCG(1, 2))}
+			runner.estimator = agcapacity.NewEstimator(slots)
+			runner.estimator.OnResult = func(_ anvilglade.RequestClass, result agcapacity.Result) { runner.result = result }
+			for i := range script.Steps {
+				step := &script.Steps[i]
+				if got := runner.step(step); !step.Matches(got) {
+					t.Errorf("%s\n got %s", step.Source, got)
+				}
+			}
+		})
+	}
+}
+
+type scriptRunner struct {
+	t         *testing.T
+	start     time.Time
+	random    *rand.Rand
+	estimator *agcapacity.Estimator
+	result    agcapacity.Result
+	flows     uint16
+}
+
+func (r *scriptRunner) step(step *agscript.Step) string {
+	now := r.start.Add(step.At)
+	class := anvilglade.RequestClass{Timeout: 800 * time.Millisecond}
+	switch step.Verb {
+	case "Arrive":
+		r.estimator.Arrive(flowOf(step.Args[0]), class, now)
+		return ""
+	case "Answer":
+		r.estimator.Answer(flowOf(step.Args[0]), now)
+		return string(r.result)
+	case "Abandon":
+		r.estimator.Abandon(flowOf(step.Args[0]), now)
+		return ""
+	case "Reset":
+		r.estimator.Reset(now)
+		return ""
+	case "Load":
+		r.load(step, now)
+		return ""
+	case "Outstanding":
+		return fmt.Sprint(r.estimator.Outstanding())
+	case "QueueLimit":
+		return fmt.Sprint(r.estimator.QueueLimit())
+	case "Wait":
+		return r.estimator.Wait(0, now).Round(time.Millisecond).String()
+	case "Rate":
+		return fmt.Sprintf("%.0f", r.estimator.RequestRate(now))
+	case "ServiceTime":
+		low, high := r.duration(step, "Above"), r.duration(step, "Below")
+		if serviceTime := r.estimator.ServiceTime(now); serviceTime < low || serviceTime > high {
+			return serviceTime.String()
+		}
+		return "Within"
+	}
+	r.t.Fatalf("unknown verb %s", step.Verb)
+	return ""
+}
+
+// load runs requests for a time on a host whose slots are always busy. Service times
+// are log-normal with a mean and a shape.
+func (r *scriptRunner) load(step *agscript.Step, now time.Time) {
+	sigma, err := strconv.ParseFloat(agscript.Option(step.Args, "Sigma", "0"), 64)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	mean, end := r.duration(step, "Mean"), now.Add(r.duration(step, "For"))
+	var flows [slots]anvilglade.Flow
+	var ends [slots]time.Time
+	for {
+		next := 0
+		if ends[1].Before(ends[0]) {
+			next = 1
+		}
+		at := ends[next]
+		if at.IsZero() {
+			at = now
+		}
+		if !at.Before(end) {
+			break
+		}
+		r.estimator.Answer(flows[next], at)
+		r.flows++
+		flows[next] = flowOf("x" + strconv.Itoa(int(r.flows)))
+		r.estimator.Arrive(flows[next], anvilglade.RequestClass{}, at)
+		factor := math.Exp(sigma*r.random.NormFloat64() - sigma*sigma/2)
+		ends[next] = at.Add(time.Duration(float64(mean) * factor))
+	}
+	for i := range flows {
+		r.estimator.Answer(flows[i], ends[i])
+	}
+}
+
+func (r *scriptRunner) duration(step *agscript.Step, name string) time.Duration {
+	duration, err := time.ParseDuration(agscript.Option(step.Args, name, "0s"))
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	return duration
+}
+
+func flowOf(name string) anvilglade.Flow {
+	port, err := strconv.Atoi(name[1:])
+	if err != nil {
+		panic(err)
+	}
+	return anvilglade.Flow{Caller: anvilglade.Endpoint{IP: anvilglade.IPv4{100, 64, 0, name[0]}, Port: uint16(port)}}
+}
