Decide on new flows by class and expected wait

Cause: an agent passes a flow on at two requests per slot for all classes alike, and the last candidate takes it however long the wait is. In overload the higher class is served late like the others, and hosts shed what they cannot queue.

Change: agadmission, which admits, forwards or refuses one new flow by the attempt budget of its class. Lower priorities have two thirds of the budget and of the queue of the highest one, and a credit that keeps a fifth of the completions for them. agopen.Gate.CheckFlow decides without counting the flow of a cold host. OnResult of agcapacity gets the time.

No decision allocates. Not wired yet.

--- /dev/null
+++ b/internal/admission/agadmission/controller.go
@@ -0,0 +1,172 @@
+// Package agadmission decides at an agent, by the class of a new flow and by the
+// expected wait at the host, whether the flow is admitted, forwarded to the next
+// candidate or refused.
+//
+// A flow is admitted if its first request is expected to be answered within the
+// attempt budget: the part of the latency target that one attempt may use, so that a
+// caller that is refused has time for another attempt. The budget of the highest
+// priority is half of its target. The budget of a lower priority is a third of its
+// target, and at most two thirds of the budget of the highest one, so that lower
+// priorities are refused first whatever their targets. Two thirds apply to the host's
+// queue as well. A priority counts as the highest while none above it has been seen
+// for two seconds; until then it borrows what the higher one leaves idle.
+//
+// Lower priorities that are refused earn credits from the completions of the host, so
+// that all of them together get a fifth of the completions. With a credit it is admitted up
+// to the budget of the highest priority, which leaves one place for it.
+//
+// With further candidates a flow is forwarded as soon as it would wait for longer than
+// one service time. The last candidate admits a flow whenever a slot is free and the
+// service time is within the target, because a refusal would leave the slot idle. An
+// idle host that is too slow for the budget admits a flow from time to time, because
+// it would give no samples otherwise and count as slow for ever.
+//
+// The package has no input or output, and a decision allocates nothing. A Controller
+// takes the time as a parameter and is not safe for concurrent use.
+//
+// # Usage
+//
+//	controller := agadmission.NewController()
+//	controller.Arrive(class.Priority, now)   // for each request on an open flow
+//	controller.Complete(class.Priority, now) // for each request that has run
+//	decision := controller.Decide(&opening, now)
+//	if !decision.Result.Admits() {
+//		// pass the packet on
+//	}
+package agadmission
+
+import (
+	"time"
+
+	"github.com/anvilglade/anvilglade"
+)
+
+// Result is the decision on one new flow.
+type Result string
+
+// Results of a decision. Borrowed flows exceed the budget that they would have beside
+// a higher priority, Guaranteed ones are admitted by a credit, Trial ones to measure a
+// host that counts as too slow.
+const (
+	ResultAdmitted   Result = "Admitted"
+	ResultBorrowed   Result = "Borrowed"
+	ResultGuaranteed Result = "Guaranteed"
+	ResultTrial      Result = "Trial"
+	ResultForwarded  Result = "Forwarded"
+	ResultRefused    Result = "Refused"
+)
+
+// Cause is the reason by which logs and explanations name a flow that was forwarded or
+// refused.
+const Cause = "ExpectedWait"
+
+// Admits reports whether the host takes the flow.
+func (r Result) Admits() bool {
+	return r != ResultForwarded && r != ResultRefused
+}
+
+// trialInterval is the minimum time between two trials of a host that counts as too
+// slow. The estimate has to follow a recovery within 10 s.
+const trialInterval = 500 * time.Millisecond
+
+// Opening is a new flow and the state of the host.
+type Opening struct {
+	// Class is the class of the flow. It has a target.
+	Class anvilglade.RequestClass
+	// Wait is the expected time from the arrival of the flow's first request to its
+	// start.
+	Wait time.Duration
+	// ServiceTime is the mean service time of the host. It is not 0.
+	ServiceTime time.Duration
+	// Expected is the number of requests that the host has or is expected to receive.
+	Expected int
+	// QueueLimit is the number of outstanding requests at which the host sheds, 0 if
+	// unknown.
+	QueueLimit int
+	// HasNext is set if there are further candidates.
+	HasNext bool
+}
+
+// Decision is the decision on a new flow and the budget by which it was made.
+type Decision struct {
+	Result Result
+	Budget time.Duration
+}
+
+// Controller decides on the new flows of one host.
+type Controller struct {
+	classes classList
+	trialAt time.Time
+}
+
+// NewController returns a Controller that has seen no class.
+func NewController() *Controller {
+	return &Controller{}
+}
+
+// Reset discards the credits, because the host has restarted or ended.
+func (c *Controller) Reset() {
+	*c = Controller{}
+}
+
+// Arrive records a request on an open flow whose class has a target.
+func (c *Controller) Arrive(class anvilglade.RequestClass, now time.Time) {
+	c.classes.see(class, now)
+}
+
+// Complete records a request that has run and whose class has a target.
+func (c *Controller) Complete(priority anvilglade.Priority, now time.Time) {
+	c.classes.complete(priority, now)
+}
+
+// Decide decides on one new flow.
+func (c *Controller) Decide(opening *Opening, now time.Time) Decision {
+	class := c.classes.see(opening.Class, now)
+	top := c.classes.top(now)
+	own := limitsOf(opening, class, top)
+	result := c.admit(opening, class, top, own)
+	if result == ResultRefused {
+		result = c.reject(opening, class, now)
+	}
+	return Decision{Result: result, Budget: own.budget}
+}
+
+// admit returns how a flow is admitted, or ResultRefused if it is not.
+func (c *Controller) admit(opening *Opening, class, top *classState, own limits) Result {
+	yields := class == top && c.classes.owesPlace(top) && !own.withoutOne(opening).allow(opening)
+	switch {
+	case opening.HasNext && opening.Wait > opening.ServiceTime:
+		return ResultRefused
+	case own.allow(opening) && !yields:
+		return c.admittedAs(opening, class, top)
+	case opening.HasNext:
+		return ResultRefused
+	case opening.Wait == 0 && opening.ServiceTime <= opening.Class.Target:
+		return ResultAdmitted
+	case class != top && class.credit >= 1 && topLimits(opening, top).allow(opening):
+		class.prepay()
+		return ResultGuaranteed
+	}
+	return ResultRefused
+}
+
+// admittedAs returns whether a flow that is admitted borrows from a higher priority.
+func (c *Controller) admittedAs(opening *Opening, class, top *classState) Result {
+	if higher := c.classes.highest(); class == top && higher != class && !limitsOf(opening, class, higher).allow(opening) {
+		return ResultBorrowed
+	}
+	return ResultAdmitted
+}
+
+// reject returns the result for a flow that is not admitted.
+func (c *Controller) reject(opening *Opening, class *classState, now time.Time) Result {
+	switch {
+	case opening.Expected == 0 && now.Sub(c.trialAt) >= trialInterval:
+		c.trialAt = now
+		return ResultTrial
+	case opening.HasNext:
+		return ResultForwarded
+	}
+	class.refusedAt = now
+	return ResultRefused
+}
--- /dev/null
+++ b/internal/admission/agadmission/limits.go
@@ -0,0 +1,52 @@
+package agadmission
+
+// The attempt budget of a class and its part of the host's queue.
+
+import "time"
+
+const (
+	// topShare is the divisor of the latency target that gives the budget of the
+	// highest priority: one attempt more fits into the target.
+	topShare = 2
+	// lowerShare is the same for other priorities: two attempts more fit.
+	lowerShare = 3
+)
+
+// limits are the conditions under which a flow is admitted.
+type limits struct {
+	budget time.Duration
+	// queue is the number of outstanding requests below which it is admitted, 0 if the
+	// host's queue limit is unknown.
+	queue int
+}
+
+// allow reports whether the host's state is within the limits.
+func (l limits) allow(opening *Opening) bool {
+	return opening.Wait+opening.ServiceTime <= l.budget && (l.queue == 0 || opening.Expected < l.queue)
+}
+
+// withoutOne returns the limits that leave a place for one request more.
+func (l limits) withoutOne(opening *Opening) limits {
+	reduced := limits{budget: l.budget - opening.ServiceTime, queue: l.queue}
+	if l.queue > 1 {
+		reduced.queue--
+	}
+	return reduced
+}
+
+// limitsOf returns the limits of a flow of a class beside the highest priority.
+func limitsOf(opening *Opening, class, top *classState) limits {
+	if class == top {
+		return limits{budget: opening.Class.Target / topShare, queue: opening.QueueLimit}
+	}
+	ofTop := topLimits(opening, top)
+	return limits{
+		budget: min(opening.Class.Target/lowerShare, ofTop.budget*topShare/lowerShare),
+		queue:  ofTop.queue - ofTop.queue/lowerShare,
+	}
+}
+
+// topLimits returns the limits of the highest priority.
+func topLimits(opening *Opening, top *classState) limits {
+	return limits{budget: top.target / topShare, queue: opening.QueueLimit}
+}
--- a/internal/admission/agcapacity/estimator.go
+++ b/internal/admission/agcapacity/estimator.go
@@ -84,7 +84,7 @@
 type Estimator struct {
 	// OnResult, if set, is called with the class of each answered request and the
 	// result of the answer. The class of an unknown request is the zero value.
-	OnResult func(class anvilglade.RequestClass, result Result)
+	OnResult func(class anvilglade.RequestClass, result Result, now time.Time)
 	slots    int
 	requests requestQueue
 	service  serviceTime
@@ -139,7 +139,7 @@
 func (e *Estimator) Answer(flow anvilglade.Flow, now time.Time) {
 	request := e.requests.byFlow[flow]
 	if request == nil {
-		e.report(anvilglade.RequestClass{}, ResultUnknown)
+		e.report(anvilglade.RequestClass{}, ResultUnknown, now)
 		return
 	}
 	class, result := request.class, ResultServed
@@ -158,7 +158,7 @@
 	e.requests.remove(request)
 	e.removeLost(now)
 	e.startWaiting(now)
-	e.report(class, result)
+	e.report(class, result, now)
 }
 
 // Abandon implements anvilglade.RequestObserver. The host may still run the request,
@@ -281,8 +281,8 @@
 	}
 }
 
-func (e *Estimator) report(class anvilglade.RequestClass, result Result) {
+func (e *Estimator) report(class anvilglade.RequestClass, result Result, now time.Time) {
 	if e.OnResult != nil {
-		e.OnResult(class, result)
+		e.OnResult(class, result, now)
 	}
 }
--- a/internal/admission/agcapacity/estimator_test.go
+++ b/internal/admission/agcapacity/estimator_test.go
@@ -27,7 +27,7 @@
 		t.Run(script.Name, func(t *testing.T) {
 			runner := &scriptRunner{t: t, start: time.Unix(1_000_000, 0), random: rand.New(rand.NewPCG(1, 2))}
 			runner.estimator = agcapacity.NewEstimator(slots)
-			runner.estimator.OnResult = func(_ anvilglade.RequestClass, result agcapacity.Result) { runner.result = result }
+			runner.estimator.OnResult = func(_ anvilglade.RequestClass, result agcapacity.Result, _ time.Time) { runner.result = result }
 			for i := range script.Steps {
 				step := &script.Steps[i]
 				if got := runner.step(step); !step.Matches(got) {
@@ -44,45 +44,40 @@
 	random    *rand.Rand
 	estimator *agcapacity.Estimator
 	result    agcapacity.Result
-	flows     uint16
+	flows     int
 }
 
-func (r *scriptRunner) step(step *agscript.Step) string {
+func (r *scriptRunner) step(step *agscript.Step) (got string) {
 	now := r.start.Add(step.At)
-	class := anvilglade.RequestClass{Timeout: 800 * time.Millisecond}
 	switch step.Verb {
 	case "Arrive":
-		r.estimator.Arrive(flowOf(step.Args[0]), class, now)
-		return ""
+		r.estimator.Arrive(flowOf(step.Args[0]), anvilglade.RequestClass{Timeout: 800 * time.Millisecond}, now)
 	case "Answer":
 		r.estimator.Answer(flowOf(step.Args[0]), now)
-		return string(r.result)
+		got = string(r.result)
 	case "Abandon":
 		r.estimator.Abandon(flowOf(step.Args[0]), now)
-		return ""
 	case "Reset":
 		r.estimator.Reset(now)
-		return ""
 	case "Load":
 		r.load(step, now)
-		return ""
 	case "Outstanding":
-		return fmt.Sprint(r.estimator.Outstanding())
+		got = fmt.Sprint(r.estimator.Outstanding())
 	case "QueueLimit":
-		return fmt.Sprint(r.estimator.QueueLimit())
+		got = fmt.Sprint(r.estimator.QueueLimit())
 	case "Wait":
-		return r.estimator.Wait(0, now).Round(time.Millisecond).String()
+		got = r.estimator.Wait(0, now).Round(time.Millisecond).String()
 	case "Rate":
-		return fmt.Sprintf("%.0f", r.estimator.RequestRate(now))
+		got = fmt.Sprintf("%.0f", r.estimator.RequestRate(now))
 	case "ServiceTime":
-		low, high := r.duration(step, "Above"), r.duration(step, "Below")
-		if serviceTime := r.estimator.ServiceTime(now); serviceTime < low || serviceTime > high {
-			return serviceTime.String()
+		got = r.estimator.ServiceTime(now).String()
+		if serviceTime := r.estimator.ServiceTime(now); serviceTime >= r.duration(step, "Above") && serviceTime <= r.duration(step, "Below") {
+			got = "Within"
 		}
-		return "Within"
+	default:
+		r.t.Fatalf("unknown verb %s", step.Verb)
 	}
-	r.t.Fatalf("unknown verb %s", step.Verb)
-	return ""
+	return got
 }
 
 // load runs requests for a time on a host whose slots are always busy. Service times
@@ -94,25 +89,17 @@
 	}
 	mean, end := r.duration(step, "Mean"), now.Add(r.duration(step, "For"))
 	var flows [slots]anvilglade.Flow
-	var ends [slots]time.Time
-	for {
+	ends := [slots]time.Time{now, now}
+	for ends[0].Before(end) || ends[1].Before(end) {
 		next := 0
 		if ends[1].Before(ends[0]) {
 			next = 1
 		}
-		at := ends[next]
-		if at.IsZero() {
-			at = now
-		}
-		if !at.Before(end) {
-			break
-		}
-		r.estimator.Answer(flows[next], at)
+		r.estimator.Answer(flows[next], ends[next])
 		r.flows++
-		flows[next] = flowOf("x" + strconv.Itoa(int(r.flows)))
-		r.estimator.Arrive(flows[next], anvilglade.RequestClass{}, at)
-		factor := math.Exp(sigma*r.random.NormFloat64() - sigma*sigma/2)
-		ends[next] = at.Add(time.Duration(float64(mean) * factor))
+		flows[next] = flowOf("x" + strconv.Itoa(r.flows))
+		r.estimator.Arrive(flows[next], anvilglade.RequestClass{}, ends[next])
+		ends[next] = ends[next].Add(time.Duration(float64(mean) * math.Exp(sigma*r.random.NormFloat64()-sigma*sigma/2)))
 	}
 	for i := range flows {
 		r.estimator.Answer(flows[i], ends[i])
--- a/internal/admission/agopen/gate.go
+++ b/internal/admission/agopen/gate.go
@@ -239,10 +239,19 @@
 // AdmitFlow decides on one new flow. It returns RefusalNone and counts the flow if
 // the host takes it, otherwise the reason of the refusal.
 func (g *Gate) AdmitFlow(now time.Time) Refusal {
+	refusal := g.CheckFlow(now)
+	if refusal == RefusalNone && g.limitsRate(now) {
+		g.recentFlows = append(g.recentFlows, now)
+	}
+	return refusal
+}
+
+// CheckFlow returns what AdmitFlow would return, without counting a flow.
+func (g *Gate) CheckFlow(now time.Time) Refusal {
 	if refusal := g.AdmissionState(now); refusal != RefusalNone {
 		return refusal
 	}
-	if !g.Cold(now) || g.coldRate <= 0 {
+	if !g.limitsRate(now) {
 		return RefusalNone
 	}
 	for len(g.recentFlows) > 0 && now.Sub(g.recentFlows[0]) > coldWindow {
@@ -251,6 +260,10 @@
 	if float64(len(g.recentFlows)+1) > g.coldRate+g.options.ColdSlack-coldMargin {
 		return RefusalCold
 	}
-	g.recentFlows = append(g.recentFlows, now)
 	return RefusalNone
 }
+
+// limitsRate reports whether new flows are counted because the host is cold.
+func (g *Gate) limitsRate(now time.Time) bool {
+	return g.Cold(now) && g.coldRate > 0
+}
