Admit flows of classes with a latency target by the expected wait

Cause: agcapacity and agadmission are not used by the agent.

Change: Process.refusal asks agadmission for flows whose class has a target once the service time is known; agopen's checks come first, and other flows are decided as before. The holder counts opening packets that the host has not answered (NewFlows), because a flow waits in the host's queue to be accepted; ExpectedRequests is unchanged. Statuses have the service time, the wait and the rate. Metrics by class, gauges of the estimates, a log line for a large change (at most one per second), and class, wait and budget in the line of a refused flow, which explain shows.

--- a/internal/flow/agholder/holder.go
+++ b/internal/flow/agholder/holder.go
@@ -70,7 +70,7 @@
 	// to handle late packets.
 	endedRetention = 3 * time.Second
 	// firstRequestTimeout is the time after which the first request of a new
-	// flow is no longer counted as expected.
+	// flow, or the answer to its opening packet, is no longer counted as expected.
 	firstRequestTimeout = 500 * time.Millisecond
 	// lookupTimeout is the time that the host has to answer a packet that was
 	// delivered to find the holder of a flow.
@@ -146,7 +146,9 @@
 	tag            uint32
 	openFlows      int
 	activeRequests int
-	// firstRequestPending counts new flows whose first request has not arrived.
+	// openingsPending counts new flows whose opening packet the host has not answered,
+	// firstRequestPending those whose first request has not arrived.
+	openingsPending     int
 	firstRequestPending int
 	latency             time.Duration
 	outcomes            outcomes
@@ -178,6 +180,12 @@
 	return h.activeRequests + h.firstRequestPending
 }
 
+// NewFlows returns the number of flows whose first request has not arrived: those that
+// the host has accepted, and those that wait in its queue to be accepted.
+func (h *Holder) NewFlows() int {
+	return h.openingsPending + h.firstRequestPending
+}
+
 // Failing returns the share of recent requests that the host has failed, from 0
 // to 1.
 func (h *Holder) Failing(now time.Time) float64 {
@@ -218,6 +226,9 @@
 	record.acknowledged = packet.Acknowledged
 	record.class = forward.Class
 	h.recordCallerPacket(record, packet, now)
+	if packet.Opens() {
+		h.expectAnswer(record)
+	}
 	if record.state == stateOpen && !forward.ToHolder && !record.originNotified {
 		h.notifyOrigin(verdict.Flow, record, verdict)
 	}
@@ -316,6 +327,7 @@
 // recordOffer records the host's answer to an opening packet and notifies the
 // balancer of it.
 func (h *Holder) recordOffer(flow anvilglade.Flow, record *flowRecord, packet *anvilglade.Packet, verdict *Verdict) {
+	h.clearOpening(record)
 	if record.state == stateUnconfirmed {
 		record.state = stateHalfOpen
 		h.openFlows++
@@ -398,11 +410,12 @@
 	return now.Sub(h.hostUnansweredSince)
 }
 
-// Expire removes the records whose lifetime has passed and stops counting first
-// requests that have not arrived in time.
+// Expire removes the records whose lifetime has passed and stops counting openings that
+// were not answered and first requests that have not arrived in time.
 func (h *Holder) Expire(now time.Time) {
 	for flow, record := range h.flows {
 		if now.Sub(record.lastUsed) > firstRequestTimeout {
+			h.clearOpening(record)
 			h.clearFirstRequest(record)
 		}
 		if now.Sub(record.lastUsed) > h.lifetime(record) {
--- a/internal/flow/agholder/record.go
+++ b/internal/flow/agholder/record.go
@@ -21,6 +21,8 @@
 	// originNotified is set once origin has been notified that this host holds
 	// the flow.
 	originNotified bool
+	// openingPending is set while the host has not answered the opening packet.
+	openingPending bool
 	// firstRequestPending is set while the first request of a new flow has not
 	// arrived.
 	firstRequestPending bool
@@ -82,6 +84,7 @@
 }
 
 func (h *Holder) setOpen(record *flowRecord) {
+	h.clearOpening(record)
 	switch record.state {
 	case stateUnconfirmed:
 		h.openFlows++
@@ -93,6 +96,7 @@
 
 func (h *Holder) removeFlow(flow anvilglade.Flow, record *flowRecord, now time.Time) {
 	h.abandonRequest(record, now)
+	h.clearOpening(record)
 	if record.state == stateHalfOpen || record.state == stateOpen {
 		h.openFlows--
 	}
@@ -145,6 +149,23 @@
 	}
 }
 
+// expectAnswer counts a new flow whose opening packet is delivered to the host.
+func (h *Holder) expectAnswer(record *flowRecord) {
+	if record.state == stateUnconfirmed && !record.openingPending {
+		record.openingPending = true
+		h.openingsPending++
+	}
+}
+
+// clearOpening stops counting an opening packet that the host has answered or is no
+// longer expected to answer.
+func (h *Holder) clearOpening(record *flowRecord) {
+	if record.openingPending {
+		record.openingPending = false
+		h.openingsPending--
+	}
+}
+
 // expectFirstRequest counts the first request of a flow that the host has just
 // accepted as load before it arrives.
 func (h *Holder) expectFirstRequest(record *flowRecord) {
--- a/internal/flow/agholder/script_test.go
+++ b/internal/flow/agholder/script_test.go
@@ -88,6 +88,8 @@
 		return fmt.Sprintf("%d %d %s", flows, working, latency)
 	case "Expected":
 		return fmt.Sprint(r.holder.ExpectedRequests())
+	case "NewFlows":
+		return fmt.Sprint(r.holder.NewFlows())
 	case "Failing":
 		return fmt.Sprintf("%.2f", r.holder.Failing(r.now))
 	case "Unanswered":
--- a/internal/observe/agexplain/explain_test.go
+++ b/internal/observe/agexplain/explain_test.go
@@ -61,6 +61,15 @@
 		Expect(log.Explain(agexplain.Query{Flow: "100.66.0.99:1"}).Lines).To(BeEmpty())
 	})
 
+	// Guards against an explanation of a refused flow that does not show why its class
+	// was refused.
+	It("shows the class, the wait and the budget of a refused flow", func() {
+		explanation := read(`{"Decision":"Refused","Node":"dc3-agent","Flow":"100.66.0.11:1050>198.18.0.1:8080","Cause":"ExpectedWait","Class":"p2","Wait":"90ms","Budget":"83ms","msg":"x","time":"2026-01-17T08:06:42.6Z"}`).
+			Explain(agexplain.Query{Flow: "100.66.0.11:1050"})
+		Expect(explanation.Causes).To(ConsistOf(ContainSubstring("attempt budget")))
+		Expect(explanation.Events()).To(ContainElement(HaveField("Detail", ContainSubstring("Budget=83ms Class=p2 Wait=90ms"))))
+	})
+
 	// Guards against a query by time that misses the decisions of some processes.
 	It("shows the lines of all processes around a point in time", func() {
 		at, err := time.Parse(time.RFC3339Nano, "2026-01-17T08:06:42.5Z")
--- a/internal/observe/agexplain/reasons.go
+++ b/internal/observe/agexplain/reasons.go
@@ -14,6 +14,7 @@
 var reasons = map[string]reason{
 	"Lookup":                        {effect: EffectSearch},
 	"Busy":                          {meaning: "the host had too many requests in progress, so the next candidate was tried", effect: EffectBusy},
+	"ExpectedWait":                  {meaning: "a request of the flow's class was not expected to be served within its attempt budget at this host; the line has Class, Wait and Budget", effect: EffectBusy},
 	"NoRoute":                       {meaning: "the desired state in effect has no route for the service address; compare Version with the operators'"},
 	"NoHost":                        {meaning: "no host of the service took new flows: draining, cold, evacuated, without recent statuses or in another region", effect: EffectRefused},
 	"NoDesiredState":                {meaning: "the balancer had just started and had no desired state yet", effect: EffectNoState},
--- a/internal/observe/agmetric/metric.go
+++ b/internal/observe/agmetric/metric.go
@@ -51,6 +51,13 @@
 	// response and, at a balancer, the time from the packet that opens a flow to
 	// the host's response.
 	Latency *prometheus.HistogramVec
+	// Admissions counts decisions of an agent on new flows by class and result.
+	Admissions *prometheus.CounterVec
+	// Requests counts requests at an agent by class and result.
+	Requests *prometheus.CounterVec
+	// ExpectedWait is the wait at the host that an agent expects for each new flow, by
+	// class.
+	ExpectedWait *prometheus.HistogramVec
 }
 
 // NewMetrics returns the metrics of a process with the given role in a data centre.
@@ -68,8 +75,13 @@
 		Latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Namespace: namespace, Name: "latency_seconds", Help: "Latency of flows and answers.", ConstLabels: labels, Buckets: latencyBuckets,
 		}, []string{"service"}),
+		Admissions: counter("admissions_total", "Decisions on new flows by class.", "class", "result"),
+		Requests:   counter("requests_total", "Requests by class.", "class", "result"),
+		ExpectedWait: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "expected_wait_seconds", Help: "Expected wait of new flows at the host.", ConstLabels: labels, Buckets: latencyBuckets,
+		}, []string{"class"}),
 	}
-	m.registry.MustRegister(m.Decisions, m.Malformed, m.StoreCalls, m.Latency)
+	m.registry.MustRegister(m.Decisions, m.Malformed, m.StoreCalls, m.Latency, m.Admissions, m.Requests, m.ExpectedWait)
 	return m
 }
 
--- a/internal/operate/agpacketagent/host.go
+++ b/internal/operate/agpacketagent/host.go
@@ -44,6 +44,10 @@
 	previous, ok := p.gate.Host()
 	previousBorn, previousDraining := previous.Born, previous.Draining
 	result := p.gate.Heartbeat(heartbeat, now)
+	if result == agopen.HeartbeatNew {
+		newBoot := !ok || !previousBorn.Equal(heartbeat.Born)
+		p.updateHost(&heartbeat, newBoot && p.gate.HasAllFlows(), now)
+	}
 	changed := p.updateAdmissionState(now)
 	p.mu.Unlock()
 	if result == agopen.HeartbeatNew && (!ok || !previousBorn.Equal(heartbeat.Born) || previousDraining != heartbeat.Draining) {
@@ -60,6 +64,9 @@
 func (p *Process) Leave(host anvilglade.HostID) {
 	p.mu.Lock()
 	left := p.gate.Leave(host)
+	if left {
+		p.resetEstimates(time.Now())
+	}
 	p.updateAdmissionState(time.Now())
 	p.mu.Unlock()
 	if left {
@@ -102,6 +109,7 @@
 		now := time.Now()
 		p.mu.Lock()
 		unanswered := p.holder.UnansweredTime(now)
+		p.capacityLog.update(p.log, p.capacity, now)
 		if p.updateAdmissionState(now) {
 			p.wakeStatus()
 		}
@@ -153,6 +161,7 @@
 	p.mu.Lock()
 	p.gate.MarkHostDown()
 	lostFlows := p.holder.RemoveAll(time.Now())
+	p.resetEstimates(time.Now())
 	p.updateAdmissionState(time.Now())
 	p.mu.Unlock()
 	for _, flow := range lostFlows {
--- a/internal/operate/agpacketagent/metrics.go
+++ b/internal/operate/agpacketagent/metrics.go
@@ -37,6 +37,15 @@
 	p.metrics.Gauge("host_silent_seconds", "Time since the host's last heartbeat.", locked(func(now time.Time) float64 {
 		return p.gate.HeartbeatAge(now).Seconds()
 	}))
+	p.metrics.Gauge("host_service_time_seconds", "Estimated time for which a request occupies a slot, 0 if unknown.", locked(func(now time.Time) float64 {
+		return p.capacity.ServiceTime(now).Seconds()
+	}))
+	p.metrics.Gauge("host_queue_limit", "Outstanding requests at which the host sheds, 0 if unknown.", locked(func(time.Time) float64 {
+		return float64(p.capacity.QueueLimit())
+	}))
+	p.metrics.Gauge("host_outstanding", "Requests that the host has not answered.", locked(func(time.Time) float64 {
+		return float64(p.capacity.Outstanding())
+	}))
 	p.metrics.Gauge("evacuations_revision", "Revision of the evacuations that are known.", locked(func(time.Time) float64 {
 		return float64(p.evacuations.Revision)
 	}))
--- a/internal/operate/agpacketagent/packets.go
+++ b/internal/operate/agpacketagent/packets.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/anvilglade/anvilglade"
-	"github.com/anvilglade/anvilglade/internal/admission/agopen"
+	"github.com/anvilglade/anvilglade/internal/admission/agadmission"
 	"github.com/anvilglade/anvilglade/internal/flow/agholder"
 	"github.com/anvilglade/anvilglade/internal/observe/agdecision"
 	"github.com/anvilglade/anvilglade/internal/operate/agpackettask"
@@ -101,21 +101,12 @@
 	}
 	refusal := ""
 	if packet.Opens() && forward.Service == p.settings.Service.Number() && !p.holder.Holds(packet.FromCaller()) {
-		refusal = string(p.refusal(forward, now))
+		refusal = p.refusal(forward, now)
 	}
 	p.holder.FromBalancer(forward, &packet, refusal, p.gate.Ended(), now, verdict)
 	p.applyVerdict(out, raw, &packet, verdict)
 }
 
-// refusal returns the reason to refuse a new flow, or agopen.RefusalNone to accept
-// it. A busy host accepts the flow if there is no other candidate.
-func (p *Process) refusal(forward *agmessage.Forward, now time.Time) agopen.Refusal {
-	if len(forward.Candidates) > 0 && p.gate.Busy(p.holder.ExpectedRequests()) {
-		return agopen.RefusalBusy
-	}
-	return p.gate.AdmitFlow(now)
-}
-
 // readHostPackets reads and handles the packets that the host sends or returns.
 func (p *Process) readHostPackets(ctx context.Context) error {
 	reader := p.hostSocket.NewReader(batchSize, maxDatagram)
@@ -198,6 +189,9 @@
 	if !ok {
 		return
 	}
+	if verdict.Cause == agadmission.Cause {
+		line = p.considered.addTo(line)
+	}
 	line.WithField("Flow", verdict.Flow.String()).WithField("Opens", packet.Opens()).WithField("Cause", verdict.Cause).
 		WithField("To", verdict.To).WithField("Revision", p.evacuations.Revision).WithField("ColdRate", p.gate.ColdRate()).
 		WithField("HeartbeatAge", p.gate.HeartbeatAge(time.Now()).String()).Info("Packet is not accepted by the host.")
--- a/internal/operate/agpacketagent/process.go
+++ b/internal/operate/agpacketagent/process.go
@@ -1,11 +1,12 @@
 // Package agpacketagent runs the agent of packet services on the VM of a host.
 //
-// It connects two parts: agopen decides on new flows from the host's heartbeats
-// and the statuses of balancers, and agholder decides how each packet is handled.
+// It connects these parts: agopen decides on new flows from the host's heartbeats
+// and the statuses of balancers, agadmission by their class and by the wait that
+// agcapacity expects, and agholder decides how each packet is handled.
 // No flow depends on state that only this process has: the host holds its flows.
 // The agent sends the host's packets directly to the caller, without a balancer.
 //
-// The tasks share the gate and the holder under one mutex, which each task holds
+// The tasks share these parts under one mutex, which each task holds
 // for one batch of datagrams at most.
 //
 // # Usage
@@ -28,6 +29,8 @@
 	"time"
 
 	"github.com/anvilglade/anvilglade"
+	"github.com/anvilglade/anvilglade/internal/admission/agadmission"
+	"github.com/anvilglade/anvilglade/internal/admission/agcapacity"
 	"github.com/anvilglade/anvilglade/internal/admission/agopen"
 	"github.com/anvilglade/anvilglade/internal/flow/agholder"
 	"github.com/anvilglade/anvilglade/internal/membership/agregistry"
@@ -79,10 +82,15 @@
 	wake        chan struct{}
 	statusToNew chan struct{}
 
-	mu       sync.Mutex
-	gate     *agopen.Gate
-	holder   *agholder.Holder
-	sequence anvilglade.Sequence
+	mu     sync.Mutex
+	gate   *agopen.Gate
+	holder *agholder.Holder
+	// capacity estimates the speed of the host, admission decides by it.
+	capacity    *agcapacity.Estimator
+	capacityLog capacityLog
+	admission   *agadmission.Controller
+	considered  consideredOpening
+	sequence    anvilglade.Sequence
 	// broadcasts is the number of statuses that were sent to all balancers.
 	broadcasts     uint64
 	admissionState agopen.Refusal
@@ -129,6 +137,8 @@
 			ColdSlack:         settings.ColdSlack,
 		}),
 		holder:         agholder.NewHolder(agholder.Options{Service: settings.Service.Number(), IdleTimeout: settings.MaxFlowAge}, time.Now()),
+		capacity:       agcapacity.NewEstimator(0),
+		admission:      agadmission.NewController(),
 		admissionState: agopen.RefusalNoHeartbeat,
 		roster:         agroster.NewRoster(),
 		random:         rand.New(rand.NewPCG(seed, seed)),
@@ -136,6 +146,8 @@
 		metrics:        agmetric.NewMetrics("packet-agent", settings.DataCentre),
 	}
 	p.roster.AddSeeds(settings.Seeds)
+	p.holder.Observer = &requestObserver{capacity: p.capacity, admission: p.admission}
+	p.capacity.OnResult = p.countResult
 	p.addMetrics()
 	return p, func() { closePackets(); closeHostSocket() }, nil
 }
--- a/internal/operate/agpacketagent/status.go
+++ b/internal/operate/agpacketagent/status.go
@@ -214,6 +214,9 @@
 		Failing:        float32(p.holder.Failing(now)),
 		Interval:       agpace.Interval(statusInterval, receivers),
 		TakesClass:     true,
+		ServiceTime:    p.capacity.ServiceTime(now),
+		Wait:           p.capacity.Wait(p.holder.NewFlows(), now),
+		RequestRate:    float32(p.capacity.RequestRate(now)),
 	}
 	if host, ok := p.gate.Host(); ok {
 		status.Host, status.Born, status.Slots = host.Host, host.Born.UnixMilli(), host.Slots
