Admit the highest class at the first host with room

Cause: in overload the lower class keeps all hosts at its limit, so the wait is longer than one service time everywhere; each host forwards a flow of the higher class, and only the last candidate decides by its budget.

Change: while a lower priority is present, the highest one is admitted within half of its budget although there are further candidates. TestLoad also checks that the higher class is not served worse at 1.5 times than at 1 times the capacity.

--- a/internal/admission/agadmission/classes.go
+++ b/internal/admission/agadmission/classes.go
@@ -119,3 +119,14 @@
 	}
 	return false
 }
+
+// hasLower reports whether a priority below the highest one is present. It is called
+// after the highest one has been seen.
+func (l *classList) hasLower(top *classState) bool {
+	for _, state := range l.states {
+		if state.priority > top.priority && top.seenAt.Sub(state.seenAt) <= seenPeriod {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/admission/agadmission/controller.go
+++ b/internal/admission/agadmission/controller.go
@@ -16,7 +16,8 @@
 // to the budget of the highest priority, which leaves one place for it.
 //
 // With further candidates a flow is forwarded as soon as it would wait for longer than
-// one service time. The last candidate admits a flow whenever a slot is free and the
+// one service time; the highest priority beside lower ones is admitted within half of
+// its budget. The last candidate admits a flow whenever a slot is free and the
 // service time is within the target, because a refusal would leave the slot idle. An
 // idle host that is too slow for the budget admits a flow from time to time, because
 // it would give no samples otherwise and count as slow for ever.
@@ -135,7 +136,7 @@
 func (c *Controller) admit(opening *Opening, class, top *classState, own limits) Result {
 	yields := class == top && c.classes.owesPlace(top) && !own.withoutOne(opening).allow(opening)
 	switch {
-	case opening.HasNext && opening.Wait > opening.ServiceTime:
+	case opening.HasNext && c.prefersNext(opening, class, top, own):
 		return ResultRefused
 	case own.allow(opening) && !yields:
 		return c.admittedAs(opening, class, top)
@@ -150,6 +151,17 @@
 	return ResultRefused
 }
 
+// prefersNext reports whether the next candidate is likely to serve a flow earlier. In
+// overload lower priorities keep the queues of all hosts at their limits; the highest
+// priority would then be forwarded by every host, and only the last one would use the
+// places that are left to it. So it is admitted within half of its budget.
+func (c *Controller) prefersNext(opening *Opening, class, top *classState, own limits) bool {
+	if opening.Wait <= opening.ServiceTime {
+		return false
+	}
+	return class != top || !c.classes.hasLower(top) || !own.half().allow(opening)
+}
+
 // admittedAs returns whether a flow that is admitted borrows from a higher priority.
 func (c *Controller) admittedAs(opening *Opening, class, top *classState) Result {
 	if higher := c.classes.highest(); class == top && higher != class && !limitsOf(opening, class, higher).allow(opening) {
--- a/internal/admission/agadmission/controller_test.go
+++ b/internal/admission/agadmission/controller_test.go
@@ -32,6 +32,8 @@
 		{0, opening(0, 95*time.Millisecond, false), agadmission.ResultRefused},
 		{0, opening(1, 55*time.Millisecond, false), agadmission.ResultAdmitted},
 		{0, opening(1, 65*time.Millisecond, false), agadmission.ResultRefused},
+		{0, opening(0, 41*time.Millisecond, true), agadmission.ResultAdmitted},
+		{0, opening(0, 45*time.Millisecond, true), agadmission.ResultForwarded},
 		{2100 * time.Millisecond, opening(1, 65*time.Millisecond, false), agadmission.ResultBorrowed},
 		{2200 * time.Millisecond, slow, agadmission.ResultTrial},
 		{2300 * time.Millisecond, slow, agadmission.ResultForwarded},
--- a/internal/admission/agadmission/limits.go
+++ b/internal/admission/agadmission/limits.go
@@ -34,6 +34,11 @@
 	return reduced
 }
 
+// half returns the limits with half of the budget.
+func (l limits) half() limits {
+	return limits{budget: l.budget / 2, queue: l.queue}
+}
+
 // limitsOf returns the limits of a flow of a class beside the highest priority.
 func limitsOf(opening *Opening, class, top *classState) limits {
 	if class == top {
--- a/internal/admission/agadmission/load_test.go
+++ b/internal/admission/agadmission/load_test.go
@@ -38,6 +38,7 @@
 // at all, the lower one starves, slots stay idle, or hosts shed what was admitted.
 func TestLoad(t *testing.T) {
 	type bounds struct{ load, higherShare, higherInTime, allInTime, lowerCompleted float64 }
+	higherAtCapacity := 0.0
 	for _, want := range []bounds{
 		{load: 1, higherShare: 0.2, higherInTime: 0.98},
 		{load: 1.5, higherShare: 0.2, higherInTime: 0.98, allInTime: 0.95, lowerCompleted: 0.2},
@@ -52,6 +53,14 @@
 		if got := s.share(0); got < want.higherInTime || got < baseline.share(0) {
 			t.Errorf("higher class in time %.4f, want %.2f and the baseline", got, want.higherInTime)
 		}
+		switch want.load {
+		case 1:
+			higherAtCapacity = s.share(0)
+		case 1.5:
+			if s.share(0) < higherAtCapacity {
+				t.Errorf("higher class in time %.4f, below its share at the capacity, %.4f", s.share(0), higherAtCapacity)
+			}
+		}
 		if got := s.usedCapacity(); got < want.allInTime {
 			t.Errorf("all in time %.4f of the capacity, want %.2f", got, want.allInTime)
 		}
