Shorten the tests of agcapacity and agadmission

Change: one check function for the bounds of the load test, one verb for the state of an estimator, which every place that showed a part of it before checks in full.

--- a/internal/admission/agadmission/host_test.go
+++ b/internal/admission/agadmission/host_test.go
@@ -40,9 +40,7 @@
 	s.pending = slices.Insert(s.pending, i, event{at: at, run: run})
 }
 
-func (s *simulation) counted(since time.Time) bool {
-	return since.Sub(start) >= warmTime
-}
+func (s *simulation) counted(since time.Time) bool { return since.Sub(start) >= warmTime }
 
 // share returns the share of the requests of a class that are served in time.
 func (s *simulation) share(class int) float64 {
@@ -66,9 +64,7 @@
 	return float64(s.outcomes[1].completed) / float64(s.outcomes[0].completed+s.outcomes[1].completed)
 }
 
-func (s *simulation) shed() int {
-	return s.outcomes[0].shed + s.outcomes[1].shed
-}
+func (s *simulation) shed() int { return s.outcomes[0].shed + s.outcomes[1].shed }
 
 // String returns the figures of a run.
 func (s *simulation) String() string {
@@ -76,12 +72,6 @@
 		s.share(0), s.share(1), s.usedCapacity(), s.lowerCompleted(), s.shed())
 }
 
-// job is a flow to accept or a request to run on a slot.
-type job struct {
-	takes time.Duration
-	done  func()
-}
-
 // host runs jobs in the order of arrival.
 type host struct {
 	*simulation
@@ -89,7 +79,8 @@
 	gate       *agopen.Gate
 	estimator  *agcapacity.Estimator
 	controller *agadmission.Controller
-	queue      []job
+	// queue holds flows to accept and requests to run: the functions that start them.
+	queue []func()
 	// running is the number of busy slots, requests that of requests that run or wait,
 	// expected that of flows whose request has not arrived.
 	running, requests, expected int
@@ -112,19 +103,21 @@
 }
 
 func (h *host) enqueue(takes time.Duration, done func()) {
-	h.queue = append(h.queue, job{takes: takes, done: done})
+	h.queue = append(h.queue, func() {
+		h.after(takes, func() {
+			h.running--
+			done()
+			h.startNext()
+		})
+	})
 	h.startNext()
 }
 
 func (h *host) startNext() {
 	for h.running < slots && len(h.queue) > 0 {
-		next := h.queue[0]
+		start := h.queue[0]
 		h.queue = h.queue[1:]
 		h.running++
-		h.after(next.takes, func() {
-			h.running--
-			next.done()
-			h.startNext()
-		})
+		start()
 	}
 }
--- a/internal/admission/agadmission/load_test.go
+++ b/internal/admission/agadmission/load_test.go
@@ -50,27 +50,22 @@
 		s := simulate(want.load, want.higherShare, false)
 		t.Logf("load %.1f, higher class %.0f%%, without classes: %v", want.load, 100*want.higherShare, baseline)
 		t.Logf("load %.1f, higher class %.0f%%, by classes:      %v", want.load, 100*want.higherShare, s)
-		if got := s.share(0); got < want.higherInTime || got < baseline.share(0) {
-			t.Errorf("higher class in time %.4f, want %.2f and the baseline", got, want.higherInTime)
+		check := func(what string, got, want float64) {
+			if got < want {
+				t.Errorf("%s %.4f, want at least %.4f", what, got, want)
+			}
 		}
+		check("higher class in time", s.share(0), max(want.higherInTime, baseline.share(0)))
+		check("all in time, of the capacity", s.usedCapacity(), want.allInTime)
+		check("lower class, of the completions", s.lowerCompleted(), want.lowerCompleted)
+		// A refusal at the opening is immediate, so a caller is refused after a wait only
+		// by a host that sheds.
+		check("tenth of the attempts shed", float64(baseline.shed())/10, float64(s.shed()))
 		switch want.load {
 		case 1:
 			higherAtCapacity = s.share(0)
 		case 1.5:
-			if s.share(0) < higherAtCapacity {
-				t.Errorf("higher class in time %.4f, below its share at the capacity, %.4f", s.share(0), higherAtCapacity)
-			}
-		}
-		if got := s.usedCapacity(); got < want.allInTime {
-			t.Errorf("all in time %.4f of the capacity, want %.2f", got, want.allInTime)
-		}
-		if got := s.lowerCompleted(); got < want.lowerCompleted {
-			t.Errorf("lower class %.4f of the completions, want %.2f", got, want.lowerCompleted)
-		}
-		// A refusal at the opening is immediate, so a caller is refused after a wait only
-		// by a host that sheds.
-		if got, limit := s.shed(), baseline.shed()/10; got > limit {
-			t.Errorf("%d attempts shed, want %d", got, limit)
+			check("higher class in time, against its share at the capacity,", s.share(0), higherAtCapacity)
 		}
 	}
 }
--- a/internal/admission/agcapacity/estimator_test.go
+++ b/internal/admission/agcapacity/estimator_test.go
@@ -61,12 +61,8 @@
 		r.estimator.Reset(now)
 	case "Load":
 		r.load(step, now)
-	case "Outstanding":
-		got = fmt.Sprint(r.estimator.Outstanding())
-	case "QueueLimit":
-		got = fmt.Sprint(r.estimator.QueueLimit())
-	case "Wait":
-		got = r.estimator.Wait(0, now).Round(time.Millisecond).String()
+	case "State":
+		got = fmt.Sprint(r.estimator.Outstanding(), r.estimator.QueueLimit(), r.estimator.Wait(0, now).Round(time.Millisecond))
 	case "Rate":
 		got = fmt.Sprintf("%.0f", r.estimator.RequestRate(now))
 	case "ServiceTime":
