Merge the capacity estimator and the admission control of new flows

The queue in front of the host reads the estimator; the breaker of agopen is checked before and counted after the decision on the rate of a cold host.

--- a/internal/admission/agopen/breaker.go
+++ b/internal/admission/agopen/breaker.go
@@ -55,15 +55,14 @@
 	return now.Before(b.openUntil)
 }
 
-// admit reports whether a flow may be delivered to the host, and counts it as a trial
-// flow while the host is on trial.
-func (b *breaker) admit(now time.Time) bool {
-	if !b.onTrial {
-		return true
-	}
-	if b.open(now) || now.Sub(b.trialAt) < trialInterval {
-		return false
+// admits reports whether a flow may be delivered to the host.
+func (b *breaker) admits(now time.Time) bool {
+	return !b.onTrial || !b.open(now) && now.Sub(b.trialAt) >= trialInterval
+}
+
+// take counts a delivered flow as a trial flow while the host is on trial.
+func (b *breaker) take(now time.Time) {
+	if b.onTrial {
+		b.trialAt = now
 	}
-	b.trialAt = now
-	return true
 }
--- a/internal/admission/agopen/gate.go
+++ b/internal/admission/agopen/gate.go
@@ -255,11 +255,26 @@
 // AdmitFlow decides on one new flow. It returns RefusalNone and counts the flow if
 // the host takes it, otherwise the reason of the refusal.
 func (g *Gate) AdmitFlow(now time.Time) Refusal {
+	if refusal := g.CheckFlow(now); refusal != RefusalNone {
+		return refusal
+	}
+	g.breaker.take(now)
+	if g.limitsRate(now) {
+		g.recentFlows = append(g.recentFlows, now)
+	}
+	return RefusalNone
+}
+
+// CheckFlow returns what AdmitFlow would return, without counting a flow.
+func (g *Gate) CheckFlow(now time.Time) Refusal {
 	if refusal := g.AdmissionState(now); refusal != RefusalNone {
 		return refusal
 	}
-	if !g.Cold(now) || g.coldRate <= 0 {
-		return g.admitTrial(now)
+	if !g.breaker.admits(now) {
+		return RefusalReturned
+	}
+	if !g.limitsRate(now) {
+		return RefusalNone
 	}
 	for len(g.recentFlows) > 0 && now.Sub(g.recentFlows[0]) > coldWindow {
 		g.recentFlows = g.recentFlows[1:]
@@ -267,18 +282,10 @@
 	if float64(len(g.recentFlows)+1) > g.coldRate+g.options.ColdSlack-coldMargin {
 		return RefusalCold
 	}
-	if refusal := g.admitTrial(now); refusal != RefusalNone {
-		return refusal
-	}
-	g.recentFlows = append(g.recentFlows, now)
 	return RefusalNone
 }
 
-// admitTrial refuses a flow if the host has returned opening packets and another trial
-// flow is in progress.
-func (g *Gate) admitTrial(now time.Time) Refusal {
-	if !g.breaker.admit(now) {
-		return RefusalReturned
-	}
-	return RefusalNone
+// limitsRate reports whether new flows are counted because the host is cold.
+func (g *Gate) limitsRate(now time.Time) bool {
+	return g.Cold(now) && g.coldRate > 0
 }
--- a/internal/observe/agmetric/metric.go
+++ b/internal/observe/agmetric/metric.go
@@ -15,7 +15,6 @@
 
 import (
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -60,11 +59,13 @@
 	Queue *prometheus.CounterVec
 	// QueueTime is the time of requests in the queue of an agent, by class.
 	QueueTime *prometheus.HistogramVec
-}
-
-// ClassLabel returns the value of the label class for a priority.
-func ClassLabel(priority anvilglade.Priority) string {
-	return "p" + strconv.Itoa(int(priority))
+	// Admissions counts decisions of an agent on new flows by class and result.
+	Admissions *prometheus.CounterVec
+	// Requests counts requests at an agent by class and result.
+	Requests *prometheus.CounterVec
+	// ExpectedWait is the wait at the host that an agent expects for each new flow, by
+	// class.
+	ExpectedWait *prometheus.HistogramVec
 }
 
 // NewMetrics returns the metrics of a process with the given role in a data centre.
@@ -86,8 +87,13 @@
 		QueueTime: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Namespace: namespace, Name: "queue_seconds", Help: "Time of requests in the queue of the agent.", ConstLabels: labels, Buckets: queueBuckets,
 		}, []string{"class"}),
+		Admissions: counter("admissions_total", "Decisions on new flows by class.", "class", "result"),
+		Requests:   counter("requests_total", "Requests by class.", "class", "result"),
+		ExpectedWait: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "expected_wait_seconds", Help: "Expected wait of new flows at the host.", ConstLabels: labels, Buckets: latencyBuckets,
+		}, []string{"class"}),
 	}
-	m.registry.MustRegister(m.Decisions, m.Malformed, m.StoreCalls, m.Latency, m.Queue, m.QueueTime)
+	m.registry.MustRegister(m.Decisions, m.Malformed, m.StoreCalls, m.Latency, m.Queue, m.QueueTime, m.Admissions, m.Requests, m.ExpectedWait)
 	return m
 }
 
--- a/internal/operate/agpacketagent/host.go
+++ b/internal/operate/agpacketagent/host.go
@@ -45,6 +45,10 @@
 	previous, ok := p.gate.Host()
 	previousBorn, previousDraining := previous.Born, previous.Draining
 	result := p.gate.Heartbeat(heartbeat, now)
+	if result == agopen.HeartbeatNew {
+		newBoot := !ok || !previousBorn.Equal(heartbeat.Born)
+		p.updateHost(&heartbeat, newBoot && p.gate.HasAllFlows(), now)
+	}
 	changed := p.updateAdmissionState(now)
 	p.mu.Unlock()
 	if result == agopen.HeartbeatNew && (!ok || !previousBorn.Equal(heartbeat.Born) || previousDraining != heartbeat.Draining) {
@@ -61,6 +65,9 @@
 func (p *Process) Leave(host anvilglade.HostID) {
 	p.mu.Lock()
 	left := p.gate.Leave(host)
+	if left {
+		p.resetEstimates(time.Now())
+	}
 	p.updateAdmissionState(time.Now())
 	p.mu.Unlock()
 	if left {
@@ -106,6 +113,7 @@
 		if p.holder.LooksEnded(now) {
 			interval = endedCheckInterval
 		}
+		p.capacityLog.update(p.log, p.capacity, now)
 		if p.updateAdmissionState(now) {
 			p.wakeStatus()
 		}
@@ -166,6 +174,7 @@
 	p.mu.Lock()
 	p.gate.MarkHostDown()
 	lostFlows := p.holder.RemoveAll(time.Now())
+	p.resetEstimates(time.Now())
 	p.updateAdmissionState(time.Now())
 	p.mu.Unlock()
 	for _, flow := range lostFlows {
--- a/internal/operate/agpacketagent/process.go
+++ b/internal/operate/agpacketagent/process.go
@@ -1,12 +1,13 @@
 // Package agpacketagent runs the agent of packet services on the VM of a host.
 //
-// It connects three parts: agopen decides on new flows from the host's heartbeats
-// and the statuses of balancers, agqueue keeps requests of the highest priority while
-// the host is full, and agholder decides how each packet is handled.
+// It connects these parts: agopen decides on new flows from the host's heartbeats
+// and the statuses of balancers, agadmission by their class and by the wait that
+// agcapacity expects, agqueue keeps requests of the highest priority while the host is
+// full, and agholder decides how each packet is handled.
 // No flow depends on state that only this process has: the host holds its flows.
 // The agent sends the host's packets directly to the caller, without a balancer.
 //
-// The tasks share the gate, the queue and the holder under one mutex, which each task holds
+// The tasks share these parts under one mutex, which each task holds
 // for one batch of datagrams at most.
 //
 // # Usage
@@ -29,6 +30,8 @@
 	"time"
 
 	"github.com/anvilglade/anvilglade"
+	"github.com/anvilglade/anvilglade/internal/admission/agadmission"
+	"github.com/anvilglade/anvilglade/internal/admission/agcapacity"
 	"github.com/anvilglade/anvilglade/internal/admission/agopen"
 	"github.com/anvilglade/anvilglade/internal/admission/agqueue"
 	"github.com/anvilglade/anvilglade/internal/flow/agholder"
@@ -91,7 +94,12 @@
 	// the queue is empty.
 	releaseTimer *time.Timer
 	releaseAt    time.Time
-	sequence     anvilglade.Sequence
+	// capacity estimates the speed of the host, admission decides by it.
+	capacity    *agcapacity.Estimator
+	capacityLog capacityLog
+	admission   *agadmission.Controller
+	considered  consideredOpening
+	sequence    anvilglade.Sequence
 	// broadcasts is the number of statuses that were sent to all balancers.
 	broadcasts     uint64
 	admissionState agopen.Refusal
@@ -139,6 +147,8 @@
 		}),
 		holder:         agholder.NewHolder(agholder.Options{Service: settings.Service.Number(), IdleTimeout: settings.MaxFlowAge}, time.Now()),
 		releaseTimer:   newStoppedTimer(),
+		capacity:       agcapacity.NewEstimator(0),
+		admission:      agadmission.NewController(),
 		admissionState: agopen.RefusalNoHeartbeat,
 		roster:         agroster.NewRoster(),
 		random:         rand.New(rand.NewPCG(seed, seed)),
@@ -146,7 +156,8 @@
 		metrics:        agmetric.NewMetrics("packet-agent", settings.DataCentre),
 	}
 	p.roster.AddSeeds(settings.Seeds)
-	p.connectQueue(nil, nil)
+	p.connectQueue(p.capacity, &requestObserver{capacity: p.capacity, admission: p.admission})
+	p.capacity.OnResult = p.countResult
 	p.addMetrics()
 	return p, func() { p.releaseTimer.Stop(); closePackets(); closeHostSocket() }, nil
 }
--- a/internal/operate/agpacketagent/queue.go
+++ b/internal/operate/agpacketagent/queue.go
@@ -131,14 +131,14 @@
 
 func (p *Process) recordRelease(release *agqueue.Release, now time.Time) {
 	p.countQueue(release.Class, string(release.Outcome))
-	p.metrics.QueueTime.WithLabelValues(agmetric.ClassLabel(release.Class.Priority)).Observe(release.Waited.Seconds())
+	p.metrics.QueueTime.WithLabelValues(agmetric.ClassLabel(release.Class)).Observe(release.Waited.Seconds())
 	if cause := causes[release.Outcome]; cause != "" {
 		p.logQueue(cause, release.Flow, release.Class, release.Waited, now)
 	}
 }
 
 func (p *Process) countQueue(class anvilglade.RequestClass, outcome string) {
-	p.metrics.Queue.WithLabelValues(agmetric.ClassLabel(class.Priority), outcome).Inc()
+	p.metrics.Queue.WithLabelValues(agmetric.ClassLabel(class), outcome).Inc()
 }
 
 // logQueue logs a sample of the decisions on queued requests.
@@ -148,7 +148,7 @@
 		return
 	}
 	outstanding, limit := p.queue.Occupied(now)
-	line.WithField("Flow", flow.String()).WithField("Cause", cause).WithField("Class", agmetric.ClassLabel(class.Priority)).
+	line.WithField("Flow", flow.String()).WithField("Cause", cause).WithField("Class", agmetric.ClassLabel(class)).
 		WithField("Target", class.Target.String()).WithField("Waited", waited.String()).WithField("Outstanding", outstanding).
 		WithField("Limit", limit).WithField("QueuedPackets", p.queue.Packets()).Info("Request meets a full host.")
 }
