Admit the highest priority up to the room of the agent's queue

Cause: a new flow of the highest priority was refused while the host's queue was full, although its first request would have been queued at the agent until a place is free.

Change: agqueue.Queue.Room, which the admission adds to the queue limit of the highest priority.

--- a/internal/admission/agadmission/controller.go
+++ b/internal/admission/agadmission/controller.go
@@ -84,6 +84,9 @@
 	// QueueLimit is the number of outstanding requests at which the host sheds, 0 if
 	// unknown.
 	QueueLimit int
+	// QueueRoom is the number of requests of the class that the agent can queue in front
+	// of a full host. It applies to the highest priority only.
+	QueueRoom int
 	// HasNext is set if there are further candidates.
 	HasNext bool
 }
--- a/internal/admission/agadmission/limits.go
+++ b/internal/admission/agadmission/limits.go
@@ -42,7 +42,7 @@
 // limitsOf returns the limits of a flow of a class beside the highest priority.
 func limitsOf(opening *Opening, class, top *classState) limits {
 	if class == top {
-		return limits{budget: opening.Class.Target / topShare, queue: opening.QueueLimit}
+		return limits{budget: opening.Class.Target / topShare, queue: queueOfTop(opening)}
 	}
 	ofTop := topLimits(opening, top)
 	return limits{
@@ -51,6 +51,15 @@
 	}
 }
 
+// queueOfTop returns the number of outstanding requests below which the highest priority
+// is admitted: it may be queued at the agent until a full host has a place.
+func queueOfTop(opening *Opening) int {
+	if opening.QueueLimit == 0 {
+		return 0
+	}
+	return opening.QueueLimit + opening.QueueRoom
+}
+
 // topLimits returns the limits of the highest priority.
 func topLimits(opening *Opening, top *classState) limits {
 	return limits{budget: top.target / topShare, queue: opening.QueueLimit}
--- a/internal/admission/agcapacity/estimator.go
+++ b/internal/admission/agcapacity/estimator.go
@@ -114,6 +114,11 @@
 	e.startWaiting(now)
 }
 
+// Slots returns the number of slots, 0 if it is not known yet.
+func (e *Estimator) Slots() anvilglade.Slots {
+	return anvilglade.Slots(e.slots)
+}
+
 // Reset discards all estimates and requests, because the host has restarted or ended.
 // A host that has just started has no requests that the agent has not seen.
 func (e *Estimator) Reset(now time.Time) {
--- a/internal/admission/agqueue/queue.go
+++ b/internal/admission/agqueue/queue.go
@@ -141,6 +141,21 @@
 	return q.packets
 }
 
+// Room returns the number of further requests of a class that would leave the queue
+// within its longest wait, if the host answers a request in each interval.
+func (q *Queue) Room(class anvilglade.RequestClass, interval time.Duration) int {
+	if interval <= 0 {
+		return 0
+	}
+	ahead := 0
+	for _, request := range q.requests {
+		if request.class.Priority <= class.Priority {
+			ahead++
+		}
+	}
+	return max(int(waitLimit(class)/interval)-ahead, 0)
+}
+
 // Active reports whether packets must be offered: some are queued, or the limit of the
 // host's queue is known.
 func (q *Queue) Active() bool {
--- a/internal/operate/agpacketagent/admission.go
+++ b/internal/operate/agpacketagent/admission.go
@@ -106,6 +106,7 @@
 		ServiceTime: serviceTime,
 		Expected:    p.capacity.Outstanding() + newFlows,
 		QueueLimit:  p.capacity.QueueLimit(),
+		QueueRoom:   p.queue.Room(forward.Class, serviceTime/time.Duration(max(p.capacity.Slots(), 1))),
 		HasNext:     len(forward.Candidates) > 0,
 	}
 	p.considered.decision = p.admission.Decide(&p.considered.opening, now)
