Give precedence to the highest priority with a notable share of the requests

Cause: each request of a rarely used route with priority 0 made priority 1 a lower one for two seconds, in the admission control and in the queue of an agent, so the class that matters was refused and shed like the others.

Change: agpriority counts recent requests by priority; agadmission and agqueue use it.

--- a/internal/admission/agadmission/classes.go
+++ b/internal/admission/agadmission/classes.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/anvilglade/anvilglade"
+	"github.com/anvilglade/anvilglade/internal/admission/agpriority"
 )
 
 const (
@@ -37,6 +38,11 @@
 	prepaid int
 }
 
+// yieldsTo reports whether a priority is below the highest one that counts.
+func (s *classState) yieldsTo(top *classState) bool {
+	return s.priority > top.priority
+}
+
 // prepay takes the credit of a request that has not run yet.
 func (s *classState) prepay() {
 	s.credit--
@@ -55,6 +61,7 @@
 // classList is the list of all priorities that were seen, the highest first.
 type classList struct {
 	states []*classState
+	recent agpriority.Recent
 	// asking are the lower priorities that were refused within seenPeriod, as of the
 	// latest completion.
 	asking []*classState
@@ -68,6 +75,7 @@
 	}
 	state := l.states[i]
 	state.target, state.seenAt = class.Target, now
+	l.recent.Add(class.Priority, now)
 	return state
 }
 
@@ -83,11 +91,9 @@
 }
 
 // top returns the highest priority that is present. It is called after see.
-func (l *classList) top(now time.Time) *classState {
-	for _, state := range l.states {
-		if now.Sub(state.seenAt) <= seenPeriod {
-			return state
-		}
+func (l *classList) top() *classState {
+	if i, found := l.find(l.recent.Top()); found {
+		return l.states[i]
 	}
 	return nil
 }
@@ -95,17 +101,17 @@
 // complete records that a request has run. The lower priorities that were refused
 // share the credit for it, and the request's own priority pays for it.
 func (l *classList) complete(priority anvilglade.Priority, now time.Time) {
-	top := l.top(now)
+	top := l.top()
 	l.asking = l.asking[:0]
 	for _, state := range l.states {
-		if state != top && now.Sub(state.refusedAt) <= seenPeriod {
+		if state.yieldsTo(top) && now.Sub(state.refusedAt) <= seenPeriod {
 			l.asking = append(l.asking, state)
 		}
 	}
 	for _, state := range l.asking {
 		state.credit = min(state.credit+creditShare/float64(len(l.asking)), maxCredit)
 	}
-	if i, found := l.find(priority); found && l.states[i] != top {
+	if i, found := l.find(priority); found && l.states[i].yieldsTo(top) {
 		l.states[i].pay()
 	}
 }
@@ -113,7 +119,7 @@
 // owesPlace reports whether a lower priority that was refused has a credit.
 func (l *classList) owesPlace(top *classState) bool {
 	for _, state := range l.asking {
-		if state != top && state.credit >= 1 {
+		if state.yieldsTo(top) && state.credit >= 1 {
 			return true
 		}
 	}
--- a/internal/admission/agadmission/controller.go
+++ b/internal/admission/agadmission/controller.go
@@ -8,8 +8,8 @@
 // priority is half of its target. The budget of a lower priority is a third of its
 // target, and at most two thirds of the budget of the highest one, so that lower
 // priorities are refused first whatever their targets. Two thirds apply to the host's
-// queue as well. A priority counts as the highest while none above it has been seen
-// for two seconds; until then it borrows what the higher one leaves idle.
+// queue as well. Package agpriority says which priority counts as the highest; while that
+// is not the highest that has ever been seen, it borrows what the higher one leaves idle.
 //
 // Lower priorities that are refused earn credits from the completions of the host, so
 // that all of them together get a fifth of the completions. With a credit it is admitted up
@@ -126,7 +126,7 @@
 // Decide decides on one new flow.
 func (c *Controller) Decide(opening *Opening, now time.Time) Decision {
 	class := c.classes.see(opening.Class, now)
-	top := c.classes.top(now)
+	top := c.classes.top()
 	own := limitsOf(opening, class, top)
 	result := c.admit(opening, class, top, own)
 	if result == ResultRefused {
@@ -137,7 +137,7 @@
 
 // admit returns how a flow is admitted, or ResultRefused if it is not.
 func (c *Controller) admit(opening *Opening, class, top *classState, own limits) Result {
-	yields := class == top && c.classes.owesPlace(top) && !own.withoutOne(opening).allow(opening)
+	yields := !class.yieldsTo(top) && c.classes.owesPlace(top) && !own.withoutOne(opening).allow(opening)
 	switch {
 	case opening.HasNext && c.prefersNext(opening, class, top, own):
 		return ResultRefused
@@ -147,7 +147,7 @@
 		return ResultRefused
 	case opening.Wait == 0 && opening.ServiceTime <= opening.Class.Target:
 		return ResultAdmitted
-	case class != top && class.credit >= 1 && topLimits(opening, top).allow(opening):
+	case class.yieldsTo(top) && class.credit >= 1 && topLimits(opening, top).allow(opening):
 		class.prepay()
 		return ResultGuaranteed
 	}
@@ -162,12 +162,12 @@
 	if opening.Wait <= opening.ServiceTime {
 		return false
 	}
-	return class != top || !c.classes.hasLower(top) || !own.half().allow(opening)
+	return class.yieldsTo(top) || !c.classes.hasLower(top) || !own.half().allow(opening)
 }
 
 // admittedAs returns whether a flow that is admitted borrows from a higher priority.
 func (c *Controller) admittedAs(opening *Opening, class, top *classState) Result {
-	if higher := c.classes.highest(); class == top && higher != class && !limitsOf(opening, class, higher).allow(opening) {
+	if higher := c.classes.highest(); !class.yieldsTo(top) && class.yieldsTo(higher) && !limitsOf(opening, class, higher).allow(opening) {
 		return ResultBorrowed
 	}
 	return ResultAdmitted
--- a/internal/admission/agadmission/limits.go
+++ b/internal/admission/agadmission/limits.go
@@ -41,7 +41,7 @@
 
 // limitsOf returns the limits of a flow of a class beside the highest priority.
 func limitsOf(opening *Opening, class, top *classState) limits {
-	if class == top {
+	if !class.yieldsTo(top) {
 		return limits{budget: opening.Class.Target / topShare, queue: queueOfTop(opening)}
 	}
 	ofTop := topLimits(opening, top)
--- a/internal/admission/agqueue/queue.go
+++ b/internal/admission/agqueue/queue.go
@@ -41,6 +41,7 @@
 	"time"
 
 	"github.com/anvilglade/anvilglade"
+	"github.com/anvilglade/anvilglade/internal/admission/agpriority"
 )
 
 const (
@@ -118,7 +119,7 @@
 // Queue is the queue of one host.
 type Queue struct {
 	load     anvilglade.HostLoad
-	seen     seenPriorities
+	recent   agpriority.Recent
 	shedding sheddingRequests
 	// requests has the queued requests in the order of delivery.
 	requests []*queuedRequest
@@ -176,12 +177,12 @@
 	}
 	starts := arrival.StartsRequest && arrival.Class.HasTarget()
 	if starts {
-		q.seen.add(arrival.Class.Priority, now)
+		q.recent.Add(arrival.Class.Priority, now)
 	}
 	if request := q.byFlow[arrival.Flow]; request != nil {
 		return q.offerBehind(request, arrival, now)
 	}
-	if !starts || q.seen.highest != arrival.Class.Priority || !q.full(now) {
+	if !starts || arrival.Class.Priority > q.recent.Top() || !q.full(now) {
 		return DecisionDeliver
 	}
 	if !q.fits(arrival.Datagram) {
