--- a/fleet.go
+++ b/fleet.go
@@ -168,8 +168,25 @@
 	Watch StoreWatch `cbor:"12,keyasint,omitempty"`
 	// Capacity is the relative capacity of the balancer, 0 if unknown.
 	Capacity uint16 `cbor:"13,keyasint,omitempty"`
+	// Shifts lists the services of split routes from which the sender shifts new flows.
+	// Statuses to agents leave it out.
+	Shifts []RouteShift `cbor:"14,keyasint,omitempty"`
 }
 
+// RouteShift is the share of a service's new flows on a split route that goes to the
+// other services of the route.
+type RouteShift struct {
+	Route   string    `cbor:"1,keyasint,omitempty"`
+	Service ServiceID `cbor:"2,keyasint,omitempty"`
+	Step    SplitStep `cbor:"3,keyasint,omitempty"`
+}
+
+// SplitStep is a share of flows in units of 1/16.
+type SplitStep uint8
+
+// MaxSplitStep is the step at which all flows are shifted.
+const MaxSplitStep SplitStep = 16
+
 // StoreWatch is the role of a balancer in watching the platform's store.
 type StoreWatch uint8
 
