Use agsplit in the dispatcher, statuses, metrics, logs and explain

Cause: agsplit decides without I/O and needs the loads of services and the reports of other balancers.

A retransmission keeps the service of the first packet. Statuses to balancers carry the steps. Gauge split_step, counter shifted_flows_total, kinds Split and Shifted of the decision log, and the shift of a flow in explain.

--- a/internal/observe/agdecision/log.go
+++ b/internal/observe/agdecision/log.go
@@ -34,6 +34,10 @@
 	KindReset    Kind = "Reset"
 	KindDropped  Kind = "Dropped"
 	KindOwner    Kind = "Owner"
+	// KindShifted is the placement of a flow that was shifted to another service of its
+	// route, KindSplit a change of a step that shifts flows.
+	KindShifted Kind = "Shifted"
+	KindSplit   Kind = "Split"
 )
 
 // budgets is the number of lines per second of each kind. The sum is below the
@@ -47,6 +51,8 @@
 	KindReset:    40,
 	KindDropped:  10,
 	KindOwner:    4,
+	KindShifted:  10,
+	KindSplit:    20,
 }
 
 // usage counts the lines of one kind.
--- a/internal/observe/agexplain/explain.go
+++ b/internal/observe/agexplain/explain.go
@@ -47,6 +47,16 @@
 	fieldCause    = "Cause"
 )
 
+// Decisions on split routes, and the fields of a flow that was shifted to another service
+// of its route.
+const (
+	decisionSplit    = "Split"
+	fieldService     = "Service"
+	fieldShiftedFrom = "ShiftedFrom"
+	fieldShiftStep   = "ShiftStep"
+	fieldShiftCause  = "ShiftCause"
+)
+
 // Line is one log line.
 type Line struct {
 	Time    time.Time
@@ -146,6 +156,9 @@
 	Lines []Line
 	// Causes lists the reasons why the subject was not served, newest last.
 	Causes []string
+	// Shifts lists the services to which the subject's flows were shifted and why, newest
+	// last.
+	Shifts []string
 	// Omitted is the number of decisions in the selected time that were not logged,
 	// keyed by node and kind. Decisions on the subject may be among them.
 	Omitted map[string]uint64
@@ -164,11 +177,11 @@
 	latestBefore := make(map[string]Line)
 	for _, line := range l.Lines {
 		subject := query.matches(&line)
-		context := line.Decision == "" && (len(nodes) == 0 || nodes[line.Node])
+		context := line.isContext() && (len(nodes) == 0 || nodes[line.Node])
 		switch {
 		case line.Time.Before(from):
 			if context {
-				latestBefore[line.Node+"/"+line.Message] = line
+				latestBefore[line.contextKey()] = line
 			}
 			continue
 		case line.Time.After(to):
@@ -182,6 +195,7 @@
 		}
 		if subject {
 			explanation.addCause(&line)
+			explanation.addShift(&line)
 		}
 	}
 	for _, line := range latestBefore {
@@ -191,6 +205,20 @@
 	return explanation
 }
 
+// isContext reports whether a line shows the state of its process or a change of it.
+func (l *Line) isContext() bool {
+	return l.Decision == "" || l.Decision == decisionSplit
+}
+
+// contextKey identifies the state that a context line shows.
+func (l *Line) contextKey() string {
+	key := l.Node + "/" + l.Message
+	if l.Decision == decisionSplit {
+		key += fmt.Sprintf("/%v/%v", l.Inputs["Route"], l.Inputs[fieldService])
+	}
+	return key
+}
+
 // extent returns the times of the first and last line of a subject and the nodes
 // that wrote these lines or are named in them.
 func (l *Log) extent(query *Query) (first, last time.Time, nodes map[string]bool) {
@@ -250,7 +278,7 @@
 // addCause adds the reason of a decision that did not serve the flow, once per
 // reason and node.
 func (e *Explanation) addCause(line *Line) {
-	if line.Decision == "" || slices.Contains(servedReasons, line.Reason) {
+	if line.isContext() || slices.Contains(servedReasons, line.Reason) {
 		return
 	}
 	cause := fmt.Sprintf("%s at %s: %s", line.Reason, line.Node, meaningOf(line.Reason))
@@ -259,6 +287,20 @@
 	}
 }
 
+// addShift adds the shift of a flow to another service of its route, once per balancer
+// and cause.
+func (e *Explanation) addShift(line *Line) {
+	from, shifted := line.Inputs[fieldShiftedFrom]
+	if !shifted {
+		return
+	}
+	cause := fmt.Sprint(line.Inputs[fieldShiftCause])
+	shift := fmt.Sprintf("at %s from %v to %v (%v of 16 new flows): %s", line.Node, from, line.Inputs[fieldService], line.Inputs[fieldShiftStep], meaningOf(cause))
+	if !slices.Contains(e.Shifts, shift) {
+		e.Shifts = append(e.Shifts, shift)
+	}
+}
+
 // Events converts the lines to events of a time line. Lines that log no decision
 // have the type "State".
 func (e *Explanation) Events() []anvilglade.Event {
--- a/internal/observe/agexplain/explain_test.go
+++ b/internal/observe/agexplain/explain_test.go
@@ -61,6 +61,18 @@
 		Expect(log.Explain(agexplain.Query{Flow: "100.66.0.99:1"}).Lines).To(BeEmpty())
 	})
 
+	// Guards against a flow on another service than its weights select without a word why,
+	// and against a step that is taken for the cause of a failure.
+	It("shows that a flow was shifted and the step behind it", func() {
+		log := read(`{"Decision":"Split","Reason":"NoUsableHost","Route":"live","Service":"main","Step":4,"Node":"b1","msg":"x","time":"2026-01-17T09:00:00Z"}
+{"Decision":"Shifted","Reason":"Placed","Flow":"100.66.0.7:1>198.18.0.1:8080","Service":"spare","ShiftedFrom":"main","ShiftStep":4,"ShiftCause":"NoUsableHost","Node":"b1","msg":"x","time":"2026-01-17T09:00:09Z"}
+`)
+		explanation := log.Explain(agexplain.Query{Flow: "100.66.0.7:1", Margin: time.Second})
+		Expect(explanation.Shifts).To(Equal([]string{"at b1 from main to spare (4 of 16 new flows): the service that the weights select had no usable host"}))
+		Expect(explanation.Causes).To(BeEmpty())
+		Expect(explanation.Lines).To(HaveLen(2))
+	})
+
 	// Guards against a query by time that misses the decisions of some processes.
 	It("shows the lines of all processes around a point in time", func() {
 		at, err := time.Parse(time.RFC3339Nano, "2026-01-17T08:06:42.5Z")
--- a/internal/observe/agexplain/reasons.go
+++ b/internal/observe/agexplain/reasons.go
@@ -31,6 +31,12 @@
 	"the host has lost the flow":    {meaning: "the host has restarted since the flow was opened", effect: EffectFlowLost},
 	"returned by the host":          {meaning: "the host could not accept the flow, or does not hold it"},
 	"returned under an unknown tag": {meaning: "the agent has restarted since it delivered the packet"},
+	"NoUsableHost":                  {meaning: "the service that the weights select had no usable host"},
+	"OverAttemptBudget":             {meaning: "the expected time to a response of the service that the weights select was above half of the latency target"},
+	"ReceiverNearBudget":            {meaning: "the step was lowered because the wait at the other services was near their limit"},
+	"ReceiverFull":                  {meaning: "the step was lowered because the other services were about to be overloaded"},
+	"CapacityReturned":              {meaning: "the step is being lowered because the service that the weights select has capacity again"},
+	"TakenOver":                     {meaning: "the balancer had just started and used the step of another one of its data centre"},
 	"host resets a flow that it was asked for": {meaning: "the host was starting or ending; the search goes on elsewhere"},
 }
 
--- a/internal/observe/agmetric/metric.go
+++ b/internal/observe/agmetric/metric.go
@@ -114,6 +114,33 @@
 	}
 }
 
+// Shifts adds a gauge for each service of a split route that read returns. Read returns
+// each service of a route at most once, and only those from which flows are shifted.
+func (m *Metrics) Shifts(name, help string, read func() []anvilglade.RouteShift) {
+	m.registry.MustRegister(&shiftCollector{
+		description: prometheus.NewDesc(prometheus.BuildFQName(namespace, "", name), help, []string{"route", "service"}, m.labels),
+		read:        read,
+	})
+}
+
+// shiftCollector reads the steps of all split routes at each scrape.
+type shiftCollector struct {
+	description *prometheus.Desc
+	read        func() []anvilglade.RouteShift
+}
+
+// Describe implements prometheus.Collector.
+func (c *shiftCollector) Describe(descriptions chan<- *prometheus.Desc) {
+	descriptions <- c.description
+}
+
+// Collect implements prometheus.Collector.
+func (c *shiftCollector) Collect(metrics chan<- prometheus.Metric) {
+	for _, shift := range c.read() {
+		metrics <- prometheus.MustNewConstMetric(c.description, prometheus.GaugeValue, float64(shift.Step), shift.Route, string(shift.Service))
+	}
+}
+
 // Handler returns the HTTP handler of the metrics.
 func (m *Metrics) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
--- a/internal/observe/agmetric/metric_test.go
+++ b/internal/observe/agmetric/metric_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/anvilglade/anvilglade"
 	"github.com/anvilglade/anvilglade/internal/observe/agmetric"
 )
 
@@ -29,6 +30,9 @@
 		metrics.Ages("peer_age_seconds", "Ages.", func() map[string]time.Duration {
 			return map[string]time.Duration{"10.0.0.1": 250 * time.Millisecond, "10.0.0.2": 2 * time.Second}
 		})
+		metrics.Shifts("split_step", "Steps.", func() []anvilglade.RouteShift {
+			return []anvilglade.RouteShift{{Route: "live", Service: "alerts", Step: 3}}
+		})
 		recorder := httptest.NewRecorder()
 		metrics.Handler().ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, agmetric.Path, nil))
 		Expect(recorder.Code).To(Equal(http.StatusOK))
@@ -39,6 +43,7 @@
 			`anvilglade_unreadable_objects_total{data_centre="dk1",role="packet-balancer"} 3`,
 			`anvilglade_peer_age_seconds{data_centre="dk1",peer="10.0.0.1",role="packet-balancer"} 0.25`,
 			`anvilglade_peer_age_seconds{data_centre="dk1",peer="10.0.0.2",role="packet-balancer"} 2`,
+			`anvilglade_split_step{data_centre="dk1",role="packet-balancer",route="live",service="alerts"} 3`,
 		} {
 			Expect(recorder.Body.String()).To(ContainSubstring(line))
 		}
--- a/internal/operate/agcommand/explain.go
+++ b/internal/operate/agcommand/explain.go
@@ -150,6 +150,9 @@
 	for _, cause := range explanation.Causes {
 		fmt.Fprintf(&text, "Cause: %s.\n", cause)
 	}
+	for _, shift := range explanation.Shifts {
+		fmt.Fprintf(&text, "Shifted: %s.\n", shift)
+	}
 	kinds := make([]string, 0, len(explanation.Omitted))
 	for kind := range explanation.Omitted {
 		kinds = append(kinds, kind)
--- a/internal/operate/agpacketbalancer/packets.go
+++ b/internal/operate/agpacketbalancer/packets.go
@@ -46,6 +46,7 @@
 			p.count(&verdict)
 			p.logVerdict(&packet, &verdict, now)
 		}
+		p.logSplitChanges(now)
 		p.sendQueries(writer, now)
 		p.mu.Unlock()
 		writer.Flush()
@@ -147,7 +148,9 @@
 		return
 	}
 	hadPending := p.fleet.HasPendingAgents()
-	if started := p.fleet.UpdateBalancer(status, now); started {
+	started := p.fleet.UpdateBalancer(status, now)
+	p.dispatcher.ObserveShifts(&status, now)
+	if started {
 		p.sendFullStatus(writer, from, now)
 	}
 	if !hadPending && p.fleet.HasPendingAgents() {
@@ -208,6 +211,8 @@
 		kind = agdecision.KindReset
 	case verdict.Reason == agdispatch.ReasonLookup:
 		kind = agdecision.KindLookup
+	case verdict.Reason == agdispatch.ReasonPlaced && verdict.Split.Shifted():
+		kind = agdecision.KindShifted
 	case verdict.Reason == agdispatch.ReasonPlaced:
 		kind = agdecision.KindPlaced
 	}
@@ -223,6 +228,10 @@
 				WithField("Host", host.Host)
 		}
 	}
+	if verdict.Split.Shifted() {
+		line = line.WithField("Service", verdict.Split.Service).WithField("ShiftedFrom", verdict.Split.Weighted).WithField("ShiftStep", verdict.Split.Step).
+			WithField("ShiftCause", string(verdict.Split.Cause))
+	}
 	line = line.WithField("VersionAge", now.Sub(p.adopted).Round(time.Millisecond).String())
 	line.WithField("Flow", packet.FromCaller().String()).WithField("Reason", string(verdict.Reason)).WithField("To", verdict.To).
 		WithField("Candidates", verdict.Candidates).WithField("Version", desired.Version).WithField("HostsHeard", responding).
--- a/internal/operate/agpacketbalancer/process.go
+++ b/internal/operate/agpacketbalancer/process.go
@@ -158,6 +158,7 @@
 		dispatcher:    agdispatch.NewDispatcher(fleet, rand.New(rand.NewPCG(seed, seed)), now),
 	}
 	p.addGauges()
+	p.addSplitMetrics()
 	return p, func() { closePackets(); closeInner() }, nil
 }
 
--- a/internal/operate/agpacketbalancer/status.go
+++ b/internal/operate/agpacketbalancer/status.go
@@ -81,6 +81,8 @@
 	p.fleet.Tick(now)
 	lostFlows := p.dispatcher.RemoveLost(now)
 	p.logSilentHosts(now)
+	p.dispatcher.RefreshSplits(now)
+	p.logSplitChanges(now)
 	p.mu.Unlock()
 	p.logReadiness()
 	if len(lostFlows) == 0 {
@@ -126,6 +128,7 @@
 	now := time.Now()
 	p.mu.Lock()
 	status := p.status(now)
+	status.Shifts = p.dispatcher.ReportedShifts()
 	peers := p.fleet.Balancers()
 	if p.broadcasts++; p.broadcasts%agpace.MessagesPerList(statusesPerList, len(peers)) != 1 {
 		clearLists(&status)
@@ -181,6 +184,7 @@
 // started. The caller holds the mutex.
 func (p *Process) sendFullStatus(writer *agsocket.Writer, balancer anvilglade.IPv4, now time.Time) {
 	status := p.status(now)
+	status.Shifts = p.dispatcher.ReportedShifts()
 	datagram, err := agmessage.AppendBalancerStatus(writer.Buffer(), &status)
 	if err != nil {
 		p.logFailure(err, "Status cannot be encoded.")
--- a/internal/routing/agdispatch/dispatch.go
+++ b/internal/routing/agdispatch/dispatch.go
@@ -39,6 +39,7 @@
 	"github.com/anvilglade/anvilglade/internal/membership/agpath"
 	"github.com/anvilglade/anvilglade/internal/routing/agplace"
 	"github.com/anvilglade/anvilglade/internal/routing/agsearch"
+	"github.com/anvilglade/anvilglade/internal/routing/agsplit"
 	"github.com/anvilglade/anvilglade/internal/state/agfleet"
 )
 
@@ -105,6 +106,8 @@
 	Acknowledged uint32
 	// Candidates lists the agents that an opening packet may be passed on to.
 	Candidates []anvilglade.IPv4
+	// Split is the choice of the service for an opening packet.
+	Split agsplit.Choice
 	// Class is the class of the flow's requests, the zero value if the flow's route is
 	// unknown or states none.
 	Class anvilglade.RequestClass
@@ -122,6 +125,7 @@
 	// holders is the slice that possibleHolders reuses.
 	holders  []anvilglade.IPv4
 	searcher *agsearch.Searcher
+	splits   *splits
 	prober   *agpath.Prober
 	// bufferedBytes is the total size of the buffered packets.
 	bufferedBytes int
@@ -130,7 +134,7 @@
 // NewDispatcher returns a Dispatcher without flows that reads routes and hosts
 // from the fleet. Now is the start of the balancer.
 func NewDispatcher(fleet *agfleet.Fleet, random *rand.Rand, now time.Time) *Dispatcher {
-	return &Dispatcher{fleet: fleet, random: random, started: now, flows: make(map[anvilglade.Flow]*flowEntry), searcher: agsearch.NewSearcher(), prober: agpath.NewProber()}
+	return &Dispatcher{fleet: fleet, random: random, started: now, flows: make(map[anvilglade.Flow]*flowEntry), searcher: agsearch.NewSearcher(), splits: newSplits(now), prober: agpath.NewProber()}
 }
 
 // Flows returns the number of cached flows.
--- a/internal/routing/agdispatch/flow.go
+++ b/internal/routing/agdispatch/flow.go
@@ -11,6 +11,8 @@
 // flowEntry is the cached state of a flow.
 type flowEntry struct {
 	service anvilglade.ServiceNumber
+	// shifted is set if the steps of the route selected the service, not its weights.
+	shifted bool
 	// firstSeen is the time of the first packet of the flow at this balancer,
 	// lastUsed that of the latest packet.
 	firstSeen time.Time
--- a/internal/routing/agdispatch/opening.go
+++ b/internal/routing/agdispatch/opening.go
@@ -48,11 +48,12 @@
 		verdict.Action, verdict.Reason = ActionReset, ReasonNoRoute
 		return
 	}
-	service := serviceOf(route, flow)
+	service := d.serviceOf(route, flow, entry, now, verdict)
 	verdict.Service = service.Number()
 	if entry == nil || entry.service != service.Number() {
 		entry = d.addEntry(flow, service.Number(), now)
 	}
+	entry.shifted = verdict.Split.Shifted()
 	if len(entry.offers) > 0 {
 		// A host has offered to take the flow, but its answer has not reached the
 		// caller.
@@ -164,23 +165,3 @@
 	}
 	return !d.fleet.Evacuations().Has(host.DataCentre) && d.fleet.InRegions(host.DataCentre, route.Regions)
 }
-
-// serviceOf selects the service of a new flow by the weights of its route and the
-// hash of the flow, so that all balancers select the same one.
-func serviceOf(route *anvilglade.PacketRoute, flow anvilglade.Flow) anvilglade.ServiceID {
-	total := 0
-	for _, backend := range route.Backends {
-		total += backend.Weight
-	}
-	if total <= 0 {
-		return route.Backends[0].Service
-	}
-	point := int(flow.Hash() % uint64(total))
-	for _, backend := range route.Backends {
-		if point < backend.Weight {
-			return backend.Service
-		}
-		point -= backend.Weight
-	}
-	return route.Backends[0].Service
-}
