Play classes of requests and an overload in the emulator

Cause: the emulator's routes stated no class, so no scenario reached the code for classes, and a run did not show which class an overload harms.

Change: scenarios state classes by share of callers (service, priority, repeatable, target, timeout, requests per flow); each has a route of its own. The report counts requests by class, or by service without classes. Hosts shed beyond their queue with 'not run', and callers repeat on a new flow, as before.

--- a/internal/stand/agemulator/caller.go
+++ b/internal/stand/agemulator/caller.go
@@ -47,8 +47,7 @@
 	dataCentre int
 	ip         anvilglade.IPv4
 	socket     *agsocket.Socket
-	service    ServiceSpec
-	address    anvilglade.Endpoint
+	demand     *demand
 	random     *rand.Rand
 
 	mu      sync.Mutex
@@ -122,13 +121,12 @@
 
 // request makes one request with up to maxRetries retries and records its outcome.
 func (c *Caller) request(ctx context.Context) {
-	load := &c.fleet.scenario.Load
 	started := time.Now()
-	limit := started.Add(time.Duration(load.Limit))
-	work := time.Duration(float64(c.service.Work) * (0.5 + c.random.Float64()))
+	limit := started.Add(c.demand.timeout)
+	work := time.Duration(float64(c.demand.service.Work) * (0.5 + c.random.Float64()))
 	req := request{
 		id: c.random.Uint64(), workMicros: uint32(work.Microseconds()),
-		repeatable: c.random.Float64() >= load.Unsafe, service: c.service.Name.Number(),
+		repeatable: c.random.Float64() >= c.demand.unsafe, service: c.demand.service.Name.Number(),
 	}
 	result := outcomeFailed
 	for try := 0; try <= maxRetries && time.Now().Before(limit) && ctx.Err() == nil; try++ {
@@ -148,7 +146,7 @@
 		}
 	}
 	if ctx.Err() == nil {
-		c.fleet.ledger.recordOutcome(started, result)
+		c.fleet.ledger.recordOutcome(c.demand, started, result)
 	}
 }
 
@@ -156,7 +154,7 @@
 // allowed: the request cannot have run, or its flow was reset and the request is
 // repeatable.
 func (c *Caller) try(ctx context.Context, req *request, limit time.Time) (bool, error) {
-	if c.flow == nil || c.flow.requests >= c.fleet.scenario.Load.PerFlow {
+	if c.flow == nil || c.flow.requests >= c.demand.perFlow {
 		c.close()
 		if err := c.open(ctx); err != nil {
 			return true, err
@@ -201,7 +199,7 @@
 		c.port = firstPort
 	}
 	flow := &callerFlow{
-		id:    anvilglade.Flow{Caller: anvilglade.Endpoint{IP: c.ip, Port: c.port}, Service: c.address},
+		id:    anvilglade.Flow{Caller: anvilglade.Endpoint{IP: c.ip, Port: c.port}, Service: c.demand.address},
 		inbox: make(chan arrival, inboxSize), sequence: c.random.Uint32(),
 	}
 	c.inboxes[c.port] = flow.inbox
--- a/internal/stand/agemulator/fleet.go
+++ b/internal/stand/agemulator/fleet.go
@@ -84,6 +84,7 @@
 	balancers []*machine
 	agents    []*machine
 	callers   []*Caller
+	demands   []*demand
 	// pauseDivisor divides the pauses of the callers; above 1 in a burst.
 	pauseDivisor atomic.Int64
 
@@ -288,10 +289,12 @@
 // initialState sets the routes and services that the run starts with.
 func (f *fleet) initialState(state *anvilglade.DesiredState) {
 	state.IdleTimeout = idleTimeout
-	for i, spec := range f.scenario.Services {
+	for _, demand := range f.demands {
 		state.Routes = append(state.Routes, anvilglade.PacketRoute{
-			Name: string(spec.Name), Address: serviceAddress(i), Backends: []anvilglade.WeightedService{{Service: spec.Name, Weight: 1}},
+			Name: demand.name, Address: demand.address, Backends: []anvilglade.WeightedService{{Service: demand.service.Name, Weight: 1}}, Class: demand.class,
 		})
+	}
+	for _, spec := range f.scenario.Services {
 		state.Services = append(state.Services, anvilglade.PacketService{Service: spec.Name, ColdRate: spec.ColdRate})
 	}
 }
@@ -314,9 +317,8 @@
 				return nil, err
 			}
 			closers = append(closers, closeSocket)
-			service := i % len(f.scenario.Services)
 			f.callers = append(f.callers, &Caller{
-				fleet: f, dataCentre: dataCentre, ip: ip, socket: socket, service: f.scenario.Services[service], address: serviceAddress(service),
+				fleet: f, dataCentre: dataCentre, ip: ip, socket: socket, demand: demandOf(f.demands, i, f.scenario.Load.Callers),
 				random: rand.New(rand.NewPCG(f.options.Seed, uint64(len(f.callers)))), inboxes: make(map[uint16]chan arrival),
 			})
 		}
--- a/internal/stand/agemulator/ledger.go
+++ b/internal/stand/agemulator/ledger.go
@@ -47,18 +47,19 @@
 	maxNotes = 20
 )
 
-// Second counts the requests that callers started in one second, by outcome.
+// Second counts the requests that callers started in one second, or those of one demand,
+// by outcome.
 type Second struct {
 	Asked, InTime, Late, Refused, Failed int
 }
 
 // Ledger records the events of a run. It is safe for concurrent use.
 type Ledger struct {
-	start         time.Time
-	latencyTarget time.Duration
+	start time.Time
 
 	mu             sync.Mutex
 	seconds        []Second
+	byDemand       map[string]*Second
 	latency        *hdrhistogram.Histogram
 	violations     map[Promise]int
 	notes          []string
@@ -66,9 +67,9 @@
 	disturbedUntil map[anvilglade.IPv4]time.Time
 }
 
-func newLedger(latencyTarget time.Duration) *Ledger {
+func newLedger() *Ledger {
 	return &Ledger{
-		start: time.Now(), latencyTarget: latencyTarget, latency: hdrhistogram.New(1, maxLatency.Microseconds(), 3),
+		start: time.Now(), byDemand: make(map[string]*Second), latency: hdrhistogram.New(1, maxLatency.Microseconds(), 3),
 		violations: make(map[Promise]int), runCounts: make(map[uint64]int), disturbedUntil: make(map[anvilglade.IPv4]time.Time),
 	}
 }
@@ -122,8 +123,9 @@
 	outcomeFailed
 )
 
-// recordOutcome records the outcome of a request that started at the given time.
-func (l *Ledger) recordOutcome(started time.Time, result outcome) {
+// recordOutcome records the outcome of a request of a demand that started at the given
+// time.
+func (l *Ledger) recordOutcome(of *demand, started time.Time, result outcome) {
 	elapsed := time.Since(started)
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -131,20 +133,29 @@
 	for len(l.seconds) <= second {
 		l.seconds = append(l.seconds, Second{})
 	}
-	counts := &l.seconds[second]
-	counts.Asked++
+	if l.byDemand[of.name] == nil {
+		l.byDemand[of.name] = &Second{}
+	}
+	inTime := elapsed <= of.target
+	l.seconds[second].count(result, inTime)
+	l.byDemand[of.name].count(result, inTime)
+	if result == outcomeAnswered {
+		// Latencies above the histogram's upper bound count as that bound.
+		_ = l.latency.RecordValue(min(elapsed, maxLatency).Microseconds())
+	}
+}
+
+// count adds one request.
+func (s *Second) count(result outcome, inTime bool) {
+	s.Asked++
 	switch {
 	case result == outcomeRefused:
-		counts.Refused++
-		return
+		s.Refused++
 	case result == outcomeFailed:
-		counts.Failed++
-		return
-	case elapsed <= l.latencyTarget:
-		counts.InTime++
+		s.Failed++
+	case inTime:
+		s.InTime++
 	default:
-		counts.Late++
+		s.Late++
 	}
-	// Latencies above the histogram's upper bound count as that bound.
-	_ = l.latency.RecordValue(min(elapsed, maxLatency).Microseconds())
 }
--- a/internal/stand/agemulator/report.go
+++ b/internal/stand/agemulator/report.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -18,6 +19,8 @@
 	Name    string
 	Seed    uint64
 	Seconds []Second
+	// Demands has the counts by class, or by service in a scenario without classes.
+	Demands map[string]Second
 	P50     time.Duration
 	P99     time.Duration
 	Broken  map[Promise]int
@@ -32,8 +35,12 @@
 	latencyAt := func(quantile float64) time.Duration {
 		return time.Duration(ledger.latency.ValueAtQuantile(quantile)) * time.Microsecond
 	}
+	demands := make(map[string]Second, len(ledger.byDemand))
+	for name, counts := range ledger.byDemand {
+		demands[name] = *counts
+	}
 	return &Report{
-		Name: options.Scenario.Name, Seed: options.Seed, Seconds: slices.Clone(ledger.seconds), P50: latencyAt(50), P99: latencyAt(99),
+		Demands: demands, Name: options.Scenario.Name, Seed: options.Seed, Seconds: slices.Clone(ledger.seconds), P50: latencyAt(50), P99: latencyAt(99),
 		Broken: ledger.violations, Notes: ledger.notes, Troubles: options.Scenario.Troubles,
 	}
 }
@@ -72,14 +79,17 @@
 // WriteTable writes the result as a text table with one row per second.
 func (r *Report) WriteTable(w io.Writer) error {
 	var text strings.Builder
-	fmt.Fprintf(&text, "%s, seed %d\n%6s %7s %7s %7s %7s %7s\n", r.Name, r.Seed, "second", "asked", "in time", "late", "refused", "failed")
+	fmt.Fprintf(&text, "%s, seed %d\n%-10s %7s %7s %7s %7s %7s\n", r.Name, r.Seed, "second", "asked", "in time", "late", "refused", "failed")
 	row := func(name string, s Second) {
-		fmt.Fprintf(&text, "%6s %7d %7d %7d %7d %7d\n", name, s.Asked, s.InTime, s.Late, s.Refused, s.Failed)
+		fmt.Fprintf(&text, "%-10s %7d %7d %7d %7d %7d\n", name, s.Asked, s.InTime, s.Late, s.Refused, s.Failed)
 	}
 	for i, second := range r.Seconds {
 		row(fmt.Sprint(i), second)
 	}
 	row("all", r.Total())
+	for _, name := range slices.Sorted(maps.Keys(r.Demands)) {
+		row(name, r.Demands[name])
+	}
 	fmt.Fprintf(&text, "served %.4f, p50 %s, p99 %s\n", r.Served(), r.P50, r.P99)
 	for _, trouble := range r.Troubles {
 		fmt.Fprintf(&text, "trouble at %s for %s: %s %d\n", time.Duration(trouble.At), time.Duration(trouble.For), trouble.Kind, trouble.Index)
--- a/internal/stand/agemulator/run.go
+++ b/internal/stand/agemulator/run.go
@@ -44,7 +44,7 @@
 	}
 	f := &fleet{
 		options: options, scenario: &options.Scenario, group: group, basePort: basePort,
-		ledger: newLedger(time.Duration(options.Scenario.Load.Target)), store: agapi.NewServer(agapi.Options{}),
+		ledger: newLedger(), demands: options.Scenario.demands(), store: agapi.NewServer(agapi.Options{}),
 		client:    &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 2 * time.Second},
 		random:    rand.New(rand.NewPCG(options.Seed, 1)),
 		evacuated: make(map[anvilglade.DataCentreID]time.Time),
--- a/internal/stand/agemulator/scenario.go
+++ b/internal/stand/agemulator/scenario.go
@@ -23,6 +23,9 @@
 	DataCentres int
 	Balancers   int
 	Services    []ServiceSpec
+	// Classes are the classes of the requests. Without them the callers are distributed
+	// evenly over the services, and routes state no class.
+	Classes []ClassSpec
 	// Hash is the method by which routers choose a balancer: "steady" for
 	// rendezvous hashing, "mod" for the hash modulo the number of balancers.
 	Hash     string
@@ -42,8 +45,7 @@
 	ColdRate float64
 }
 
-// Load describes the callers and their requests. Callers are distributed evenly
-// over the services.
+// Load describes the callers and their requests.
 type Load struct {
 	// Callers is the number of callers per data centre. Each sends one request at
 	// a time.
@@ -120,6 +122,7 @@
 	for i := range s.Services {
 		need(s.Services[i].Hosts >= 1 && s.Services[i].Slots >= 1, fmt.Sprintf("service %s needs Hosts and Slots", s.Services[i].Name))
 	}
+	s.checkClasses(need)
 	for i := range s.Troubles {
 		_, known := troubleHandlers[s.Troubles[i].Kind]
 		need(known, fmt.Sprintf("trouble %d has the unknown kind %q", i, s.Troubles[i].Kind))
--- a/test/integration/packets_test.go
+++ b/test/integration/packets_test.go
@@ -68,6 +68,8 @@
 		Entry("during planned maintenance without failures", "CalmDay", 0.995),
 		Entry("during overlapping failures", "Troubles", 0.9),
 		Entry("during freezes, cold returns and bursts", "FreezesAndReturns", 0.9),
+		// A third of the hosts is lost while callers send three times as many requests.
+		Entry("during an overload by two classes", "Overload", 0.4),
 	)
 
 	// Guards against faults that only certain sequences of troubles trigger. Runs
