Play a split route in the emulator

Cause: the load test of agsplit has no processes, so no run showed that balancers, statuses and agents shift flows together.

Change: a class may name a spare service and its weight, desired states of the emulator carry splits, and hosts and callers accept the services of the route.

--- a/internal/stand/agemulator/caller.go
+++ b/internal/stand/agemulator/caller.go
@@ -174,7 +174,7 @@
 			continue
 		}
 		result, ok := decodeAnswer(got.data)
-		if !ok || result.service != req.service {
+		if !ok || !c.demand.allows(result.service) {
 			c.fleet.ledger.recordViolation(PromiseOwnAnswer, "request %x got %x", req.id, got.data)
 			return false, errTimeout
 		}
--- a/internal/stand/agemulator/class.go
+++ b/internal/stand/agemulator/class.go
@@ -14,6 +14,9 @@
 type ClassSpec struct {
 	Name    string
 	Service anvilglade.ServiceID
+	// Spare is a second service of the route, which receives SpareWeight of 100 new flows.
+	Spare       anvilglade.ServiceID
+	SpareWeight int
 	// Share is the share of the callers, relative to those of the other classes.
 	Share float64
 	// Priority is that of the route; 0 is the highest.
@@ -37,6 +40,8 @@
 	// unsafe is the share of the requests that must not run twice, 0 to 1.
 	unsafe float64
 	share  float64
+	// backends are the services of the route.
+	backends []anvilglade.WeightedService
 	// class is the class of the route, the zero value in a scenario without classes.
 	class anvilglade.RequestClass
 }
@@ -49,6 +54,7 @@
 			list = append(list, &demand{
 				name: string(spec.Name), service: spec, address: serviceAddress(i), target: time.Duration(s.Load.Target),
 				timeout: time.Duration(s.Load.Limit), perFlow: s.Load.PerFlow, unsafe: s.Load.Unsafe,
+				backends: []anvilglade.WeightedService{{Service: spec.Name, Weight: 1}},
 			})
 		}
 		return list
@@ -65,6 +71,10 @@
 		name: c.Name, service: service, address: serviceAddress(index), target: time.Duration(c.Target),
 		timeout: time.Duration(c.Timeout), perFlow: load.PerFlow, share: c.Share,
 	}
+	d.backends = []anvilglade.WeightedService{{Service: c.Service, Weight: 100 - c.SpareWeight}}
+	if c.SpareWeight > 0 {
+		d.backends = append(d.backends, anvilglade.WeightedService{Service: c.Spare, Weight: c.SpareWeight})
+	}
 	if c.PerFlow > 0 {
 		d.perFlow = c.PerFlow
 	}
@@ -75,6 +85,27 @@
 	return d
 }
 
+// allows reports whether the route has a service.
+func (d *demand) allows(service anvilglade.ServiceNumber) bool {
+	for _, backend := range d.backends {
+		if backend.Service.Number() == service {
+			return true
+		}
+	}
+	return false
+}
+
+// allowed reports whether a request for a service may reach the hosts of another one: a
+// route of the first has both.
+func (f *fleet) allowed(requested, serving anvilglade.ServiceNumber) bool {
+	for _, demand := range f.demands {
+		if demand.service.Name.Number() == requested && demand.allows(serving) {
+			return true
+		}
+	}
+	return false
+}
+
 // service returns the service with a name.
 func (s *Scenario) service(name anvilglade.ServiceID) (ServiceSpec, bool) {
 	for _, spec := range s.Services {
@@ -91,6 +122,8 @@
 		class := &s.Classes[i]
 		_, known := s.service(class.Service)
 		need(known, fmt.Sprintf("class %s has the unknown service %q", class.Name, class.Service))
+		_, known = s.service(class.Spare)
+		need(class.SpareWeight == 0 || known && class.SpareWeight > 0 && class.SpareWeight < 100, fmt.Sprintf("class %s needs a known Spare and a SpareWeight of 1 to 99", class.Name))
 		need(class.Name != "" && class.Share > 0, fmt.Sprintf("class %d needs a Name and a Share", i))
 		need(class.Target > 0 && class.Timeout >= class.Target, fmt.Sprintf("class %s needs a Target and a Timeout that is not below it", class.Name))
 	}
--- a/internal/stand/agemulator/fleet.go
+++ b/internal/stand/agemulator/fleet.go
@@ -174,7 +174,7 @@
 
 func (f *fleet) newHost(agent *machine, spec ServiceSpec, id string) *Host {
 	return &Host{
-		id: anvilglade.HostID(id), spec: spec, settings: agent.settings, ledger: f.ledger, group: f.group, client: f.client, evacuated: f.evacuatedAt,
+		id: anvilglade.HostID(id), spec: spec, settings: agent.settings, ledger: f.ledger, group: f.group, client: f.client, evacuated: f.evacuatedAt, allowed: f.allowed,
 	}
 }
 
@@ -291,7 +291,7 @@
 	state.IdleTimeout = idleTimeout
 	for _, demand := range f.demands {
 		state.Routes = append(state.Routes, anvilglade.PacketRoute{
-			Name: demand.name, Address: demand.address, Backends: []anvilglade.WeightedService{{Service: demand.service.Name, Weight: 1}}, Class: demand.class,
+			Name: demand.name, Address: demand.address, Backends: demand.backends, Class: demand.class,
 		})
 	}
 	for _, spec := range f.scenario.Services {
--- a/internal/stand/agemulator/host.go
+++ b/internal/stand/agemulator/host.go
@@ -54,6 +54,8 @@
 	group     *agtask.Group
 	client    *http.Client
 	evacuated func(anvilglade.DataCentreID) time.Time
+	// allowed reports whether a request for the first service may reach the second one.
+	allowed func(requested, serving anvilglade.ServiceNumber) bool
 
 	mu            sync.Mutex
 	running       bool
@@ -260,7 +262,7 @@
 	if !ok {
 		return
 	}
-	if req.service != h.spec.Name.Number() {
+	if !h.allowed(req.service, h.spec.Name.Number()) {
 		h.ledger.recordViolation(PromiseRightService, "host %s of %s got request %x", h.id, h.spec.Name, req.id)
 		return
 	}
--- a/test/integration/packets_test.go
+++ b/test/integration/packets_test.go
@@ -70,6 +70,7 @@
 		Entry("during freezes, cold returns and bursts", "FreezesAndReturns", 0.9),
 		// A third of the hosts is lost while callers send three times as many requests.
 		Entry("during an overload by two classes", "Overload", 0.4),
+		Entry("while one service of a route has no host", "Split", 0.9),
 	)
 
 	// Guards against faults that only certain sequences of troubles trigger. Runs
