Log changes of steps without the field of decisions

Cause: lines with the field Decision must name a flow (checkLogs of the integration tests); the lines of KindSplit concern a route.

Change: they have the field Change instead, within the same budget, and explain shows them as context.

--- a/internal/observe/agdecision/log.go
+++ b/internal/observe/agdecision/log.go
@@ -35,9 +35,11 @@
 	KindDropped  Kind = "Dropped"
 	KindOwner    Kind = "Owner"
 	// KindShifted is the placement of a flow that was shifted to another service of its
-	// route, KindSplit a change of a step that shifts flows.
+	// route.
 	KindShifted Kind = "Shifted"
-	KindSplit   Kind = "Split"
+	// KindSplit is a change of a step that shifts flows. Its lines concern no single flow,
+	// so they have the field Change instead of Decision.
+	KindSplit Kind = "Split"
 )
 
 // budgets is the number of lines per second of each kind. The sum is below the
@@ -91,10 +93,18 @@
 		return nil, false
 	}
 	u.written++
-	line := l.log.WithField("Decision", string(kind))
+	line := l.log.WithField(fieldOf(kind), string(kind))
 	if u.omitted > 0 {
 		line = line.WithField("Omitted", u.omitted)
 		u.omitted = 0
 	}
 	return line, true
 }
+
+// fieldOf returns the field that holds a kind.
+func fieldOf(kind Kind) string {
+	if kind == KindSplit {
+		return "Change"
+	}
+	return "Decision"
+}
--- a/internal/observe/agexplain/explain.go
+++ b/internal/observe/agexplain/explain.go
@@ -47,10 +47,11 @@
 	fieldCause    = "Cause"
 )
 
-// Decisions on split routes, and the fields of a flow that was shifted to another service
-// of its route.
+// Fields of a change of the state of a split route, and of a flow that was shifted to
+// another service of its route.
 const (
-	decisionSplit    = "Split"
+	fieldChange      = "Change"
+	fieldRoute       = "Route"
 	fieldService     = "Service"
 	fieldShiftedFrom = "ShiftedFrom"
 	fieldShiftStep   = "ShiftStep"
@@ -159,8 +160,8 @@
 	// Shifts lists the services to which the subject's flows were shifted and why, newest
 	// last.
 	Shifts []string
-	// Omitted is the number of decisions in the selected time that were not logged,
-	// keyed by node and kind. Decisions on the subject may be among them.
+	// Omitted is the number of decisions and changes in the selected time that were not
+	// logged, keyed by node and kind. Decisions on the subject may be among them.
 	Omitted map[string]uint64
 }
 
@@ -177,7 +178,7 @@
 	latestBefore := make(map[string]Line)
 	for _, line := range l.Lines {
 		subject := query.matches(&line)
-		context := line.isContext() && (len(nodes) == 0 || nodes[line.Node])
+		context := line.Decision == "" && (len(nodes) == 0 || nodes[line.Node])
 		switch {
 		case line.Time.Before(from):
 			if context {
@@ -188,7 +189,7 @@
 			continue
 		}
 		if line.Omitted > 0 && (len(nodes) == 0 || nodes[line.Node]) {
-			explanation.Omitted[line.Node+" "+line.Decision] += line.Omitted
+			explanation.Omitted[line.Node+" "+line.kind()] += line.Omitted
 		}
 		if subject || context {
 			explanation.Lines = append(explanation.Lines, line)
@@ -205,16 +206,19 @@
 	return explanation
 }
 
-// isContext reports whether a line shows the state of its process or a change of it.
-func (l *Line) isContext() bool {
-	return l.Decision == "" || l.Decision == decisionSplit
+// kind returns the kind of a decision or of a change of a split route.
+func (l *Line) kind() string {
+	if change, ok := l.Inputs[fieldChange].(string); ok {
+		return change
+	}
+	return l.Decision
 }
 
 // contextKey identifies the state that a context line shows.
 func (l *Line) contextKey() string {
 	key := l.Node + "/" + l.Message
-	if l.Decision == decisionSplit {
-		key += fmt.Sprintf("/%v/%v", l.Inputs["Route"], l.Inputs[fieldService])
+	if _, ok := l.Inputs[fieldChange]; ok {
+		key += fmt.Sprintf("/%v/%v", l.Inputs[fieldRoute], l.Inputs[fieldService])
 	}
 	return key
 }
@@ -278,7 +282,7 @@
 // addCause adds the reason of a decision that did not serve the flow, once per
 // reason and node.
 func (e *Explanation) addCause(line *Line) {
-	if line.isContext() || slices.Contains(servedReasons, line.Reason) {
+	if line.Decision == "" || slices.Contains(servedReasons, line.Reason) {
 		return
 	}
 	cause := fmt.Sprintf("%s at %s: %s", line.Reason, line.Node, meaningOf(line.Reason))
--- a/internal/observe/agexplain/explain_test.go
+++ b/internal/observe/agexplain/explain_test.go
@@ -64,7 +64,7 @@
 	// Guards against a flow on another service than its weights select without a word why,
 	// and against a step that is taken for the cause of a failure.
 	It("shows that a flow was shifted and the step behind it", func() {
-		log := read(`{"Decision":"Split","Reason":"NoUsableHost","Route":"live","Service":"main","Step":4,"Node":"b1","msg":"x","time":"2026-01-17T09:00:00Z"}
+		log := read(`{"Change":"Split","Reason":"NoUsableHost","Route":"live","Service":"main","Step":4,"Node":"b1","msg":"x","time":"2026-01-17T09:00:00Z"}
 {"Decision":"Shifted","Reason":"Placed","Flow":"100.66.0.7:1>198.18.0.1:8080","Service":"spare","ShiftedFrom":"main","ShiftStep":4,"ShiftCause":"NoUsableHost","Node":"b1","msg":"x","time":"2026-01-17T09:00:09Z"}
 `)
 		explanation := log.Explain(agexplain.Query{Flow: "100.66.0.7:1", Margin: time.Second})
--- a/internal/operate/agcommand/explain.go
+++ b/internal/operate/agcommand/explain.go
@@ -159,7 +159,7 @@
 	}
 	slices.Sort(kinds)
 	for _, kind := range kinds {
-		fmt.Fprintf(&text, "Left out of the logs in this time: %d decisions of %s.\n", explanation.Omitted[kind], kind)
+		fmt.Fprintf(&text, "Left out of the logs in this time: %d lines of %s.\n", explanation.Omitted[kind], kind)
 	}
 	fmt.Fprintf(&text, "Read %d lines, skipped %d that are no log lines.\n", len(log.Lines), log.Skipped)
 	_, err := io.WriteString(output, text.String())
