Return flows in steps to a service without reports

Cause: hosts that have just restarted report no service time, so the rule for services without reports gave them their full share at once.

Change: a service without reports of its own counts as having capacity; a step above 0 goes back by one each 500 ms, if the receivers report.

--- a/internal/routing/agsplit/decide.go
+++ b/internal/routing/agsplit/decide.go
@@ -300,9 +300,10 @@
 	if receiver == nil {
 		return 0, CauseNoReceiver
 	}
-	if target == 0 || receiver.ServiceTime == 0 || own.Usable && own.ServiceTime == 0 {
+	if target == 0 || receiver.ServiceTime == 0 {
 		// Without a target or without reports only the lack of hosts counts, and no limit
-		// applies.
+		// applies. A service without reports of its own is taken to have capacity; flows
+		// return to it in steps, because its hosts may have just restarted.
 		if own.Usable {
 			return 0, CauseCapacityReturned
 		}
--- a/internal/routing/agsplit/load_test.go
+++ b/internal/routing/agsplit/load_test.go
@@ -84,8 +84,8 @@
 	splitters []*agsplit.Splitter
 	route     *anvilglade.PacketRoute
 	scores    [phases]score
-	// directions counts the changes of direction of the first balancer's step, steps has
-	// its step over time.
+	// directions counts the changes of direction of the first balancer's step, backAt is
+	// the time at which the step was last lowered to 0.
 	directions [phases]int
 	rising     bool
 	step       anvilglade.SplitStep
@@ -316,6 +316,7 @@
 			if with.second < 100-weightMargin || with.second > 100+weightMargin {
 				t.Errorf("seed %d: %d of 1000 flows went to the second service in calm, want 100±%d", seed, with.second, weightMargin)
 			}
+			t.Logf("tries %d seed %d: %d of 1000 flows went to the second service in calm, the first service was back after %s", tries, seed, with.second, with.backAt-phaseEnds[allLost])
 			for phase := range phases {
 				own, calmOwn := with.scores[phase].own(), with.scores[calm].own()
 				t.Logf("tries %d seed %d phase %d: in time %.4f (weights only %.4f), own callers %.4f (%.4f), changes of direction %d",
--- a/internal/routing/agsplit/split_test.go
+++ b/internal/routing/agsplit/split_test.go
@@ -117,6 +117,16 @@
 		Entry("no host anywhere", agsplit.Load{}, agsplit.Load{}, true, anvilglade.SplitStep(0)),
 	)
 
+	// Guards against the full load on hosts that have just restarted and report nothing yet.
+	It("returns in steps to a service without reports", func() {
+		now := evaluate(3, start, agsplit.Load{}, idle)
+		Expect(step()).To(Equal(anvilglade.SplitStep(3)))
+		now = evaluate(5, now, agsplit.Load{Usable: true}, idle)
+		Expect(step()).To(Equal(anvilglade.SplitStep(2)))
+		evaluate(10, now, agsplit.Load{Usable: true}, idle)
+		Expect(step()).To(BeZero())
+	})
+
 	// Guards against harm to callers with a shorter target that the receiver serves too.
 	It("respects the shortest target at the receiver", func() {
 		busy := idle
