--- a/internal/observe/agdecision/log.go
+++ b/internal/observe/agdecision/log.go
@@ -35,6 +35,12 @@
 	KindDropped  Kind = "Dropped"
 	KindOwner    Kind = "Owner"
 	KindQueued   Kind = "Queued"
+	// KindShifted is the placement of a flow that was shifted to another service of its
+	// route.
+	KindShifted Kind = "Shifted"
+	// KindSplit is a change of a step that shifts flows. Its lines concern no single flow,
+	// so they have the field Change instead of Decision.
+	KindSplit Kind = "Split"
 )
 
 // budgets is the number of lines per second of each kind. The sum is below the
@@ -49,6 +55,8 @@
 	KindDropped:  10,
 	KindOwner:    4,
 	KindQueued:   10,
+	KindShifted:  10,
+	KindSplit:    20,
 }
 
 // usage counts the lines of one kind.
@@ -87,10 +95,18 @@
 		return nil, false
 	}
 	u.written++
-	line := l.log.WithField("Decision", string(kind))
+	line := l.log.WithField(fieldOf(kind), string(kind))
 	if u.omitted > 0 {
 		line = line.WithField("Omitted", u.omitted)
 		u.omitted = 0
 	}
 	return line, true
 }
+
+// fieldOf returns the field that holds a kind.
+func fieldOf(kind Kind) string {
+	if kind == KindSplit {
+		return "Change"
+	}
+	return "Decision"
+}
--- a/internal/observe/agexplain/explain.go
+++ b/internal/observe/agexplain/explain.go
@@ -47,6 +47,17 @@
 	fieldCause    = "Cause"
 )
 
+// Fields of a change of the state of a split route, and of a flow that was shifted to
+// another service of its route.
+const (
+	fieldChange      = "Change"
+	fieldRoute       = "Route"
+	fieldService     = "Service"
+	fieldShiftedFrom = "ShiftedFrom"
+	fieldShiftStep   = "ShiftStep"
+	fieldShiftCause  = "ShiftCause"
+)
+
 // Line is one log line.
 type Line struct {
 	Time    time.Time
@@ -146,8 +157,11 @@
 	Lines []Line
 	// Causes lists the reasons why the subject was not served, newest last.
 	Causes []string
-	// Omitted is the number of decisions in the selected time that were not logged,
-	// keyed by node and kind. Decisions on the subject may be among them.
+	// Shifts lists the services to which the subject's flows were shifted and why, newest
+	// last.
+	Shifts []string
+	// Omitted is the number of decisions and changes in the selected time that were not
+	// logged, keyed by node and kind. Decisions on the subject may be among them.
 	Omitted map[string]uint64
 }
 
@@ -168,20 +182,21 @@
 		switch {
 		case line.Time.Before(from):
 			if context {
-				latestBefore[line.Node+"/"+line.Message] = line
+				latestBefore[line.contextKey()] = line
 			}
 			continue
 		case line.Time.After(to):
 			continue
 		}
 		if line.Omitted > 0 && (len(nodes) == 0 || nodes[line.Node]) {
-			explanation.Omitted[line.Node+" "+line.Decision] += line.Omitted
+			explanation.Omitted[line.Node+" "+line.kind()] += line.Omitted
 		}
 		if subject || context {
 			explanation.Lines = append(explanation.Lines, line)
 		}
 		if subject {
 			explanation.addCause(&line)
+			explanation.addShift(&line)
 		}
 	}
 	for _, line := range latestBefore {
@@ -191,6 +206,23 @@
 	return explanation
 }
 
+// kind returns the kind of a decision or of a change of a split route.
+func (l *Line) kind() string {
+	if change, ok := l.Inputs[fieldChange].(string); ok {
+		return change
+	}
+	return l.Decision
+}
+
+// contextKey identifies the state that a context line shows.
+func (l *Line) contextKey() string {
+	key := l.Node + "/" + l.Message
+	if _, ok := l.Inputs[fieldChange]; ok {
+		key += fmt.Sprintf("/%v/%v", l.Inputs[fieldRoute], l.Inputs[fieldService])
+	}
+	return key
+}
+
 // extent returns the times of the first and last line of a subject and the nodes
 // that wrote these lines or are named in them.
 func (l *Log) extent(query *Query) (first, last time.Time, nodes map[string]bool) {
@@ -259,6 +291,20 @@
 	}
 }
 
+// addShift adds the shift of a flow to another service of its route, once per balancer
+// and cause.
+func (e *Explanation) addShift(line *Line) {
+	from, shifted := line.Inputs[fieldShiftedFrom]
+	if !shifted {
+		return
+	}
+	cause := fmt.Sprint(line.Inputs[fieldShiftCause])
+	shift := fmt.Sprintf("at %s from %v to %v (%v of 16 new flows): %s", line.Node, from, line.Inputs[fieldService], line.Inputs[fieldShiftStep], meaningOf(cause))
+	if !slices.Contains(e.Shifts, shift) {
+		e.Shifts = append(e.Shifts, shift)
+	}
+}
+
 // Events converts the lines to events of a time line. Lines that log no decision
 // have the type "State".
 func (e *Explanation) Events() []anvilglade.Event {
--- a/internal/operate/agcommand/explain.go
+++ b/internal/operate/agcommand/explain.go
@@ -150,13 +150,16 @@
 	for _, cause := range explanation.Causes {
 		fmt.Fprintf(&text, "Cause: %s.\n", cause)
 	}
+	for _, shift := range explanation.Shifts {
+		fmt.Fprintf(&text, "Shifted: %s.\n", shift)
+	}
 	kinds := make([]string, 0, len(explanation.Omitted))
 	for kind := range explanation.Omitted {
 		kinds = append(kinds, kind)
 	}
 	slices.Sort(kinds)
 	for _, kind := range kinds {
-		fmt.Fprintf(&text, "Left out of the logs in this time: %d decisions of %s.\n", explanation.Omitted[kind], kind)
+		fmt.Fprintf(&text, "Left out of the logs in this time: %d lines of %s.\n", explanation.Omitted[kind], kind)
 	}
 	fmt.Fprintf(&text, "Read %d lines, skipped %d that are no log lines.\n", len(log.Lines), log.Skipped)
 	_, err := io.WriteString(output, text.String())
