Rank hosts by expected completion time

Cause: utilisation counts each open flow as 0.08 of a slot, whatever requests it brings, and knows no speed of a host beyond its latency. Flows cross to other data centres for differences of a twelfth of a slot.

Change: agplace.Ranker ranks by the wait, the service time and the path where agents report ServiceTime; hosts that do not are compared by utilisation, in their former order. Centres decides which data centres may send flows to others; none sends within 1 s of receiving. Rank is unchanged. Nothing uses the Ranker yet.

--- a/internal/routing/agplace/place.go
+++ b/internal/routing/agplace/place.go
@@ -12,6 +12,9 @@
 //
 //	ranked = agplace.Rank(ranked[:0], options)
 //	first, rest := ranked[0], ranked[1:]
+//
+//	centres.Update(hosts, local, pathCost, budget, now)
+//	ranked = ranker.Rank(ranked[:0], options, centres.FlowRate())
 package agplace
 
 import (
@@ -63,6 +66,13 @@
 	// Order is a random number that breaks ties, so that balancers with the same
 	// state do not all choose the same host.
 	Order uint64
+	// Load, PathCost and Open are used by Ranker only. Load has the service time 0 if
+	// the agent does not report it. PathCost is the time that the path to another data
+	// centre adds to a request. Open is set if that data centre receives flows of the
+	// balancer's own one, see Centres.
+	Load     Load
+	PathCost time.Duration
+	Open     bool
 }
 
 type scored struct {
