Place flows of routes with a class by expected completion time

In addition, each status cleared what a balancer had observed of a host that does not answer opening packets, so a flapping host got flows again four times a second.

Change: agfleet keeps the load between two statuses (Host.Load), the cost of the path per data centre from the times of opening packets, and ejections of hosts that stop, from 250 ms to 4 s. If most hosts of a service are judged as failed, the judgements are ignored. agdispatch uses them for routes with a class.

--- a/internal/operate/agpacketbalancer/packets.go
+++ b/internal/operate/agpacketbalancer/packets.go
@@ -112,7 +112,7 @@
 		if latency := p.dispatcher.HandleHolder(from, owner.Flow, owner.Established, owner.Sequence, now); latency > 0 {
 			p.observeOpening(from, latency)
 		}
-		p.fleet.UpdateLoad(from, int(owner.Flows), int(owner.ActiveRequests))
+		p.fleet.UpdateLoad(from, int(owner.Flows), int(owner.ActiveRequests), now)
 		p.sendBuffered(writer, owner.Flow)
 	case agmessage.KindFlowReply:
 		p.handleFlowReply(writer, data, from, now)
--- a/internal/routing/agdispatch/bench_test.go
+++ b/internal/routing/agdispatch/bench_test.go
@@ -15,15 +15,20 @@
 // newBench returns a dispatcher with the given number of hosts of one service, and
 // a packet of a flow that the first host holds.
 func newBench(hosts int) (*agdispatch.Dispatcher, *anvilglade.Packet, time.Time) {
+	return newBenchWith(hosts, anvilglade.RequestClass{}, 0)
+}
+
+// newBenchWith is newBench for a route with a class and hosts that report a service time.
+func newBenchWith(hosts int, class anvilglade.RequestClass, serviceTime time.Duration) (*agdispatch.Dispatcher, *anvilglade.Packet, time.Time) {
 	now := time.Unix(1_000_000, 0)
 	fleet := agfleet.NewFleet(agfleet.Options{Self: ipOf("b1"), DataCentre: "dk1"})
 	packet := packetOf([]string{"c1", "s1"}, anvilglade.FlagACK)
 	fleet.AdoptDesired(anvilglade.DesiredState{Version: 1, Routes: []anvilglade.PacketRoute{{
-		Address: packet.Destination, Backends: []anvilglade.WeightedService{{Service: "alerts", Weight: 1}},
+		Address: packet.Destination, Backends: []anvilglade.WeightedService{{Service: "alerts", Weight: 1}}, Class: class,
 	}}})
 	for i := range hosts {
 		fleet.UpdateAgent(anvilglade.AgentStatus{
-			Agent: anvilglade.IPv4{10, 0, byte(i >> 8), byte(i)}, Incarnation: 1, Sequence: 1, Service: "alerts", DataCentre: "dk1", Slots: 4, Accepts: true,
+			Agent: anvilglade.IPv4{10, 0, byte(i >> 8), byte(i)}, Incarnation: 1, Sequence: 1, Service: "alerts", DataCentre: "dk1", Slots: 4, Accepts: true, ServiceTime: serviceTime,
 		}, now)
 	}
 	dispatcher := agdispatch.NewDispatcher(fleet, rand.New(rand.NewPCG(1, 1)), now)
@@ -89,3 +94,20 @@
 		})
 	}
 }
+
+// BenchmarkOpenByCompletion measures the placement of a new flow of a route with a class
+// on hosts that report their service time.
+func BenchmarkOpenByCompletion(b *testing.B) {
+	for _, hosts := range []int{10, 60, 500} {
+		b.Run(fmt.Sprint(hosts), func(b *testing.B) {
+			dispatcher, packet, now := newBenchWith(hosts, anvilglade.RequestClass{Target: 200 * time.Millisecond}, 15*time.Millisecond)
+			packet.Flags = anvilglade.FlagSYN
+			var verdict agdispatch.Verdict
+			b.ReportAllocs()
+			for b.Loop() {
+				packet.Source.Port++
+				dispatcher.FromCaller(packet, now, &verdict)
+			}
+		})
+	}
+}
--- a/internal/routing/agdispatch/dispatch.go
+++ b/internal/routing/agdispatch/dispatch.go
@@ -108,6 +108,10 @@
 	// Class is the class of the flow's requests, the zero value if the flow's route is
 	// unknown or states none.
 	Class anvilglade.RequestClass
+	// Expected is what is expected of the host on which a flow of a route with a class is
+	// placed. Remote is set for a flow that is placed in another data centre.
+	Expected agplace.Expectation
+	Remote   RemoteReason
 }
 
 // Dispatcher caches the flows of one balancer and decides on their packets.
@@ -119,6 +123,8 @@
 	// rankOptions and ranked are the slices that rank reuses.
 	rankOptions []agplace.Option
 	ranked      []anvilglade.IPv4
+	ranker      agplace.Ranker
+	placements  map[anvilglade.ServiceID]*placement
 	// holders is the slice that possibleHolders reuses.
 	holders  []anvilglade.IPv4
 	searcher *agsearch.Searcher
@@ -130,7 +136,7 @@
 // NewDispatcher returns a Dispatcher without flows that reads routes and hosts
 // from the fleet. Now is the start of the balancer.
 func NewDispatcher(fleet *agfleet.Fleet, random *rand.Rand, now time.Time) *Dispatcher {
-	return &Dispatcher{fleet: fleet, random: random, started: now, flows: make(map[anvilglade.Flow]*flowEntry), searcher: agsearch.NewSearcher(), prober: agpath.NewProber()}
+	return &Dispatcher{fleet: fleet, random: random, started: now, flows: make(map[anvilglade.Flow]*flowEntry), searcher: agsearch.NewSearcher(), prober: agpath.NewProber(), placements: make(map[anvilglade.ServiceID]*placement)}
 }
 
 // Flows returns the number of cached flows.
@@ -264,7 +270,7 @@
 	if !ok {
 		return 0
 	}
-	host.Suspect = false
+	host.RecordAnswer()
 	d.prober.Confirm(agent)
 	entry := d.flows[flow]
 	if entry == nil {
@@ -281,6 +287,9 @@
 	if !first {
 		return 0
 	}
+	if len(entry.attempts) == 1 && entry.attempts[0] == agent {
+		host.RecordOpening(now.Sub(entry.firstSeen), now)
+	}
 	return now.Sub(entry.firstSeen)
 }
 
--- a/internal/routing/agdispatch/opening.go
+++ b/internal/routing/agdispatch/opening.go
@@ -64,7 +64,8 @@
 		// The caller retransmits because the last host has not answered.
 		d.suspect(entry, now)
 	}
-	d.rank(route, service, entry, now)
+	place := d.placementOf(route, service, now)
+	d.rank(route, service, place, entry, now)
 	if len(d.ranked) == 0 {
 		d.refuseNoHost(now, verdict)
 		return
@@ -75,6 +76,7 @@
 	d.setClass(flow, verdict)
 	entry.addAttempt(d.ranked[0], now)
 	if host, ok := d.fleet.Host(d.ranked[0]); ok {
+		d.setExpectation(host, place, verdict)
 		host.PlacedFlows++
 	}
 }
@@ -82,7 +84,7 @@
 // suspect handles an opening packet to which no host has answered: the VM of the host
 // may be lost, or the path to its data centre may be broken.
 func (d *Dispatcher) suspect(entry *flowEntry, now time.Time) {
-	d.fleet.Suspect(entry.holder, entry.lastAttempt)
+	d.fleet.Suspect(entry.holder, entry.lastAttempt, now)
 	host, known := d.fleet.Host(entry.holder)
 	if !known || !d.prober.Suspect(host.DataCentre, now) {
 		return
@@ -117,10 +119,11 @@
 }
 
 // rank fills d.ranked with the agents that may take a new flow, best first. Agents
-// that have been tried for the flow are left out unless all have been tried.
-func (d *Dispatcher) rank(route *anvilglade.PacketRoute, service anvilglade.ServiceID, entry *flowEntry, now time.Time) {
+// that have been tried for the flow are left out unless all have been tried. Place is nil
+// for a route without a class.
+func (d *Dispatcher) rank(route *anvilglade.PacketRoute, service anvilglade.ServiceID, place *placement, entry *flowEntry, now time.Time) {
 	d.rankOptions, d.ranked = d.rankOptions[:0], d.ranked[:0]
-	tried := 0
+	tried, avoided := 0, 0
 	hosts := d.fleet.Hosts(service)
 	if len(hosts) == 0 {
 		return
@@ -131,6 +134,10 @@
 		if !d.usable(host, route, now) {
 			continue
 		}
+		if d.avoided(host, place, now) {
+			avoided++
+			continue
+		}
 		if len(d.rankOptions) == maxOptions {
 			break
 		}
@@ -150,11 +157,22 @@
 			Cold:           host.Cold,
 			Order:          d.random.Uint64(),
 		})
+		d.addLoad(&d.rankOptions[len(d.rankOptions)-1], host, place, now)
+	}
+	if place != nil {
+		d.ranked = d.ranker.Rank(d.ranked[:0], d.rankOptions, place.centres.FlowRate())
+	} else {
+		d.ranked = agplace.Rank(d.ranked[:0], d.rankOptions)
+	}
+	if len(d.ranked) == 0 && avoided > 0 {
+		// The other hosts have been ejected or tried since the last update of place.
+		place.mostFailed = true
+		d.rank(route, service, place, entry, now)
+		return
 	}
-	d.ranked = agplace.Rank(d.ranked[:0], d.rankOptions)
 	if len(d.ranked) == 0 && tried > 0 {
 		entry.clearAttempts()
-		d.rank(route, service, entry, now)
+		d.rank(route, service, place, entry, now)
 	}
 }
 
--- a/internal/state/agfleet/fleet.go
+++ b/internal/state/agfleet/fleet.go
@@ -20,6 +20,8 @@
 package agfleet
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/anvilglade/anvilglade"
@@ -86,7 +88,11 @@
 	// endedAt is the time at which the host was first reported as ended.
 	endedAt time.Time
 	// path has the evidence on the host's data centre.
-	path *centrePath
+	path     *centrePath
+	reported reportedLoad
+	ejection Ejection
+	// unanswered counts the opening packets without an answer since the last answer.
+	unanswered int
 }
 
 // Balancer is another balancer, as it last reported itself.
@@ -118,6 +124,8 @@
 	paths        map[anvilglade.DataCentreID]*centrePath
 	// fetchFailedAt is the time of the last RecordFetchFailure.
 	fetchFailedAt time.Time
+	// ejected lists the hosts that have been ejected since the last TakeEjected.
+	ejected []*Host
 }
 
 // NewFleet returns an empty Fleet.
@@ -194,7 +202,9 @@
 	if status.Ended && !host.Ended {
 		host.endedAt = now
 	}
+	f.recordRefusal(host, &status, now)
 	host.AgentStatus, host.LastStatus, host.PlacedFlows, host.Suspect = status, now, 0, false
+	host.reported.adoptStatus(&status, now)
 	host.Number = status.Service.Number()
 	host.path = f.pathOf(status.DataCentre)
 	host.path.lastStatus = now
@@ -224,11 +234,17 @@
 
 // Suspect marks the host of an agent as suspect after an opening packet, sent at
 // the given time, was not answered. It has no effect if a status has been received
-// since. The VM may be lost, which missing statuses show only later.
-func (f *Fleet) Suspect(agent anvilglade.IPv4, sent time.Time) {
-	if host, ok := f.hosts[agent]; ok && host.LastStatus.Before(sent) {
+// since. The VM may be lost, which missing statuses show only later. Packets in
+// succession without an answer also eject the host.
+func (f *Fleet) Suspect(agent anvilglade.IPv4, sent, now time.Time) {
+	host, ok := f.hosts[agent]
+	if !ok {
+		return
+	}
+	if host.LastStatus.Before(sent) {
 		host.Suspect = true
 	}
+	f.recordUnanswered(host, sent, now)
 }
 
 // Tick detects pauses of the whole process, so that the time of a pause does not
@@ -276,9 +292,9 @@
 
 // UpdateLoad adopts the load of a host that its agent has reported in a message
 // other than a status.
-func (f *Fleet) UpdateLoad(agent anvilglade.IPv4, flows, working int) {
+func (f *Fleet) UpdateLoad(agent anvilglade.IPv4, flows, working int, now time.Time) {
 	if host, ok := f.hosts[agent]; ok {
-		host.Flows, host.ActiveRequests, host.PlacedFlows, host.Suspect = flows, working, 0, false
+		host.adoptLoad(flows, working, now)
 	}
 }
 
@@ -388,11 +404,21 @@
 	return dataCentre == f.options.DataCentre
 }
 
+// DataCentre returns the data centre of this balancer.
+func (f *Fleet) DataCentre() anvilglade.DataCentreID {
+	return f.options.DataCentre
+}
+
+// indexHosts lists the hosts of each service in the order of a hash: it is the same in
+// each run, and hosts next to each other are of different data centres.
 func (f *Fleet) indexHosts() {
 	f.byService = make(map[anvilglade.ServiceID][]*Host)
 	for _, host := range f.hosts {
 		f.byService[host.Service] = append(f.byService[host.Service], host)
 	}
+	for _, hosts := range f.byService {
+		slices.SortFunc(hosts, func(a, b *Host) int { return cmp.Compare(rank(a.Agent), rank(b.Agent)) })
+	}
 }
 
 func newer(incarnation anvilglade.Incarnation, sequence anvilglade.Sequence, thanIncarnation anvilglade.Incarnation, thanSequence anvilglade.Sequence) bool {
--- a/internal/state/agfleet/paths.go
+++ b/internal/state/agfleet/paths.go
@@ -22,6 +22,8 @@
 	// that of the last packet in which a caller acknowledged new data of a host.
 	lastStatus   time.Time
 	lastProgress time.Time
+	// opening is the shortest time from an opening packet to a host's answer.
+	opening shortest
 }
 
 func (f *Fleet) pathOf(dataCentre anvilglade.DataCentreID) *centrePath {
@@ -59,3 +61,56 @@
 	}
 	return !h.Lost(now)
 }
+
+const (
+	// defaultPathCost is the cost of the path to another data centre while unknown. It
+	// is the round trip of the deployment with the greater distances.
+	defaultPathCost = 5 * time.Millisecond
+	// maxPathCost bounds the cost, so that few slow answers cannot close a path.
+	maxPathCost = 100 * time.Millisecond
+	// shortestWindow is the time after which a shortest time is replaced, as paths
+	// change.
+	shortestWindow = 30 * time.Second
+)
+
+// shortest is the minimum of a time over the last one to two windows. The minimum leaves
+// out the waits at hosts.
+type shortest struct {
+	current, former time.Duration
+	since           time.Time
+}
+
+func (s *shortest) add(value time.Duration, now time.Time) {
+	if now.Sub(s.since) > shortestWindow {
+		s.former, s.current, s.since = s.current, value, now
+		return
+	}
+	s.current = min(s.current, value)
+}
+
+// value returns the minimum, 0 if unknown.
+func (s *shortest) value() time.Duration {
+	if s.former == 0 {
+		return s.current
+	}
+	return min(s.current, s.former)
+}
+
+// RecordOpening records the time from an opening packet to the answer of the host.
+func (h *Host) RecordOpening(latency time.Duration, now time.Time) {
+	h.path.opening.add(latency, now)
+}
+
+// PathCost returns the time that the path to the host adds to each request, compared with
+// a host of the local data centre: the difference of the shortest times from an opening
+// packet to an answer, which is one round trip between the data centres.
+func (f *Fleet) PathCost(host *Host) time.Duration {
+	if f.Local(host.DataCentre) {
+		return 0
+	}
+	remote, local := host.path.opening.value(), f.pathOf(f.options.DataCentre).opening.value()
+	if remote == 0 || local == 0 {
+		return defaultPathCost
+	}
+	return min(max(0, remote-local), maxPathCost)
+}
