Show placements and ejections in metrics, logs and explanations

Cause: operators could not see why a host was chosen, or that flows left their data centre.

Change: expected_completion_seconds by service, remote_placements_total by service and reason, ejections_total by service and cause; lines of placed flows have Expected, Wait and Remote, which explain shows; lines of kind Ejected, at most 10 a second, with their inputs.

--- a/internal/observe/agdecision/log.go
+++ b/internal/observe/agdecision/log.go
@@ -34,6 +34,7 @@
 	KindReset    Kind = "Reset"
 	KindDropped  Kind = "Dropped"
 	KindOwner    Kind = "Owner"
+	KindEjected  Kind = "Ejected"
 )
 
 // budgets is the number of lines per second of each kind. The sum is below the
@@ -47,6 +48,7 @@
 	KindReset:    40,
 	KindDropped:  10,
 	KindOwner:    4,
+	KindEjected:  10,
 }
 
 // usage counts the lines of one kind.
--- a/internal/observe/agdecision/log_test.go
+++ b/internal/observe/agdecision/log_test.go
@@ -13,6 +13,7 @@
 var kinds = []agdecision.Kind{
 	agdecision.KindPlaced, agdecision.KindLookup, agdecision.KindReturned, agdecision.KindRefused,
 	agdecision.KindPassed, agdecision.KindReset, agdecision.KindDropped, agdecision.KindOwner,
+	agdecision.KindEjected,
 }
 
 // TestVolumeIsBoundedAndCounted guards against a log volume that grows with the
--- a/internal/observe/agexplain/explain_test.go
+++ b/internal/observe/agexplain/explain_test.go
@@ -61,6 +61,14 @@
 		Expect(log.Explain(agexplain.Query{Flow: "100.66.0.99:1"}).Lines).To(BeEmpty())
 	})
 
+	// Guards against an explanation of a placed flow without the times that the chosen
+	// host was expected to need.
+	It("shows the expected time and the wait of a placed flow", func() {
+		log := read(`{"Decision":"Placed","Expected":"31ms","Wait":"12ms","Node":"n","Flow":"100.66.0.9:1>198.18.0.1:80","Reason":"Placed","msg":"x","time":"2026-01-17T08:06:42.6Z"}` + "\n")
+		events := log.Explain(agexplain.Query{Flow: "100.66.0.9:1"}).Events()
+		Expect(events[len(events)-1].Detail).To(ContainSubstring("Expected=31ms Wait=12ms"))
+	})
+
 	// Guards against a query by time that misses the decisions of some processes.
 	It("shows the lines of all processes around a point in time", func() {
 		at, err := time.Parse(time.RFC3339Nano, "2026-01-17T08:06:42.5Z")
--- a/internal/observe/agexplain/reasons.go
+++ b/internal/observe/agexplain/reasons.go
@@ -26,6 +26,8 @@
 	"Cold":                          {meaning: "the host has just started and takes only as many flows a second as its service allows", effect: EffectCold},
 	"NoHeartbeat":                   {meaning: "the agent has received no heartbeat of its host, or none for three intervals", effect: EffectNotReady},
 	"StaleState":                    {meaning: "the agent has received no recent status of a balancer, so its evacuations may be outdated", effect: EffectNotReady},
+	"Refuses":                       {meaning: "the agent announced that its host takes no flows; the balancer waits for Length before it places flows there again"},
+	"Unanswered":                    {meaning: "the host did not answer opening packets; the balancer waits for Length before it places flows there again"},
 	"Gone":                          {meaning: "the host has ended", effect: EffectNotReady},
 	"service moved":                 {meaning: "the address belongs to another service now"},
 	"the host has lost the flow":    {meaning: "the host has restarted since the flow was opened", effect: EffectFlowLost},
--- a/internal/observe/agmetric/metric.go
+++ b/internal/observe/agmetric/metric.go
@@ -51,6 +51,13 @@
 	// response and, at a balancer, the time from the packet that opens a flow to
 	// the host's response.
 	Latency *prometheus.HistogramVec
+	// Expected is, at a balancer, the expected completion time of the host on which a flow
+	// is placed, by service. RemotePlacements counts the flows that are placed in another
+	// data centre, by service and reason, and Ejections the hosts that the balancer has
+	// ejected, by service and cause.
+	Expected         *prometheus.HistogramVec
+	RemotePlacements *prometheus.CounterVec
+	Ejections        *prometheus.CounterVec
 }
 
 // NewMetrics returns the metrics of a process with the given role in a data centre.
@@ -68,8 +75,13 @@
 		Latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Namespace: namespace, Name: "latency_seconds", Help: "Latency of flows and answers.", ConstLabels: labels, Buckets: latencyBuckets,
 		}, []string{"service"}),
+		Expected: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "expected_completion_seconds", Help: "Expected completion time at the host of a placed flow.", ConstLabels: labels, Buckets: latencyBuckets,
+		}, []string{"service"}),
+		RemotePlacements: counter("remote_placements_total", "Flows that are placed in another data centre.", "service", "reason"),
+		Ejections:        counter("ejections_total", "Hosts that get no new flows because they stopped to take them.", "service", "cause"),
 	}
-	m.registry.MustRegister(m.Decisions, m.Malformed, m.StoreCalls, m.Latency)
+	m.registry.MustRegister(m.Decisions, m.Malformed, m.StoreCalls, m.Latency, m.Expected, m.RemotePlacements, m.Ejections)
 	return m
 }
 
--- a/internal/operate/agpacketbalancer/packets.go
+++ b/internal/operate/agpacketbalancer/packets.go
@@ -44,6 +44,7 @@
 			p.dispatcher.FromCaller(&packet, now, &verdict)
 			p.applyVerdict(writer, batch[i].Data, &packet, &verdict)
 			p.count(&verdict)
+			p.observePlacement(&verdict)
 			p.logVerdict(&packet, &verdict, now)
 		}
 		p.sendQueries(writer, now)
@@ -223,6 +224,7 @@
 				WithField("Host", host.Host)
 		}
 	}
+	line = addExpectation(line, verdict)
 	line = line.WithField("VersionAge", now.Sub(p.adopted).Round(time.Millisecond).String())
 	line.WithField("Flow", packet.FromCaller().String()).WithField("Reason", string(verdict.Reason)).WithField("To", verdict.To).
 		WithField("Candidates", verdict.Candidates).WithField("Version", desired.Version).WithField("HostsHeard", responding).
--- a/internal/operate/agpacketbalancer/process.go
+++ b/internal/operate/agpacketbalancer/process.go
@@ -106,7 +106,8 @@
 	metrics    *agmetric.Metrics
 	// counters caches the counter of each decision, which saves a lookup by
 	// labels for each packet.
-	counters map[decision]prometheus.Counter
+	counters   map[decision]prometheus.Counter
+	placements placementMetrics
 	// lastReply contains the last reply to each agent.
 	lastReply  map[anvilglade.IPv4]lastReply
 	broadcasts uint64
@@ -154,6 +155,7 @@
 		decisions:     agdecision.NewLog(aglog.New("packet-balancer")),
 		metrics:       agmetric.NewMetrics("packet-balancer", settings.DataCentre),
 		counters:      make(map[decision]prometheus.Counter),
+		placements:    newPlacementMetrics(),
 		lastReply:     make(map[anvilglade.IPv4]lastReply),
 		dispatcher:    agdispatch.NewDispatcher(fleet, rand.New(rand.NewPCG(seed, seed)), now),
 	}
--- a/internal/operate/agpacketbalancer/status.go
+++ b/internal/operate/agpacketbalancer/status.go
@@ -81,6 +81,7 @@
 	p.fleet.Tick(now)
 	lostFlows := p.dispatcher.RemoveLost(now)
 	p.logSilentHosts(now)
+	p.logEjections(now)
 	p.mu.Unlock()
 	p.logReadiness()
 	if len(lostFlows) == 0 {
