--- a/internal/observe/agdecision/log.go
+++ b/internal/observe/agdecision/log.go
@@ -40,7 +40,8 @@
 	KindShifted Kind = "Shifted"
 	// KindSplit is a change of a step that shifts flows. Its lines concern no single flow,
 	// so they have the field Change instead of Decision.
-	KindSplit Kind = "Split"
+	KindSplit   Kind = "Split"
+	KindEjected Kind = "Ejected"
 )
 
 // budgets is the number of lines per second of each kind. The sum is below the
@@ -57,6 +58,7 @@
 	KindQueued:   10,
 	KindShifted:  10,
 	KindSplit:    20,
+	KindEjected:  10,
 }
 
 // usage counts the lines of one kind.
--- a/internal/observe/agexplain/reasons.go
+++ b/internal/observe/agexplain/reasons.go
@@ -28,6 +28,8 @@
 	"NoHeartbeat":                   {meaning: "the agent has received no heartbeat of its host, or none for three intervals", effect: EffectNotReady},
 	"StaleState":                    {meaning: "the agent has received no recent status of a balancer, so its evacuations may be outdated", effect: EffectNotReady},
 	"HostReturnsFlows":              {meaning: "the host has returned opening packets, so it gets none for some time and then one at a time", effect: EffectNotReady},
+	"Refuses":                       {meaning: "the agent announced that its host takes no flows; the balancer waits for Length before it places flows there again"},
+	"Unanswered":                    {meaning: "the host did not answer opening packets; the balancer waits for Length before it places flows there again"},
 	"Gone":                          {meaning: "the host has ended", effect: EffectNotReady},
 	"RequestQueued":                 {meaning: "the queue of the host was full, so the agent kept the request until the host had a place; compare Outstanding with Limit"},
 	"QueueExpired":                  {meaning: "the host had no place within the longest time in the agent's queue, so the request was delivered to the full host"},
--- a/internal/operate/agpacketbalancer/packets.go
+++ b/internal/operate/agpacketbalancer/packets.go
@@ -44,6 +44,7 @@
 			p.dispatcher.FromCaller(&packet, now, &verdict)
 			p.applyVerdict(writer, batch[i].Data, &packet, &verdict)
 			p.count(&verdict)
+			p.observePlacement(&verdict)
 			p.logVerdict(&packet, &verdict, now)
 		}
 		p.logSplitChanges(now)
@@ -113,7 +114,7 @@
 		if latency := p.dispatcher.HandleHolder(from, owner.Flow, owner.Established, owner.Sequence, now); latency > 0 {
 			p.observeOpening(from, latency)
 		}
-		p.fleet.UpdateLoad(from, int(owner.Flows), int(owner.ActiveRequests))
+		p.fleet.UpdateLoad(from, int(owner.Flows), int(owner.ActiveRequests), now)
 		p.sendBuffered(writer, owner.Flow)
 	case agmessage.KindFlowReply:
 		p.handleFlowReply(writer, data, from, now)
@@ -232,6 +233,7 @@
 		line = line.WithField("Service", verdict.Split.Service).WithField("ShiftedFrom", verdict.Split.Weighted).WithField("ShiftStep", verdict.Split.Step).
 			WithField("ShiftCause", string(verdict.Split.Cause))
 	}
+	line = addExpectation(line, verdict)
 	line = line.WithField("VersionAge", now.Sub(p.adopted).Round(time.Millisecond).String())
 	line.WithField("Flow", packet.FromCaller().String()).WithField("Reason", string(verdict.Reason)).WithField("To", verdict.To).
 		WithField("Candidates", verdict.Candidates).WithField("Version", desired.Version).WithField("HostsHeard", responding).
--- a/internal/operate/agpacketbalancer/status.go
+++ b/internal/operate/agpacketbalancer/status.go
@@ -83,6 +83,7 @@
 	p.logSilentHosts(now)
 	p.dispatcher.RefreshSplits(now)
 	p.logSplitChanges(now)
+	p.logEjections(now)
 	p.mu.Unlock()
 	p.logReadiness()
 	if len(lostFlows) == 0 {
