Derive a capacity of a balancer from the limits of its VM

Cause: balancers of 0.8 cores and 200 Mbit/s and of 0.192 cores and 10 Mbit/s do the same control work, because no process knows their sizes.

Nothing decides by it yet.

--- a/fleet.go
+++ b/fleet.go
@@ -166,8 +166,8 @@
 	// Watch is the role in which the sender watches the store, WatchNone while the
 	// store does not answer it.
 	Watch StoreWatch `cbor:"12,keyasint,omitempty"`
-	// Capacity is the relative capacity of the balancer, 0 if unknown.
-	Capacity uint16 `cbor:"13,keyasint,omitempty"`
+	// Capacity is the relative capacity of the sender.
+	Capacity Capacity `cbor:"13,keyasint,omitempty"`
 }
 
 // StoreWatch is the role of a balancer in watching the platform's store.
@@ -218,6 +218,8 @@
 	// to the cold rate of its service times ColdFactor, plus ColdSlack.
 	ColdFactor float64
 	ColdSlack  float64
+	// Limits holds the resources of the VM.
+	Limits Limits
 }
 
 // HeartbeatListener receives the status messages of a backend server.
