Select balancers for control work by their capacity

Cause: the balancers that watch the store, reply to agents and send the desired state are chosen by the hash of their address or at random, whatever their size.

Change: the watchers of each data centre and the four with a short wait are the first in the order of agrank. Agents request replies from balancers with at least half the capacity of the largest one of the data centre, and from all again when none of those has replied for 1 s. A newer desired state is fetched from such a balancer of the own data centre. Standbys still compare by the hash alone, so that two standbys of different builds never rely on each other.

--- a/internal/membership/agroster/roster.go
+++ b/internal/membership/agroster/roster.go
@@ -35,6 +35,7 @@
 	"time"
 
 	"github.com/anvilglade/anvilglade"
+	"github.com/anvilglade/anvilglade/internal/membership/agrank"
 )
 
 const (
@@ -48,6 +49,10 @@
 	// responsiveAge is the age of the last status message below which a balancer
 	// counts as responsive.
 	responsiveAge = 2 * time.Second
+	// freshAge is the age of the last status message of the large balancers from which
+	// replies are requested from the others too. It is the time of two requests, and
+	// leaves as much time again until responsiveAge.
+	freshAge = time.Second
 )
 
 // balancer is one receiver of status messages.
@@ -60,6 +65,9 @@
 	// hasState is set if the last status message had a desired state and evacuations.
 	hasState bool
 	seed     bool
+	// dataCentre and capacity are those of the last status message.
+	dataCentre anvilglade.DataCentreID
+	capacity   anvilglade.Capacity
 	// leavingSince is the time at which the balancer announced that it leaves;
 	// zero if it has not.
 	leavingSince time.Time
@@ -102,6 +110,7 @@
 	added := r.Add(append([]anvilglade.IPv4{status.Balancer}, status.Balancers...), now)
 	entry := r.entry(status.Balancer)
 	entry.lastStatus, entry.hasReported = now, true
+	entry.dataCentre, entry.capacity = status.DataCentre, status.Capacity
 	entry.hasState = status.Desired != 0 && status.Evacuations.Revision != 0
 	switch {
 	case !status.Leaving:
@@ -155,12 +164,16 @@
 
 // ReplyTargets returns the balancers to request a reply from. It is one that has
 // replied recently with a state and a random one, which replaces the former when it
-// stops. While there is none with a state, it is every receiver.
+// stops. Both are large balancers, in terms of agrank, while one of them replies. While
+// there is none with a state, it is every receiver.
 func (r *Roster) ReplyTargets(now time.Time, random *rand.Rand) []anvilglade.IPv4 {
 	withState, all := r.WithState(now), r.Receivers(now)
 	if len(withState) == 0 {
 		return all
 	}
+	if large := r.large(all); len(large) < len(all) && r.hasFresh(withState, large, now) {
+		withState, all = intersection(withState, large), large
+	}
 	targets := []anvilglade.IPv4{withState[random.IntN(len(withState))]}
 	if other := all[random.IntN(len(all))]; !slices.Contains(targets, other) {
 		targets = append(targets, other)
@@ -168,6 +181,35 @@
 	return targets
 }
 
+// large returns the receivers that are large for their data centres.
+func (r *Roster) large(receivers []anvilglade.IPv4) []anvilglade.IPv4 {
+	members := make([]agrank.Member, 0, len(receivers))
+	for _, address := range receivers {
+		entry := r.balancers[address]
+		members = append(members, agrank.Member{Address: address, DataCentre: entry.dataCentre, Capacity: entry.capacity})
+	}
+	return agrank.Large(members)
+}
+
+// hasFresh reports whether one of the balancers with a state is large and has sent a
+// status message within freshAge.
+func (r *Roster) hasFresh(withState, large []anvilglade.IPv4, now time.Time) bool {
+	return slices.ContainsFunc(intersection(withState, large), func(address anvilglade.IPv4) bool {
+		return now.Sub(r.balancers[address].lastStatus) < freshAge
+	})
+}
+
+// intersection returns the addresses of list that are in other.
+func intersection(list, other []anvilglade.IPv4) []anvilglade.IPv4 {
+	var both []anvilglade.IPv4
+	for _, address := range list {
+		if slices.Contains(other, address) {
+			both = append(both, address)
+		}
+	}
+	return both
+}
+
 // Ages returns the time since the last status message of each balancer that has
 // sent one, by address.
 func (r *Roster) Ages(now time.Time) map[string]time.Duration {
--- a/internal/state/agfleet/balancers.go
+++ b/internal/state/agfleet/balancers.go
@@ -3,12 +3,12 @@
 // The other balancers and their statuses.
 
 import (
+	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/anvilglade/anvilglade"
 	"github.com/anvilglade/anvilglade/internal/membership/agpace"
+	"github.com/anvilglade/anvilglade/internal/membership/agrank"
 )
 
 // peerInterval is the time between two regular statuses of a balancer to another one
@@ -91,19 +91,36 @@
 }
 
 // NewerPeer returns the balancer with the newest desired state among the responsive
-// ones, preferably one of this data centre. It returns false if none has a newer one
-// than this balancer.
+// ones, preferably one of this data centre, and among those a large one. It returns
+// false if none has a newer one than this balancer.
 func (f *Fleet) NewerPeer(now time.Time) (*Balancer, bool) {
-	var best *Balancer
+	var newer []*Balancer
 	for _, balancer := range f.balancers {
-		if !f.responsive(balancer, now) || balancer.Desired <= f.desired.Version {
-			continue
+		if f.responsive(balancer, now) && balancer.Desired > f.desired.Version {
+			newer = append(newer, balancer)
 		}
-		if best == nil || balancer.Desired > best.Desired || balancer.Desired == best.Desired && f.Local(balancer.DataCentre) {
+	}
+	if len(newer) == 0 {
+		return nil, false
+	}
+	best, large := newer[0], agrank.Large(f.members(now))
+	for _, balancer := range newer[1:] {
+		if f.betterSource(balancer, best, large) {
 			best = balancer
 		}
 	}
-	return best, best != nil
+	return best, true
+}
+
+// betterSource reports whether the desired state is rather fetched from a than from b.
+func (f *Fleet) betterSource(a, b *Balancer, large []anvilglade.IPv4) bool {
+	if a.Desired != b.Desired {
+		return a.Desired > b.Desired
+	}
+	if local := f.Local(a.DataCentre); local != f.Local(b.DataCentre) {
+		return local
+	}
+	return slices.Contains(large, a.Balancer) && !slices.Contains(large, b.Balancer)
 }
 
 // shortWaitCount is the number of balancers that watch the store with a short
@@ -111,20 +128,8 @@
 const shortWaitCount = 4
 
 // UsesShortWait reports whether this balancer should watch the store with a
-// short wait: it is one of the shortWaitCount balancers of the lowest rank among
-// the responsive ones that are not leaving.
+// short wait: it is one of the first shortWaitCount balancers, in the order of
+// agrank, among the responsive ones that are not leaving.
 func (f *Fleet) UsesShortWait(now time.Time) bool {
-	own, lower := rank(f.options.Self), 0
-	for address, balancer := range f.balancers {
-		if f.responsive(balancer, now) && !balancer.Leaving && rank(address) < own {
-			lower++
-		}
-	}
-	return lower < shortWaitCount
-}
-
-// rank returns a hash of an address, which spreads the selected balancers over
-// the data centres: addresses within one data centre are similar.
-func rank(address anvilglade.IPv4) uint64 {
-	return xxhash.Sum64(address[:])
+	return agrank.Position(f.members(now), f.options.Self) < shortWaitCount
 }
--- a/internal/state/agfleet/fleet.go
+++ b/internal/state/agfleet/fleet.go
@@ -118,6 +118,8 @@
 	paths        map[anvilglade.DataCentreID]*centrePath
 	// fetchFailedAt is the time of the last RecordFetchFailure.
 	fetchFailedAt time.Time
+	// capacity is the capacity that this balancer announces.
+	capacity anvilglade.Capacity
 }
 
 // NewFleet returns an empty Fleet.
--- a/internal/state/agfleet/watchers.go
+++ b/internal/state/agfleet/watchers.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/anvilglade/anvilglade"
+	"github.com/anvilglade/anvilglade/internal/membership/agrank"
 )
 
 const (
@@ -23,33 +24,38 @@
 	fetchFailureWindow = 5 * time.Second
 )
 
-// WatchRole returns the role of this balancer. Primaries are chosen by rank, whether
-// the store answers them or not. A standby counts only standbys of a lower rank as
+// WatchRole returns the role of this balancer. Primaries are chosen in the order of
+// agrank, whether the store answers them or not. A standby counts only standbys of a lower rank as
 // healthy watchers, so that a few of them remain when the primaries have failed.
 func (f *Fleet) WatchRole(now time.Time) anvilglade.StoreWatch {
 	if f.UsesShortWait(now) || now.Sub(f.fetchFailedAt) < fetchFailureWindow {
 		return anvilglade.WatchPrimary
 	}
-	own, lowerLocal, healthy := rank(f.options.Self), 0, 0
+	if f.localPosition(now) < watchersPerCentre {
+		return anvilglade.WatchPrimary
+	}
+	if f.healthyWatchers(now) < minHealthyWatchers {
+		return anvilglade.WatchStandby
+	}
+	return anvilglade.WatchNone
+}
+
+// healthyWatchers returns the number of other balancers on whose watches this one
+// relies.
+func (f *Fleet) healthyWatchers(now time.Time) int {
+	own, healthy := agrank.Rank(f.options.Self), 0
 	for address, balancer := range f.balancers {
 		if !f.responsive(balancer, now) || balancer.Leaving {
 			continue
 		}
-		lower := rank(address) < own
-		if balancer.Watch == anvilglade.WatchPrimary || balancer.Watch == anvilglade.WatchStandby && lower {
+		// By rank alone: balancers of earlier builds compare in the same way, so two
+		// standbys never rely on each other.
+		standby := balancer.Watch == anvilglade.WatchStandby && agrank.Rank(address) < own
+		if balancer.Watch == anvilglade.WatchPrimary || standby {
 			healthy++
 		}
-		if lower && f.Local(balancer.DataCentre) {
-			lowerLocal++
-		}
-	}
-	switch {
-	case lowerLocal < watchersPerCentre:
-		return anvilglade.WatchPrimary
-	case healthy < minHealthyWatchers:
-		return anvilglade.WatchStandby
 	}
-	return anvilglade.WatchNone
+	return healthy
 }
 
 // RecordFetchFailure records that a newer desired state could not be fetched from a
--- a/internal/state/agfleet/watchers_test.go
+++ b/internal/state/agfleet/watchers_test.go
@@ -19,10 +19,12 @@
 	fleets   []*agfleet.Fleet
 	// answers reports whether the store answers a balancer.
 	answers func(balancer int) bool
+	// capacity returns the announced capacity of a balancer, 0 by default.
+	capacity func(balancer int) anvilglade.Capacity
 }
 
 func newWatchFleet(balancers int) *watchFleet {
-	w := &watchFleet{now: time.Unix(1_000_000, 0), answers: func(int) bool { return true }}
+	w := &watchFleet{now: time.Unix(1_000_000, 0), answers: func(int) bool { return true }, capacity: func(int) anvilglade.Capacity { return 0 }}
 	for i := range balancers {
 		w.fleets = append(w.fleets, agfleet.NewFleet(agfleet.Options{Self: balancerIP(i), DataCentre: centreOf(i)}))
 	}
@@ -39,11 +41,12 @@
 	w.sequence++
 	statuses := make([]anvilglade.BalancerStatus, len(w.fleets))
 	for i, fleet := range w.fleets {
+		fleet.SetCapacity(w.capacity(i))
 		watch := fleet.WatchRole(w.now)
 		if !w.answers(i) {
 			watch = anvilglade.WatchNone
 		}
-		statuses[i] = anvilglade.BalancerStatus{Balancer: balancerIP(i), Incarnation: 1, Sequence: w.sequence, DataCentre: centreOf(i), Watch: watch}
+		statuses[i] = anvilglade.BalancerStatus{Balancer: balancerIP(i), Incarnation: 1, Sequence: w.sequence, DataCentre: centreOf(i), Watch: watch, Capacity: w.capacity(i)}
 	}
 	for from := range w.fleets {
 		for to, fleet := range w.fleets {
