Relieve small balancers of control work

Cause: a balancer of 0.192 cores and 10 Mbit/s sends as many statuses and replies as a large one, and stays a watcher of the store while it is short of processor time.

Change: balancers announce their capacity and measure the use of their processor share and their link four times a second. A balancer that is not large sends half of the regular statuses. With known limits, opening packets of a batch are handled after packets of established flows; packets of one flow keep their order. Gauges for capacity, position, duties and use, counters of control messages and bytes, one log line for each change.

--- a/internal/observe/agmetric/metric.go
+++ b/internal/observe/agmetric/metric.go
@@ -47,6 +47,10 @@
 	Malformed *prometheus.CounterVec
 	// StoreCalls counts calls to the platform's store by operation and outcome.
 	StoreCalls *prometheus.CounterVec
+	// ControlMessages and ControlBytes count the messages between the processes other than
+	// packets of callers, and their bytes without headers, by direction and kind.
+	ControlMessages *prometheus.CounterVec
+	ControlBytes    *prometheus.CounterVec
 	// Latency is, at an agent, the time from a request to the first byte of its
 	// response and, at a balancer, the time from the packet that opens a flow to
 	// the host's response.
@@ -60,16 +64,18 @@
 		return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help, ConstLabels: labels}, names)
 	}
 	m := &Metrics{
-		registry:   prometheus.NewRegistry(),
-		labels:     labels,
-		Decisions:  counter("decisions_total", "Decisions on packets.", "service", "action", "reason"),
-		Malformed:  counter("malformed_total", "Datagrams that could not be decoded.", "kind"),
-		StoreCalls: counter("store_calls_total", "Calls to the platform's store by outcome.", "what", "outcome"),
+		registry:        prometheus.NewRegistry(),
+		labels:          labels,
+		Decisions:       counter("decisions_total", "Decisions on packets.", "service", "action", "reason"),
+		Malformed:       counter("malformed_total", "Datagrams that could not be decoded.", "kind"),
+		StoreCalls:      counter("store_calls_total", "Calls to the platform's store by outcome.", "what", "outcome"),
+		ControlMessages: counter("control_messages_total", "Messages between processes other than packets of callers.", "direction", "kind"),
+		ControlBytes:    counter("control_bytes_total", "Bytes of these messages, without headers.", "direction", "kind"),
 		Latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Namespace: namespace, Name: "latency_seconds", Help: "Latency of flows and answers.", ConstLabels: labels, Buckets: latencyBuckets,
 		}, []string{"service"}),
 	}
-	m.registry.MustRegister(m.Decisions, m.Malformed, m.StoreCalls, m.Latency)
+	m.registry.MustRegister(m.Decisions, m.Malformed, m.StoreCalls, m.ControlMessages, m.ControlBytes, m.Latency)
 	return m
 }
 
--- a/internal/operate/agpacketbalancer/packets.go
+++ b/internal/operate/agpacketbalancer/packets.go
@@ -28,6 +28,7 @@
 	reader, writer := p.packets.NewReader(batchSize, maxDatagram), p.packets.NewWriter(batchSize)
 	var packet anvilglade.Packet
 	var verdict agdispatch.Verdict
+	order := batchOrder{codec: p.parts.Codec, openingLast: p.sized()}
 	for {
 		batch, err := reader.Read()
 		if err != nil {
@@ -36,7 +37,7 @@
 		now := time.Now()
 		p.mu.Lock()
 		p.fleet.Tick(now)
-		for i := range batch {
+		for _, i := range order.of(batch) {
 			if err := p.parts.Codec.Parse(batch[i].Data, &packet); err != nil {
 				p.metrics.Malformed.WithLabelValues("Packet").Inc()
 				continue
@@ -126,6 +127,7 @@
 	case agmessage.KindReturned, agmessage.KindExhausted:
 		p.handleReturned(writer, data, from, now)
 	case agmessage.KindAgentStatus:
+		p.countControl(directionReceived, controlAgentStatus, 1, len(data))
 		status, err := agmessage.ParseAgentStatus(data)
 		if err != nil || status.Agent != from {
 			p.metrics.Malformed.WithLabelValues("AgentStatus").Inc()
@@ -141,6 +143,7 @@
 // handleBalancerStatus handles the status of another balancer. The caller holds the
 // mutex.
 func (p *Process) handleBalancerStatus(writer *agsocket.Writer, data []byte, from anvilglade.IPv4, now time.Time) {
+	p.countControl(directionReceived, controlPeerStatus, 1, len(data))
 	status, err := agmessage.ParseBalancerStatus(data)
 	if err != nil || status.Balancer != from {
 		p.metrics.Malformed.WithLabelValues("BalancerStatus").Inc()
--- a/internal/operate/agpacketbalancer/process.go
+++ b/internal/operate/agpacketbalancer/process.go
@@ -32,6 +32,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/anvilglade/anvilglade"
+	"github.com/anvilglade/anvilglade/internal/membership/agrank"
 	"github.com/anvilglade/anvilglade/internal/observe/agdecision"
 	"github.com/anvilglade/anvilglade/internal/observe/aglog"
 	"github.com/anvilglade/anvilglade/internal/observe/agmetric"
@@ -93,6 +94,8 @@
 	evacuationWatch atomic.Uint32
 	// loggedRole is the role that was logged last.
 	loggedRole atomic.Uint32
+	// loggedRelieved is whether this balancer was relieved when that was logged last.
+	loggedRelieved atomic.Bool
 	// newerDesired receives a signal when a peer announces a newer desired state.
 	newerDesired chan struct{}
 	// pendingAgents receives a signal when agents have been listed that have not sent a
@@ -107,6 +110,9 @@
 	// counters caches the counter of each decision, which saves a lookup by
 	// labels for each packet.
 	counters map[decision]prometheus.Counter
+	// controlCounters caches the counters of control messages.
+	controlCounters map[controlKey]controlCounters
+	monitor         *agrank.Monitor
 	// lastReply contains the last reply to each agent.
 	lastReply  map[anvilglade.IPv4]lastReply
 	broadcasts uint64
@@ -140,24 +146,28 @@
 	fleet.AddBalancers(settings.Seeds)
 	seed := uint64(now.UnixNano())
 	p := &Process{
-		settings:      settings,
-		parts:         parts,
-		log:           aglog.New("packet-balancer"),
-		started:       now,
-		incarnation:   anvilglade.Incarnation(now.UnixNano()),
-		packets:       packets,
-		inner:         inner,
-		http:          &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
-		newerDesired:  make(chan struct{}, 1),
-		pendingAgents: make(chan struct{}, 1),
-		fleet:         fleet,
-		decisions:     agdecision.NewLog(aglog.New("packet-balancer")),
-		metrics:       agmetric.NewMetrics("packet-balancer", settings.DataCentre),
-		counters:      make(map[decision]prometheus.Counter),
-		lastReply:     make(map[anvilglade.IPv4]lastReply),
-		dispatcher:    agdispatch.NewDispatcher(fleet, rand.New(rand.NewPCG(seed, seed)), now),
+		settings:        settings,
+		parts:           parts,
+		log:             aglog.New("packet-balancer"),
+		started:         now,
+		incarnation:     anvilglade.Incarnation(now.UnixNano()),
+		packets:         packets,
+		inner:           inner,
+		http:            &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
+		newerDesired:    make(chan struct{}, 1),
+		pendingAgents:   make(chan struct{}, 1),
+		fleet:           fleet,
+		decisions:       agdecision.NewLog(aglog.New("packet-balancer")),
+		metrics:         agmetric.NewMetrics("packet-balancer", settings.DataCentre),
+		counters:        make(map[decision]prometheus.Counter),
+		controlCounters: make(map[controlKey]controlCounters),
+		monitor:         agrank.NewMonitor(settings.Limits),
+		lastReply:       make(map[anvilglade.IPv4]lastReply),
+		dispatcher:      agdispatch.NewDispatcher(fleet, rand.New(rand.NewPCG(seed, seed)), now),
 	}
+	fleet.SetCapacity(p.monitor.Capacity())
 	p.addGauges()
+	p.addSizeGauges()
 	return p, func() { closePackets(); closeInner() }, nil
 }
 
--- a/internal/operate/agpacketbalancer/searches.go
+++ b/internal/operate/agpacketbalancer/searches.go
@@ -44,6 +44,7 @@
 func (p *Process) sendQueries(writer *agsocket.Writer, now time.Time) {
 	for _, query := range p.dispatcher.DueQueries(now) {
 		datagram := agmessage.AppendFlowQuery(writer.Buffer(), query.Round, query.Flows)
+		p.countControl(directionSent, controlQuery, 1, len(datagram))
 		writer.Add(datagram, p.endpointOf(query.To, p.settings.PacketPort).AddrPort())
 	}
 }
@@ -52,6 +53,7 @@
 func (p *Process) sendProbes(writer *agsocket.Writer, now time.Time) {
 	for _, agent := range p.dispatcher.DueProbes(now) {
 		datagram := agmessage.AppendFlowQuery(writer.Buffer(), agmessage.ProbeQueryID, nil)
+		p.countControl(directionSent, controlProbe, 1, len(datagram))
 		writer.Add(datagram, p.endpointOf(agent, p.settings.PacketPort).AddrPort())
 	}
 }
@@ -59,6 +61,7 @@
 // handleFlowReply handles an agent's reply to a flow query. The caller holds the
 // mutex.
 func (p *Process) handleFlowReply(writer *agsocket.Writer, data []byte, from anvilglade.IPv4, now time.Time) {
+	p.countControl(directionReceived, controlReply, 1, len(data))
 	number, states, err := agmessage.ParseFlowReply(data, p.states[:0])
 	p.states = states
 	if err != nil {
--- a/internal/operate/agpacketbalancer/status.go
+++ b/internal/operate/agpacketbalancer/status.go
@@ -12,6 +12,7 @@
 	"github.com/anvilglade/anvilglade/internal/membership/agpace"
 	"github.com/anvilglade/anvilglade/internal/packet/agmessage"
 	"github.com/anvilglade/anvilglade/internal/packet/agsocket"
+	"github.com/anvilglade/anvilglade/internal/state/agfleet"
 )
 
 const (
@@ -52,8 +53,9 @@
 	for {
 		if now := time.Now(); now.Sub(lastSent) >= p.broadcastInterval() {
 			lastSent = now
-			p.broadcast()
+			p.broadcastRegular()
 		}
+		p.updateSize()
 		p.notifyAgents()
 		p.resetLostFlows()
 		select {
@@ -123,11 +125,27 @@
 
 // broadcast sends the status to all other balancers.
 func (p *Process) broadcast() {
+	p.sendToPeers(func(uint64, time.Time) []*agfleet.Balancer { return p.fleet.Balancers() })
+}
+
+// broadcastRegular sends a regular status to the balancers that receive it.
+func (p *Process) broadcastRegular() {
+	p.sendToPeers(p.fleet.StatusReceivers)
+}
+
+// sendToPeers sends the status to balancers, which it selects by the number of the status
+// while it holds the mutex.
+func (p *Process) sendToPeers(receivers func(number uint64, now time.Time) []*agfleet.Balancer) {
 	now := time.Now()
 	p.mu.Lock()
+	p.broadcasts++
+	peers := receivers(p.broadcasts, now)
+	if len(peers) == 0 {
+		p.mu.Unlock()
+		return
+	}
 	status := p.status(now)
-	peers := p.fleet.Balancers()
-	if p.broadcasts++; p.broadcasts%agpace.MessagesPerList(statusesPerList, len(peers)) != 1 {
+	if p.broadcasts%p.fleet.StatusesPerList(statusesPerList, now) != 1 {
 		clearLists(&status)
 	}
 	addresses := make([]anvilglade.IPv4, 0, len(peers))
@@ -140,6 +158,7 @@
 		p.logFailure(err, "Status cannot be encoded.")
 		return
 	}
+	p.countSent(controlPeerStatus, len(addresses), len(datagram))
 	for _, address := range addresses {
 		// A failed send is not retried: the next status follows soon.
 		_ = p.inner.WriteTo(datagram, p.endpointOf(address, p.settings.InnerPort).AddrPort())
@@ -165,6 +184,7 @@
 		p.logFailure(err, "Status cannot be encoded.")
 		return
 	}
+	p.countSent(controlNotify, len(agents), len(datagram))
 	for _, agent := range agents {
 		// A failed send is not retried: the next status follows soon.
 		_ = p.packets.WriteTo(datagram, p.endpointOf(agent, p.settings.PacketPort).AddrPort())
@@ -186,6 +206,7 @@
 		p.logFailure(err, "Status cannot be encoded.")
 		return
 	}
+	p.countControl(directionSent, controlPeerStatus, 1, len(datagram))
 	writer.Add(datagram, p.endpointOf(balancer, p.settings.InnerPort).AddrPort())
 }
 
@@ -204,6 +225,7 @@
 		Desired:     desired.Version,
 		Evacuations: *p.fleet.Evacuations(),
 		Watch:       p.watch(),
+		Capacity:    p.monitor.Capacity(),
 		Balancers:   living[:min(len(living), maxListEntries)],
 		Agents:      agents[:min(len(agents), maxListEntries)],
 	}
@@ -241,6 +263,7 @@
 		p.logFailure(err, "Status cannot be encoded.")
 		return
 	}
+	p.countControl(directionSent, controlAgentReply, 1, len(datagram))
 	writer.Add(datagram, p.endpointOf(agent.Agent, p.settings.PacketPort).AddrPort())
 }
 
--- a/internal/operate/agpacketbalancer/watch.go
+++ b/internal/operate/agpacketbalancer/watch.go
@@ -12,6 +12,7 @@
 
 	"github.com/anvilglade/anvilglade"
 	"github.com/anvilglade/anvilglade/internal/runtime/agtask"
+	"github.com/anvilglade/anvilglade/internal/state/agfleet"
 )
 
 const (
@@ -128,9 +129,10 @@
 	}
 	for {
 		p.mu.Lock()
-		role := p.fleet.WatchRole(time.Now())
+		now := time.Now()
+		role, size := p.fleet.WatchRole(now), p.fleet.Size(now)
 		p.mu.Unlock()
-		p.logRole(role)
+		p.logRole(role, size)
 		if role != anvilglade.WatchNone {
 			return role, nil
 		}
@@ -148,9 +150,9 @@
 }
 
 // logRole logs a change of the role of this balancer.
-func (p *Process) logRole(role anvilglade.StoreWatch) {
+func (p *Process) logRole(role anvilglade.StoreWatch, size agfleet.Size) {
 	if former := p.loggedRole.Swap(uint32(role)); former != uint32(role) {
-		p.log.WithField("Before", roleNames[anvilglade.StoreWatch(former)]).WithField("Now", roleNames[role]).
+		p.logSize(size).WithField("Before", roleNames[anvilglade.StoreWatch(former)]).WithField("Now", roleNames[role]).
 			Info("Role in watching the store has changed.")
 	}
 }
--- a/internal/packet/agsocket/socket.go
+++ b/internal/packet/agsocket/socket.go
@@ -49,6 +49,8 @@
 	conn  *net.UDPConn
 	batch *ipv4.PacketConn
 	local netip.AddrPort
+	// sent and received count the datagrams of all readers and writers.
+	sent, received counter
 }
 
 // Listen opens a socket on an IPv4 address. The returned function closes it;
@@ -89,6 +91,7 @@
 	if _, err := s.conn.WriteToUDPAddrPort(data, to); err != nil {
 		return fmt.Errorf("send datagram to %s: %w", to, err)
 	}
+	s.sent.add(1, len(data))
 	return nil
 }
 
@@ -128,8 +131,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("read from %s: %w", r.socket.local, err)
 	}
+	bytes := 0
 	for i := range n {
 		message := &r.messages[i]
+		bytes += message.N
 		from := message.Addr.(*net.UDPAddr).AddrPort()
 		r.packets[i] = Packet{
 			Data:      message.Buffers[0][:min(message.N, r.limit)],
@@ -137,6 +142,7 @@
 			Truncated: message.N > r.limit,
 		}
 	}
+	r.socket.received.add(n, bytes)
 	return r.packets[:n], nil
 }
 
@@ -200,6 +206,7 @@
 func (w *Writer) Flush() {
 	for sent := 0; sent < w.used; {
 		n, err := w.socket.batch.WriteBatch(w.messages[sent:w.used], 0)
+		w.count(sent, sent+n)
 		sent += max(n, 0)
 		if err == nil {
 			continue
@@ -214,6 +221,15 @@
 	w.used = 0
 }
 
+// count counts the datagrams of a range of the batch as sent.
+func (w *Writer) count(first, end int) {
+	bytes := 0
+	for i := first; i < end; i++ {
+		bytes += len(w.slots[i].buffers[0])
+	}
+	w.socket.sent.add(max(end-first, 0), bytes)
+}
+
 // Errors returns the number of datagrams that could not be sent.
 func (w *Writer) Errors() uint64 {
 	return w.errors
