--- a/internal/membership/agrank/capacity.go
+++ b/internal/membership/agrank/capacity.go
@@ -7,11 +7,12 @@
 )
 
 // Units of capacity per unit of a limit. A balancer is as large as its scarcest
-// resource: one core corresponds to a link of 100 Mbit/s and to 100 MB.
+// resource: one core corresponds to a link of 100 Mbit/s and to 20 MB, the memory of a
+// balancer in a small fleet.
 const (
 	unitsPerCore     = 1000
 	unitsPerMegabit  = 10
-	unitsPerMegabyte = 10
+	unitsPerMegabyte = 50
 )
 
 // CapacityOf returns the capacity that follows from the limits of a balancer. Unknown
--- a/internal/membership/agrank/rank.go
+++ b/internal/membership/agrank/rank.go
@@ -68,10 +68,7 @@
 	known := slices.DeleteFunc(slices.Clone(ordered), func(m Member) bool { return m.Capacity == 0 })
 	largest := largestOf(members)
 	// The sort is stable, so members of equal size stay in the order of their ranks.
-	slices.SortStableFunc(known, func(a, b Member) int {
-		// The capacities relative to the largest ones, without a division.
-		return cmp.Compare(uint32(b.Capacity)*uint32(largest[a.DataCentre]), uint32(a.Capacity)*uint32(largest[b.DataCentre]))
-	})
+	slices.SortStableFunc(known, func(a, b Member) int { return compareSizes(&a, &b, largest) })
 	for i := range ordered {
 		if ordered[i].Capacity != 0 {
 			ordered[i], known = known[0], known[1:]
@@ -82,18 +79,19 @@
 
 // Position returns the index of one of the members in Order.
 func Position(members []Member, address anvilglade.IPv4) int {
-	first := members[0].Capacity
-	if slices.ContainsFunc(members, func(m Member) bool { return m.Capacity != first }) {
+	index := slices.IndexFunc(members, func(m Member) bool { return m.Address == address })
+	self := members[index]
+	if slices.ContainsFunc(members, func(m Member) bool { return (m.Capacity == 0) != (self.Capacity == 0) }) {
 		return slices.IndexFunc(Order(members), func(m Member) bool { return m.Address == address })
 	}
-	// Members of equal size are in the order of their ranks, which needs no sort.
-	own, lower := Rank(address), 0
+	// Without members that keep their place no sort is needed.
+	largest, position := largestOf(members), 0
 	for i := range members {
-		if Rank(members[i].Address) < own {
-			lower++
+		if cmp.Or(compareSizes(&members[i], &self, largest), compareRanks(members[i], self)) < 0 {
+			position++
 		}
 	}
-	return lower
+	return position
 }
 
 // Large returns the members that have at least half the capacity of the largest one of
@@ -123,6 +121,16 @@
 	return large
 }
 
+// compareSizes compares the capacities of two members relative to the largest ones of
+// their data centres; the larger member is first.
+func compareSizes(a, b *Member, largest map[anvilglade.DataCentreID]anvilglade.Capacity) int {
+	if a.DataCentre == b.DataCentre {
+		return cmp.Compare(b.Capacity, a.Capacity)
+	}
+	// Without a division.
+	return cmp.Compare(uint32(b.Capacity)*uint32(largest[a.DataCentre]), uint32(a.Capacity)*uint32(largest[b.DataCentre]))
+}
+
 func compareRanks(a, b Member) int {
 	return cmp.Compare(Rank(a.Address), Rank(b.Address))
 }
--- a/internal/operate/agpacketbalancer/size.go
+++ b/internal/operate/agpacketbalancer/size.go
@@ -120,7 +120,7 @@
 			return read(p.fleet.Size(time.Now()))
 		}
 	}
-	p.metrics.Gauge("capacity", "Announced capacity, 0 if unknown; 1000 corresponds to one core or 100 Mbit/s.", sized(func(size agfleet.Size) float64 {
+	p.metrics.Gauge("capacity", "Announced capacity, 0 if unknown; 1000 corresponds to one core, 100 Mbit/s or 20 MB.", sized(func(size agfleet.Size) float64 {
 		return float64(size.Capacity)
 	}))
 	p.metrics.Gauge("capacity_position", "Number of balancers of the data centre that take over duties before this one.", sized(func(size agfleet.Size) float64 {
--- a/internal/stand/agemulator/fleet.go
+++ b/internal/stand/agemulator/fleet.go
@@ -148,7 +148,9 @@
 	for dataCentre := range f.scenario.DataCentres {
 		for i := range f.scenario.Balancers {
 			name := fmt.Sprintf("balancer-%d-%d", dataCentre+1, i+1)
-			f.balancers = append(f.balancers, &machine{name: name, subcommand: "packet-balancer", settings: f.settings(name, balancerIP(dataCentre, i), dataCentre)})
+			settings := f.settings(name, balancerIP(dataCentre, i), dataCentre)
+			settings.Limits = f.scenario.limits(i)
+			f.balancers = append(f.balancers, &machine{name: name, subcommand: "packet-balancer", settings: settings})
 		}
 		number := 0
 		for _, spec := range f.scenario.Services {
--- a/internal/stand/agemulator/scenario.go
+++ b/internal/stand/agemulator/scenario.go
@@ -22,7 +22,11 @@
 	// service are counted per data centre.
 	DataCentres int
 	Balancers   int
-	Services    []ServiceSpec
+	// Limits lists the limits of the first balancers of each data centre; the others
+	// have those of the last entry. Without entries the limits are unknown. They are
+	// settings only: the emulator does not enforce them.
+	Limits   []anvilglade.Limits
+	Services []ServiceSpec
 	// Hash is the method by which routers choose a balancer: "steady" for
 	// rendezvous hashing, "mod" for the hash modulo the number of balancers.
 	Hash     string
@@ -103,6 +107,14 @@
 	return scenario, scenario.check()
 }
 
+// limits returns the limits of a balancer, given its index in its data centre.
+func (s *Scenario) limits(balancer int) anvilglade.Limits {
+	if len(s.Limits) == 0 {
+		return anvilglade.Limits{}
+	}
+	return s.Limits[min(balancer, len(s.Limits)-1)]
+}
+
 func (s *Scenario) check() error {
 	var faults []error
 	need := func(ok bool, text string) {
--- a/internal/state/agfleet/size_test.go
+++ b/internal/state/agfleet/size_test.go
@@ -158,6 +158,43 @@
 	}
 }
 
+// Guards against small balancers that send as many statuses as large ones, and against
+// balancers of a data centre that count a small watcher as lost because it sends few.
+func TestSmallBalancersSendFewerStatuses(t *testing.T) {
+	fleet := newWatchFleet(sizedBalancers)
+	// One large balancer in each data centre, so that small ones watch, too.
+	fleet.capacity = func(balancer int) anvilglade.Capacity {
+		if balancer >= sizedBalancers-centres {
+			return largeCapacity
+		}
+		return smallCapacity / 20
+	}
+	fleet.settle(everyone)
+	const rounds = 100
+	for i, member := range fleet.fleets {
+		local, remote := 0, 0
+		for number := range uint64(rounds) {
+			for _, peer := range member.StatusReceivers(number, fleet.now) {
+				if peer.DataCentre == centreOf(i) {
+					local++
+				} else {
+					remote++
+				}
+			}
+		}
+		wantLocal, wantRemote := rounds*(sizedBalancers/centres-1), rounds*(sizedBalancers-sizedBalancers/centres)
+		if fleet.capacity(i) != largeCapacity {
+			wantRemote /= 2
+		}
+		if member.Relieved(fleet.now) {
+			wantLocal /= 2
+		}
+		if local != wantLocal || remote != wantRemote {
+			t.Errorf("balancer %d sends %d statuses within its data centre and %d to others, want %d and %d", i, local, remote, wantLocal, wantRemote)
+		}
+	}
+}
+
 // Guards against transfers of the desired state from small balancers or from another
 // data centre while a large balancer of this one has it.
 func TestDesiredStateComesFromALargeBalancer(t *testing.T) {
--- a/test/integration/packets_test.go
+++ b/test/integration/packets_test.go
@@ -68,6 +68,7 @@
 		Entry("during planned maintenance without failures", "CalmDay", 0.995),
 		Entry("during overlapping failures", "Troubles", 0.9),
 		Entry("during freezes, cold returns and bursts", "FreezesAndReturns", 0.9),
+		Entry("while balancers of unequal size fail", "UnevenBalancers", 0.9),
 	)
 
 	// Guards against faults that only certain sequences of troubles trigger. Runs
