--- a/internal/state/agfleet/fleet.go
+++ b/internal/state/agfleet/fleet.go
@@ -25,6 +25,7 @@
 	"time"
 
 	"github.com/anvilglade/anvilglade"
+	"github.com/anvilglade/anvilglade/internal/membership/agrank"
 )
 
 // Times without a status after which the state of its sender changes.
@@ -126,6 +127,8 @@
 	fetchFailedAt time.Time
 	// ejected lists the hosts that have been ejected since the last TakeEjected.
 	ejected []*Host
+	// capacity is the capacity that this balancer announces.
+	capacity anvilglade.Capacity
 }
 
 // NewFleet returns an empty Fleet.
@@ -417,7 +420,7 @@
 		f.byService[host.Service] = append(f.byService[host.Service], host)
 	}
 	for _, hosts := range f.byService {
-		slices.SortFunc(hosts, func(a, b *Host) int { return cmp.Compare(rank(a.Agent), rank(b.Agent)) })
+		slices.SortFunc(hosts, func(a, b *Host) int { return cmp.Compare(agrank.Rank(a.Agent), agrank.Rank(b.Agent)) })
 	}
 }
 
--- a/test/integration/packets_test.go
+++ b/test/integration/packets_test.go
@@ -71,6 +71,7 @@
 		// A third of the hosts is lost while callers send three times as many requests.
 		Entry("during an overload by two classes", "Overload", 0.4),
 		Entry("while one service of a route has no host", "Split", 0.9),
+		Entry("while balancers of unequal size fail", "UnevenBalancers", 0.9),
 	)
 
 	// Guards against faults that only certain sequences of troubles trigger. Runs
