Shift a split route from the attempt budget of a lower class on

Cause: agents refuse flows of a lower class from a third of its target on, but balancers shifted the route's flows only from half of it, so the idle second service was not used during an overload. Lines of ejected hosts had the field Decision without a flow.

Change: agsplit's attempt budget is a third of the target, the limit of receivers stays a quarter. Ejected lines have the field Change, like changes of a split.

--- a/internal/observe/agdecision/log.go
+++ b/internal/observe/agdecision/log.go
@@ -40,7 +40,8 @@
 	KindShifted Kind = "Shifted"
 	// KindSplit is a change of a step that shifts flows. Its lines concern no single flow,
 	// so they have the field Change instead of Decision.
-	KindSplit   Kind = "Split"
+	KindSplit Kind = "Split"
+	// KindEjected is a host that gets no new flows. Its lines have the field Change, too.
 	KindEjected Kind = "Ejected"
 )
 
@@ -107,7 +108,7 @@
 
 // fieldOf returns the field that holds a kind.
 func fieldOf(kind Kind) string {
-	if kind == KindSplit {
+	if kind == KindSplit || kind == KindEjected {
 		return "Change"
 	}
 	return "Decision"
--- a/internal/routing/agsplit/decide.go
+++ b/internal/routing/agsplit/decide.go
@@ -8,6 +8,10 @@
 	"github.com/anvilglade/anvilglade"
 )
 
+// receiverShare is the divisor of the latency target that gives the limit of a receiver.
+// It is below the attempt budget of any class, so that no flow of the receiver is refused.
+const receiverShare = 4
+
 const (
 	// upInterval and backInterval are the minimum times between two steps towards the
 	// receivers and back. The way back is slower, because the reports of hosts lag.
@@ -386,10 +390,11 @@
 	return highest
 }
 
-// attemptBudget is the part of the latency target that one attempt may use, so that a
-// refused request has time for another attempt.
+// attemptBudget is the part of the latency target that one attempt may use if requests of
+// a higher priority share the service, see agadmission. Agents refuse flows of the route
+// from there on. A route of the highest priority shifts a little earlier than it must.
 func attemptBudget(target time.Duration) time.Duration {
-	return target / 2
+	return target / 3
 }
 
 // receiverLimit returns the time to a response at a receiver from which on its own
@@ -398,5 +403,5 @@
 	if receiver.Target > 0 {
 		target = min(target, receiver.Target)
 	}
-	return attemptBudget(target) / 2
+	return target / receiverShare
 }
