Shift split routes in steps of 1/64

Cause: a step of 1/16 can be a large part of a small receiver, so the step below its capacity left some of it unused.

Change: steps of 1/64 that change by at most 1/16 at once, at the same pace as before.

--- a/fleet.go
+++ b/fleet.go
@@ -181,11 +181,11 @@
 	Step    SplitStep `cbor:"3,keyasint,omitempty"`
 }
 
-// SplitStep is a share of flows in units of 1/16.
+// SplitStep is a share of flows in units of 1/MaxSplitStep.
 type SplitStep uint8
 
 // MaxSplitStep is the step at which all flows are shifted.
-const MaxSplitStep SplitStep = 16
+const MaxSplitStep SplitStep = 64
 
 // StoreWatch is the role of a balancer in watching the platform's store.
 type StoreWatch uint8
--- a/internal/observe/agexplain/explain.go
+++ b/internal/observe/agexplain/explain.go
@@ -299,7 +299,7 @@
 		return
 	}
 	cause := fmt.Sprint(line.Inputs[fieldShiftCause])
-	shift := fmt.Sprintf("at %s from %v to %v (%v of 16 new flows): %s", line.Node, from, line.Inputs[fieldService], line.Inputs[fieldShiftStep], meaningOf(cause))
+	shift := fmt.Sprintf("at %s from %v to %v (%v of %d new flows): %s", line.Node, from, line.Inputs[fieldService], line.Inputs[fieldShiftStep], anvilglade.MaxSplitStep, meaningOf(cause))
 	if !slices.Contains(e.Shifts, shift) {
 		e.Shifts = append(e.Shifts, shift)
 	}
--- a/internal/observe/agexplain/explain_test.go
+++ b/internal/observe/agexplain/explain_test.go
@@ -77,7 +77,7 @@
 {"Decision":"Shifted","Reason":"Placed","Flow":"100.66.0.7:1>198.18.0.1:8080","Service":"spare","ShiftedFrom":"main","ShiftStep":4,"ShiftCause":"NoUsableHost","Node":"b1","msg":"x","time":"2026-01-17T09:00:09Z"}
 `)
 		explanation := log.Explain(agexplain.Query{Flow: "100.66.0.7:1", Margin: time.Second})
-		Expect(explanation.Shifts).To(Equal([]string{"at b1 from main to spare (4 of 16 new flows): the service that the weights select had no usable host"}))
+		Expect(explanation.Shifts).To(Equal([]string{"at b1 from main to spare (4 of 64 new flows): the service that the weights select had no usable host"}))
 		Expect(explanation.Causes).To(BeEmpty())
 		Expect(explanation.Lines).To(HaveLen(2))
 	})
--- a/internal/routing/agsplit/decide.go
+++ b/internal/routing/agsplit/decide.go
@@ -8,6 +8,10 @@
 	"github.com/anvilglade/anvilglade"
 )
 
+// maxChange is the largest change of a step at once. The reports of hosts show the effect
+// of a change some hundred milliseconds later.
+const maxChange = anvilglade.MaxSplitStep / 16
+
 // receiverShare is the divisor of the latency target that gives the limit of a receiver.
 // It is below the attempt budget of any class, so that no flow of the receiver is refused.
 const receiverShare = 4
@@ -328,7 +332,7 @@
 	}
 	budget := attemptBudget(target)
 	if own.Usable && own.completion() <= budget {
-		if share.step > 0 && own.completion() < budget/2 && !own.backlog() && share.demand*kept(share.step-1) <= returnUtilisation {
+		if share.step > 0 && own.completion() < budget/2 && !own.backlog() && share.demand*kept(share.step-min(share.step, maxChange)) <= returnUtilisation {
 			return s.back(share, backInterval, CauseCapacityReturned, now)
 		}
 		return share.step, share.cause
@@ -355,10 +359,12 @@
 		// The service receives flows of another one that has no capacity either.
 		return 0, share.cause
 	}
-	if s.busiest(index, share.step+1, loads) > maxUtilisation {
-		return share.step, share.cause
+	for step := min(share.step+maxChange, anvilglade.MaxSplitStep); step > share.step; step-- {
+		if s.busiest(index, step, loads) <= maxUtilisation {
+			return step, cause
+		}
 	}
-	return share.step + 1, cause
+	return share.step, share.cause
 }
 
 // back returns the next step back, if it is due after an interval.
@@ -366,7 +372,7 @@
 	if share.step == 0 || now.Sub(share.steppedAt) < interval {
 		return share.step, share.cause
 	}
-	return share.step - 1, cause
+	return share.step - min(share.step, maxChange), cause
 }
 
 // withdraw returns the highest step below the present one that the receivers can serve.
--- a/internal/routing/agsplit/split.go
+++ b/internal/routing/agsplit/split.go
@@ -2,14 +2,14 @@
 //
 // While every service of the route has capacity, the hash of the flow and the weights
 // of the route select the service. A service without capacity keeps only a part of
-// its share: a step of n shifts n/16 of its new flows to the other services, its
+// its share: a step of n shifts n/64 of its new flows to the other services, its
 // receivers. A service has no capacity if it has no usable host, or if the mean wait
 // of its hosts plus their service time is above the attempt budget of the route's
-// class, which is half of the latency target.
+// class, which is a third of the latency target.
 //
 // A step is taken only if the receivers can serve the flows without harm to their own
-// callers: their mean wait plus service time must be below half of the attempt budget
-// of the most demanding class that they serve, and the utilisation that is expected
+// callers: their mean wait plus service time must be below a quarter of the shortest
+// latency target that they serve, and the utilisation that is expected
 // after the step must be below maxUtilisation. The reports of hosts show the effect of
 // a step only some hundred milliseconds later, so the expectation is computed from the
 // steps that were in force at all balancers when the reports were made. Balancers report
--- a/internal/routing/agsplit/split_test.go
+++ b/internal/routing/agsplit/split_test.go
@@ -12,6 +12,9 @@
 	"github.com/anvilglade/anvilglade/internal/routing/agsplit"
 )
 
+// sixteenth is the largest change of a step at once: a sixteenth of the flows.
+const sixteenth = anvilglade.MaxSplitStep / 16
+
 func TestSplit(t *testing.T) {
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "agsplit")
@@ -72,9 +75,9 @@
 	It("shifts an even sample that grows with the step", func() {
 		shifted := make(map[int]bool)
 		now, former := start, anvilglade.SplitStep(0)
-		for former < 4 {
+		for former < 4*sixteenth {
 			now = evaluate(1, now, slow, idle)
-			Expect(step()).To(BeNumerically("<=", former+1))
+			Expect(step()).To(BeNumerically("<=", former+sixteenth))
 			if step() == former {
 				continue
 			}
@@ -93,7 +96,7 @@
 				}
 				Expect(shifted[i]).To(BeFalse())
 			}
-			Expect(float64(moved) / float64(main)).To(BeNumerically("~", float64(former)/16, 0.01))
+			Expect(float64(moved) / float64(main)).To(BeNumerically("~", float64(former)/float64(anvilglade.MaxSplitStep), 0.01))
 		}
 		Expect(testing.AllocsPerRun(100, func() { splitter.Select(route, flowOf(7)) })).To(BeZero())
 	})
@@ -120,9 +123,9 @@
 	// Guards against the full load on hosts that have just restarted and report nothing yet.
 	It("returns in steps to a service without reports", func() {
 		now := evaluate(3, start, agsplit.Load{}, idle)
-		Expect(step()).To(Equal(anvilglade.SplitStep(3)))
+		Expect(step()).To(Equal(3 * sixteenth))
 		now = evaluate(5, now, agsplit.Load{Usable: true}, idle)
-		Expect(step()).To(Equal(anvilglade.SplitStep(2)))
+		Expect(step()).To(Equal(2 * sixteenth))
 		evaluate(10, now, agsplit.Load{Usable: true}, idle)
 		Expect(step()).To(BeZero())
 	})
