Clarify names and comments of admission, capacity and queue code

The script test of agcapacity uses agscript.Run, as others do. The model test names the limits of memory and says that a quarter of the target is the requirement.

Result: no change of behaviour.

--- a/fleet.go
+++ b/fleet.go
@@ -176,9 +176,12 @@
 // RouteShift is the share of a service's new flows on a split route that goes to the
 // other services of the route.
 type RouteShift struct {
-	Route   string    `cbor:"1,keyasint,omitempty"`
+	// Route is the name of the split route.
+	Route string `cbor:"1,keyasint,omitempty"`
+	// Service is the service from which flows are shifted.
 	Service ServiceID `cbor:"2,keyasint,omitempty"`
-	Step    SplitStep `cbor:"3,keyasint,omitempty"`
+	// Step is the share that is shifted.
+	Step SplitStep `cbor:"3,keyasint,omitempty"`
 }
 
 // SplitStep is a share of flows in units of 1/MaxSplitStep.
--- a/internal/admission/agadmission/classes.go
+++ b/internal/admission/agadmission/classes.go
@@ -27,8 +27,10 @@
 // classState is the state of one priority.
 type classState struct {
 	priority anvilglade.Priority
-	// target is the latency target of its newest request.
-	target            time.Duration
+	// target is the latency target of its latest request.
+	target time.Duration
+	// seenAt is the time of the latest request, refusedAt that of the latest refusal by
+	// the last candidate.
 	seenAt, refusedAt time.Time
 	// credit is the number of requests that the priority may place in excess of its own
 	// budget.
@@ -38,9 +40,9 @@
 	prepaid int
 }
 
-// yieldsTo reports whether a priority is below the highest one that counts.
-func (s *classState) yieldsTo(top *classState) bool {
-	return s.priority > top.priority
+// yieldsTo reports whether a priority is below another one.
+func (s *classState) yieldsTo(other *classState) bool {
+	return s.priority > other.priority
 }
 
 // prepay takes the credit of a request that has not run yet.
@@ -85,12 +87,13 @@
 	})
 }
 
-// highest returns the highest priority that has ever been seen.
+// highest returns the highest priority that has been seen since the last Reset. It is
+// called after see.
 func (l *classList) highest() *classState {
 	return l.states[0]
 }
 
-// top returns the highest priority that is present. It is called after see.
+// top returns the priority that counts as the highest, nil if none has been seen.
 func (l *classList) top() *classState {
 	if i, found := l.find(l.recent.Top()); found {
 		return l.states[i]
@@ -126,11 +129,11 @@
 	return false
 }
 
-// hasLower reports whether a priority below the highest one is present. It is called
-// after the highest one has been seen.
+// hasLower reports whether a lower priority was seen at most seenPeriod before the latest
+// request of top.
 func (l *classList) hasLower(top *classState) bool {
 	for _, state := range l.states {
-		if state.priority > top.priority && top.seenAt.Sub(state.seenAt) <= seenPeriod {
+		if state.yieldsTo(top) && top.seenAt.Sub(state.seenAt) <= seenPeriod {
 			return true
 		}
 	}
--- a/internal/admission/agadmission/controller.go
+++ b/internal/admission/agadmission/controller.go
@@ -7,13 +7,14 @@
 // caller that is refused has time for another attempt. The budget of the highest
 // priority is half of its target. The budget of a lower priority is a third of its
 // target, and at most two thirds of the budget of the highest one, so that lower
-// priorities are refused first whatever their targets. Two thirds apply to the host's
-// queue as well. Package agpriority says which priority counts as the highest; while that
-// is not the highest that has ever been seen, it borrows what the higher one leaves idle.
+// priorities are refused first whatever their targets. A lower priority may also use only
+// two thirds of the host's queue. Package agpriority determines which priority counts as
+// the highest. If a higher one has been seen since the last Reset, the present highest
+// borrows the capacity that the other leaves idle.
 //
 // Lower priorities that are refused earn credits from the completions of the host, so
-// that all of them together get a fifth of the completions. With a credit it is admitted up
-// to the budget of the highest priority, which leaves one place for it.
+// that all of them together get a fifth of the completions. With a credit, a lower priority
+// is admitted up to the limits of the highest one, which leaves one place for it.
 //
 // With further candidates a flow is forwarded as soon as it would wait for longer than
 // one service time; the highest priority beside lower ones is admitted within half of
@@ -28,7 +29,7 @@
 // # Usage
 //
 //	controller := agadmission.NewController()
-//	controller.Arrive(class.Priority, now)   // for each request on an open flow
+//	controller.Arrive(class, now)            // for each request on an open flow
 //	controller.Complete(class.Priority, now) // for each request that has run
 //	decision := controller.Decide(&opening, now)
 //	if !decision.Result.Admits() {
@@ -45,16 +46,22 @@
 // Result is the decision on one new flow.
 type Result string
 
-// Results of a decision. Borrowed flows exceed the budget that they would have beside
-// a higher priority, Guaranteed ones are admitted by a credit, Trial ones to measure a
-// host that counts as too slow.
+// Results of a decision.
 const (
-	ResultAdmitted   Result = "Admitted"
-	ResultBorrowed   Result = "Borrowed"
+	// ResultAdmitted is a flow that is within the limits of its class, or that the last
+	// candidate admits to a free slot.
+	ResultAdmitted Result = "Admitted"
+	// ResultBorrowed is an admitted flow that exceeds the limits that it would have beside
+	// a higher priority.
+	ResultBorrowed Result = "Borrowed"
+	// ResultGuaranteed is a flow that is admitted by a credit.
 	ResultGuaranteed Result = "Guaranteed"
-	ResultTrial      Result = "Trial"
-	ResultForwarded  Result = "Forwarded"
-	ResultRefused    Result = "Refused"
+	// ResultTrial is a flow that is admitted to measure a host that counts as too slow.
+	ResultTrial Result = "Trial"
+	// ResultForwarded is a flow for the next candidate.
+	ResultForwarded Result = "Forwarded"
+	// ResultRefused is a flow that the last candidate does not admit.
+	ResultRefused Result = "Refused"
 )
 
 // Cause is the reason by which logs and explanations name a flow that was forwarded or
@@ -91,15 +98,18 @@
 	HasNext bool
 }
 
-// Decision is the decision on a new flow and the budget by which it was made.
+// Decision is the decision on a new flow.
 type Decision struct {
 	Result Result
+	// Budget is the time that the wait and the service time of an attempt of the class
+	// may take.
 	Budget time.Duration
 }
 
 // Controller decides on the new flows of one host.
 type Controller struct {
 	classes classList
+	// trialAt is the time of the latest trial.
 	trialAt time.Time
 }
 
@@ -108,7 +118,8 @@
 	return &Controller{}
 }
 
-// Reset discards the credits, because the host has restarted or ended.
+// Reset discards the classes that were seen and their credits. It is called when the host
+// has restarted or ended.
 func (c *Controller) Reset() {
 	*c = Controller{}
 }
@@ -135,7 +146,8 @@
 	return Decision{Result: result, Budget: own.budget}
 }
 
-// admit returns how a flow is admitted, or ResultRefused if it is not.
+// admit returns how a flow is admitted, or ResultRefused if it is not. While a lower
+// priority has a credit, a flow of the highest one leaves a place for it.
 func (c *Controller) admit(opening *Opening, class, top *classState, own limits) Result {
 	yields := !class.yieldsTo(top) && c.classes.owesPlace(top) && !own.withoutOne(opening).allow(opening)
 	switch {
@@ -165,15 +177,21 @@
 	return class.yieldsTo(top) || !c.classes.hasLower(top) || !own.half().allow(opening)
 }
 
-// admittedAs returns whether a flow that is admitted borrows from a higher priority.
+// admittedAs returns ResultBorrowed for an admitted flow that borrows from a higher
+// priority, and ResultAdmitted for others.
 func (c *Controller) admittedAs(opening *Opening, class, top *classState) Result {
-	if higher := c.classes.highest(); !class.yieldsTo(top) && class.yieldsTo(higher) && !limitsOf(opening, class, higher).allow(opening) {
-		return ResultBorrowed
+	higher := c.classes.highest()
+	if class.yieldsTo(top) || !class.yieldsTo(higher) {
+		return ResultAdmitted
+	}
+	if limitsOf(opening, class, higher).allow(opening) {
+		return ResultAdmitted
 	}
-	return ResultAdmitted
+	return ResultBorrowed
 }
 
-// reject returns the result for a flow that is not admitted.
+// reject returns the result for a flow that is not admitted. An idle host takes it as a
+// trial from time to time, as it would give no samples otherwise.
 func (c *Controller) reject(opening *Opening, class *classState, now time.Time) Result {
 	switch {
 	case opening.Expected == 0 && now.Sub(c.trialAt) >= trialInterval:
--- a/internal/admission/agcapacity/estimator.go
+++ b/internal/admission/agcapacity/estimator.go
@@ -36,7 +36,8 @@
 //
 //	estimator := agcapacity.NewEstimator(slots)
 //	holder.Observer = estimator
-//	wait := estimator.Wait(expectedRequests, now)
+//	estimator.SetSlots(heartbeat.Slots, now)
+//	wait := estimator.Wait(holder.NewFlows(), now)
 //	serviceTime := estimator.ServiceTime(now)
 package agcapacity
 
@@ -46,21 +47,24 @@
 	"github.com/anvilglade/anvilglade"
 )
 
-// Result is what the answer to a request says about it.
+// Result is the outcome of a request, as far as its answer shows it.
 type Result string
 
-// Results of an answer. Unknown is an answer to a request that the model does not
-// have, or does not have any more.
+// Results of an answer.
 const (
-	ResultServed  Result = "Served"
-	ResultShed    Result = "Shed"
+	// ResultServed is a request that the host has run.
+	ResultServed Result = "Served"
+	// ResultShed is a request that the host has refused because its queue was full.
+	ResultShed Result = "Shed"
+	// ResultUnknown is a request that the model does not have, or does not have any more,
+	// or any request while the number of slots is unknown.
 	ResultUnknown Result = "Unknown"
 )
 
 const (
 	// settleTime is the time after the first request in which requests give no
 	// sample, because the host may have others that the agent has not seen. It is
-	// longer than a full queue of a host takes that is five times slower than usual.
+	// longer than a host needs to empty a full queue if it is five times slower than usual.
 	settleTime = 500 * time.Millisecond
 	// swapWindow is the difference in arrival up to which the host may have read two
 	// requests in the other order.
@@ -70,9 +74,9 @@
 	// the VM's processor is busy.
 	minShedTime = 2 * time.Millisecond
 	maxShedTime = 20 * time.Millisecond
-	// lostAfter is the time after which a running request counts as ended if its class
-	// has no timeout. No caller waits for longer.
-	lostAfter = 10 * time.Second
+	// defaultTimeout is the time for which the caller of a request whose class has no
+	// timeout is assumed to wait at most.
+	defaultTimeout = 10 * time.Second
 )
 
 var (
@@ -212,12 +216,13 @@
 	return e.service.estimate(e.requests.started, now)
 }
 
-// RequestRate returns the number of requests per second, averaged over some seconds.
+// RequestRate returns the number of requests per second. The weight of a request falls to
+// 1/e within ratePeriod.
 func (e *Estimator) RequestRate(now time.Time) float64 {
 	return e.rate.perSecond(now)
 }
 
-// serve uses the answer to a running request.
+// serve updates the queue limit and the service time by the answer to a running request.
 func (e *Estimator) serve(request *request, now time.Time) {
 	e.limit.acceptedAt(request.ahead)
 	if !request.inexact {
@@ -265,7 +270,7 @@
 func (e *Estimator) removeLost(now time.Time) {
 	for i := len(e.requests.started) - 1; i >= 0; i-- {
 		request := e.requests.started[i]
-		if now.Sub(request.arrivedAt) > request.lostAfter() {
+		if now.Sub(request.arrivedAt) > request.timeout() {
 			e.addLowerBound(request, now)
 			e.requests.markNextInexact()
 			e.requests.remove(request)
@@ -273,13 +278,15 @@
 	}
 }
 
-// addLowerBound uses the time for which an unanswered request has run.
+// addLowerBound adds a sample for an unanswered request that has run for longer than the
+// mean. Its service time is at least the time for which it has run.
 func (e *Estimator) addLowerBound(request *request, now time.Time) {
 	if ran := now.Sub(request.startedAt); !request.inexact && ran > e.service.mean() {
 		e.service.add(ran, now)
 	}
 }
 
+// startWaiting starts waiting requests while slots are free.
 func (e *Estimator) startWaiting(now time.Time) {
 	for len(e.requests.started) < e.slots && e.requests.first != nil {
 		e.requests.start(now)
--- a/internal/admission/agcapacity/estimator_test.go
+++ b/internal/admission/agcapacity/estimator_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
-	"os"
 	"strconv"
 	"testing"
 	"time"
@@ -19,36 +18,26 @@
 // TestScripts runs each script in testdata against an Estimator of a host with two
 // slots. The comment at the top of a script names the failure that it guards against.
 func TestScripts(t *testing.T) {
-	scripts, err := agscript.Load(os.DirFS("testdata"))
-	if err != nil {
-		t.Fatal(err)
-	}
-	for _, script := range scripts {
-		t.Run(script.Name, func(t *testing.T) {
-			runner := &scriptRunner{t: t, start: time.Unix(1_000_000, 0), random: rand.New(rand.NewPCG(1, 2))}
-			runner.estimator = agcapacity.NewEstimator(slots)
-			runner.estimator.OnResult = func(_ anvilglade.RequestClass, result agcapacity.Result, _ time.Time) { runner.result = result }
-			for i := range script.Steps {
-				step := &script.Steps[i]
-				if got := runner.step(step); !step.Matches(got) {
-					t.Errorf("%s\n got %s", step.Source, got)
-				}
-			}
-		})
-	}
+	agscript.Run(t, func() agscript.Player {
+		runner := &scriptRunner{random: rand.New(rand.NewPCG(1, 2)), estimator: agcapacity.NewEstimator(slots)}
+		runner.estimator.OnResult = func(_ anvilglade.RequestClass, result agcapacity.Result, _ time.Time) { runner.result = result }
+		return func(t *testing.T, step *agscript.Step, now time.Time) string {
+			t.Helper()
+			runner.t = t
+			return runner.step(step, now)
+		}
+	})
 }
 
 type scriptRunner struct {
 	t         *testing.T
-	start     time.Time
 	random    *rand.Rand
 	estimator *agcapacity.Estimator
 	result    agcapacity.Result
 	flows     int
 }
 
-func (r *scriptRunner) step(step *agscript.Step) (got string) {
-	now := r.start.Add(step.At)
+func (r *scriptRunner) step(step *agscript.Step, now time.Time) (got string) {
 	switch step.Verb {
 	case "Arrive":
 		r.estimator.Arrive(flowOf(step.Args[0]), anvilglade.RequestClass{Timeout: 800 * time.Millisecond}, now)
@@ -66,8 +55,9 @@
 	case "Rate":
 		got = fmt.Sprintf("%.0f", r.estimator.RequestRate(now))
 	case "ServiceTime":
-		got = r.estimator.ServiceTime(now).String()
-		if serviceTime := r.estimator.ServiceTime(now); serviceTime >= r.duration(step, "Above") && serviceTime <= r.duration(step, "Below") {
+		serviceTime := r.estimator.ServiceTime(now)
+		got = serviceTime.String()
+		if serviceTime >= r.duration(step, "Above") && serviceTime <= r.duration(step, "Below") {
 			got = "Within"
 		}
 	default:
--- a/internal/admission/agcapacity/queue.go
+++ b/internal/admission/agcapacity/queue.go
@@ -22,7 +22,9 @@
 	// those that the host has shed.
 	ahead int
 	// inexact is set if the host may have started the request at another time.
-	inexact        bool
+	inexact bool
+	// previous and next are the neighbours in the list of waiting requests. A record that
+	// is not in use has the next such record in next.
 	previous, next *request
 }
 
@@ -30,12 +32,13 @@
 	return !r.startedAt.IsZero()
 }
 
-// lostAfter returns the time after which the caller no longer waits for the answer.
-func (r *request) lostAfter() time.Duration {
+// timeout returns the time from the arrival after which the caller no longer waits for the
+// answer.
+func (r *request) timeout() time.Duration {
 	if r.class.Timeout > 0 {
 		return r.class.Timeout
 	}
-	return lostAfter
+	return defaultTimeout
 }
 
 // requestQueue holds the outstanding requests.
--- a/internal/admission/agcapacity/rate.go
+++ b/internal/admission/agcapacity/rate.go
@@ -15,7 +15,7 @@
 
 // requestRate is a moving average of the number of requests per second.
 type requestRate struct {
-	// weighted is the sum of the weights of all requests.
+	// weighted is the sum of the weights of all requests as of updatedAt.
 	weighted             float64
 	startedAt, updatedAt time.Time
 }
@@ -37,7 +37,7 @@
 	return r.weighted * remaining(now.Sub(r.updatedAt)) / period
 }
 
-// remaining returns the weight that a request has left after a time.
+// remaining returns the factor by which the weight of a request falls in a time.
 func remaining(elapsed time.Duration) float64 {
 	return math.Exp(-float64(elapsed) / float64(ratePeriod))
 }
--- a/internal/admission/agcapacity/service.go
+++ b/internal/admission/agcapacity/service.go
@@ -22,9 +22,9 @@
 	minWeight = 8
 	// minSamples is the number of samples from which the mean is used.
 	minSamples = 16
-	// maxSampleRatio limits a sample to a multiple of the mean. A lower limit would
-	// lower the mean of a log-normal distribution (sigma 1) by more than 4%, and delay
-	// the estimate of a host that has become six times slower.
+	// maxSampleRatio limits a sample to a multiple of the mean. It lowers the mean of a
+	// log-normal distribution (sigma 1) by less than 4%; a ratio of 5 would lower it by
+	// about 5% and delay the estimate of a host that has become six times slower.
 	maxSampleRatio = 6
 	// riseRatio is the ratio of the fast to the slow average from which the host counts
 	// as slower. At the rate of two busy slots noise rarely reaches it.
--- a/internal/admission/agopen/breaker.go
+++ b/internal/admission/agopen/breaker.go
@@ -22,11 +22,16 @@
 // breaker is open while the host takes no flows because it has returned opening packets.
 // Afterwards it lets trial flows through until the host has accepted one.
 type breaker struct {
+	// holdOff is the length of the latest time without new flows, which began at
+	// returnedAt and ends at openUntil.
 	holdOff    time.Duration
 	returnedAt time.Time
 	openUntil  time.Time
-	onTrial    bool
-	trialAt    time.Time
+	// onTrial is set from a returned opening packet until the host has accepted a flow
+	// after the hold-off.
+	onTrial bool
+	// trialAt is the time of the latest trial flow, zero if there was none.
+	trialAt time.Time
 }
 
 // returned records an opening packet that the host has returned. Packets that were
--- a/internal/admission/agpriority/recent.go
+++ b/internal/admission/agpriority/recent.go
@@ -3,15 +3,17 @@
 //
 // Admission control and the queue in front of the host give way to the highest priority.
 // A priority counts only if it has a notable share of the recent requests: otherwise a
-// few requests of a rarely used route would take the precedence from the class that
-// matters. Requests of such a rare priority have the precedence of the highest one. A
-// priority without a request for two seconds does not count either.
+// few requests of a rarely used route would take precedence over the class that most
+// requests have. Requests of such a rare priority have the precedence of the highest one.
+// A priority without a request for two seconds does not count either. While no priority
+// counts, the last one that did remains the highest.
 //
 // The package has no input or output. A Recent takes the time as a parameter and is not
 // safe for concurrent use; its memory is bounded by the number of priorities.
 //
 // # Usage
 //
+//	var recent agpriority.Recent
 //	recent.Add(class.Priority, now)
 //	if class.Priority <= recent.Top() {
 //		// the request has precedence
@@ -43,10 +45,12 @@
 	// epoch is the time at which a request has the weight 1; later ones weigh more.
 	epoch  time.Time
 	shares []share
-	total  float64
-	top    anvilglade.Priority
+	// total is the sum of the weights.
+	total float64
+	top   anvilglade.Priority
 }
 
+// share holds the requests of one priority.
 type share struct {
 	priority anvilglade.Priority
 	weight   float64
--- a/internal/admission/agqueue/load_test.go
+++ b/internal/admission/agqueue/load_test.go
@@ -68,8 +68,8 @@
 	heap.Push(&s.events, event{at: s.now.Add(d), run: run})
 }
 
-// service draws a service time from a log-normal distribution, cut to the range of the
-// requests that were seen.
+// service draws a service time from a log-normal distribution, limited to the range from
+// minService to maxService.
 func service(random *rand.Rand) time.Duration {
 	drawn := time.Duration(math.Exp(random.NormFloat64()) * float64(10*time.Millisecond))
 	return min(max(drawn, minService), maxService)
@@ -117,7 +117,7 @@
 	h.arm()
 }
 
-// arm stands for the timer of the agent.
+// arm schedules a release at the deadline of the queue, as the timer of the agent does.
 func (h *server) arm() {
 	if deadline, ok := h.queue.Deadline(); ok && deadline != h.armed {
 		h.armed = deadline
@@ -196,7 +196,22 @@
 // simulate runs a load that is a multiple of the capacity of the hosts, with or without
 // queues at the agents.
 func simulate(seed uint64, load float64, queues bool) *simulation {
-	s := &simulation{random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1_000_000, 0), results: map[anvilglade.Priority]*classResult{1: {}, 2: {}}}
+	s := newSimulation(seed, queues)
+	s.addRequests(seed, load)
+	for len(s.events) > 0 {
+		next := heap.Pop(&s.events).(event)
+		s.now = next.at
+		next.run()
+	}
+	return s
+}
+
+func newSimulation(seed uint64, queues bool) *simulation {
+	s := &simulation{
+		random:  rand.New(rand.NewPCG(seed, 1)),
+		now:     time.Unix(1_000_000, 0),
+		results: map[anvilglade.Priority]*classResult{1: {}, 2: {}},
+	}
 	for i := range uint64(hosts) {
 		h := &server{simulation: s, work: rand.New(rand.NewPCG(seed, 3+i)), queued: make(map[anvilglade.Flow]*request)}
 		h.queue = agqueue.NewQueue(nil)
@@ -205,7 +220,12 @@
 		}
 		s.servers = append(s.servers, h)
 	}
-	// The workload has a source of its own, so that both variants get the same requests.
+	return s
+}
+
+// addRequests schedules the requests of a load. Their random source is separate, so that
+// both variants get the same requests.
+func (s *simulation) addRequests(seed uint64, load float64) {
 	workload := rand.New(rand.NewPCG(seed, 2))
 	var mean time.Duration
 	for range 10_000 {
@@ -221,12 +241,6 @@
 		s.results[class.Priority].sent++
 		s.after(time.Duration(at)+networkDelay, func() { s.servers[r.server].arrive(r) })
 	}
-	for len(s.events) > 0 {
-		next := heap.Pop(&s.events).(event)
-		s.now = next.at
-		next.run()
-	}
-	return s
 }
 
 // share returns the share of the requests that were served in time, of one class or, for
@@ -256,7 +270,8 @@
 					t.Errorf("%.4f of the requests of the highest priority were in time, direct delivery has %.4f", queued.share(1), direct.share(1))
 				}
 			})
-			// Guards against a queue that uses up the target of what it delays.
+			// Guards against a queue that uses up the target of what it delays. The required
+			// limit is a quarter of the target; the queue uses less of it.
 			t.Run("Wait/"+name, func(t *testing.T) {
 				if queued.maxWait > min(high.Target/4, 100*time.Millisecond) {
 					t.Errorf("a request waited %s in the queue", queued.maxWait)
--- a/internal/admission/agqueue/model_test.go
+++ b/internal/admission/agqueue/model_test.go
@@ -33,6 +33,9 @@
 	uploadPackets = 90
 	uploadSize    = 1400
 	smallSize     = 600
+	// maxPackets and maxBytes are the limits of the queue's memory.
+	maxPackets = 256
+	maxBytes   = 256 << 10
 )
 
 var modelClasses = []anvilglade.RequestClass{high, low, {Priority: 3, Target: time.Second, Timeout: 50 * time.Millisecond}, {}}
@@ -144,7 +147,8 @@
 }
 
 // checkRelease checks that a request leaves the queue in time and as it was queued, or
-// not at all if its caller has left.
+// not at all if its caller has left. The required limit of the wait is a quarter of the
+// target; the queue uses less of it.
 func (m *model) checkRelease(t *rapid.T, f *modelFlow, release *agqueue.Release) {
 	expected := f.queued
 	// A caller that has just sent a further packet has not left.
@@ -263,13 +267,13 @@
 
 func (m *model) fits(size int) bool {
 	packets, bytes := m.sizes()
-	return packets < 256 && bytes+size <= 256<<10
+	return packets < maxPackets && bytes+size <= maxBytes
 }
 
 // check compares the number of queued packets with the model and with the limits.
 func (m *model) check(t *rapid.T) {
 	packets, bytes := m.sizes()
-	if packets != m.queue.Packets() || packets > 256 || bytes > 256<<10 {
+	if packets != m.queue.Packets() || packets > maxPackets || bytes > maxBytes {
 		t.Fatalf("%d packets are queued, expected %d with %d bytes", m.queue.Packets(), packets, bytes)
 	}
 }
--- a/internal/admission/agqueue/order.go
+++ b/internal/admission/agqueue/order.go
@@ -21,10 +21,13 @@
 	packets []queuedPacket
 }
 
-// queuedPacket is a packet of a queued request with the range of its data.
+// queuedPacket is a packet of a queued request.
 type queuedPacket struct {
+	// sequence is the sequence number of the first byte of data, length the number of
+	// bytes.
 	sequence uint32
 	length   int
+	// closes is set if the packet has a FIN.
 	closes   bool
 	datagram []byte
 }
@@ -47,9 +50,22 @@
 	return datagrams
 }
 
+// outcomeAt returns the outcome of a request that leaves the queue now.
+func (r *queuedRequest) outcomeAt(now time.Time) Outcome {
+	switch {
+	case r.outcome != "":
+		return r.outcome
+	case r.class.Timeout > 0 && now.Sub(r.queuedAt) >= r.class.Timeout:
+		return OutcomeGone
+	case now.Before(r.deadline):
+		return OutcomeReleased
+	}
+	return OutcomeExpired
+}
+
 // waitLimit returns the longest time in the queue for a class.
 func waitLimit(class anvilglade.RequestClass) time.Duration {
-	return min(class.Target/targetShare, maxWait)
+	return min(class.Target/targetDivisor, maxWait)
 }
 
 func (q *Queue) fits(datagram []byte) bool {
@@ -59,7 +75,12 @@
 // add queues the first packet of a request, behind all requests of the same or a higher
 // priority.
 func (q *Queue) add(arrival *Arrival, now time.Time) {
-	request := &queuedRequest{flow: arrival.Flow, class: arrival.Class, queuedAt: now, deadline: now.Add(waitLimit(arrival.Class))}
+	request := &queuedRequest{
+		flow:     arrival.Flow,
+		class:    arrival.Class,
+		queuedAt: now,
+		deadline: now.Add(waitLimit(arrival.Class)),
+	}
 	index := len(q.requests)
 	for index > 0 && q.requests[index-1].class.Priority > request.class.Priority {
 		index--
--- a/internal/admission/agqueue/queue.go
+++ b/internal/admission/agqueue/queue.go
@@ -48,11 +48,12 @@
 	// maxWait is the longest time in the queue. Callers retransmit a packet that is not
 	// acknowledged within 200 ms.
 	maxWait = 100 * time.Millisecond
-	// targetShare is the share of the latency target that a request may wait, as a
-	// divisor. A caller makes up to three attempts. Their waits together leave half of
-	// the target for the host's own queue and the service time.
-	targetShare = 6
-	// maxPackets and maxBytes limit the memory of the queue.
+	// targetDivisor divides the latency target into the longest time in the queue. A
+	// caller makes up to three attempts. Their waits together leave half of the target
+	// for the host's own queue and the service time.
+	targetDivisor = 6
+	// maxPackets and maxBytes limit the memory of the queue: the packets and the bytes of
+	// their datagrams.
 	maxPackets = 256
 	maxBytes   = 256 << 10
 )
@@ -111,8 +112,10 @@
 	Flow    anvilglade.Flow
 	Class   anvilglade.RequestClass
 	Outcome Outcome
-	Waited  time.Duration
-	// Datagrams has the packets of the request in the order of arrival.
+	// Waited is the time in the queue.
+	Waited time.Duration
+	// Datagrams has the packets of the request in the order of arrival. It is empty if
+	// the outcome is OutcomeGone.
 	Datagrams [][]byte
 }
 
@@ -237,18 +240,14 @@
 		index = q.firstDue(now)
 	}
 	request := q.remove(index)
-	release := Release{Flow: request.flow, Class: request.class, Outcome: request.outcome, Waited: now.Sub(request.queuedAt), Datagrams: request.datagrams()}
-	switch {
-	case release.Outcome != "":
-	case request.class.Timeout > 0 && release.Waited >= request.class.Timeout:
-		release.Outcome = OutcomeGone
-	case now.Before(request.deadline):
-		release.Outcome = OutcomeReleased
-	default:
-		release.Outcome = OutcomeExpired
+	release := Release{
+		Flow:    request.flow,
+		Class:   request.class,
+		Outcome: request.outcomeAt(now),
+		Waited:  now.Sub(request.queuedAt),
 	}
-	if release.Outcome == OutcomeGone {
-		release.Datagrams = nil
+	if release.Outcome != OutcomeGone {
+		release.Datagrams = request.datagrams()
 	}
 	return release, true
 }
--- a/internal/admission/agqueue/shedding.go
+++ b/internal/admission/agqueue/shedding.go
@@ -12,7 +12,7 @@
 
 const (
 	// shedTime is the time after which a request that was delivered to a full host and
-	// is not answered is taken to have a place. The host's refusal takes a millisecond,
+	// is not answered counts as having a place. The host's refusal takes a millisecond,
 	// and an agent without CPU time reads it some milliseconds later.
 	shedTime = 5 * time.Millisecond
 	// raceTime is the round trip between agent and host on one VM: a request that was
--- a/internal/flow/agholder/holder.go
+++ b/internal/flow/agholder/holder.go
@@ -241,11 +241,11 @@
 		record.origin, record.originNotified = forward.Origin, false
 	}
 	record.lookupPending = !forward.ToHolder && !packet.Opens()
-	record.acknowledgeCaller(packet)
+	record.recordAcknowledged(packet)
 	record.class = forward.Class
 	h.recordCallerPacket(record, packet, now)
 	if packet.Opens() {
-		h.expectAnswer(record)
+		h.expectOpeningAnswer(record)
 	}
 	if record.state == stateOpen && !forward.ToHolder && !record.originNotified {
 		h.notifyOrigin(verdict.Flow, record, verdict)
@@ -311,7 +311,7 @@
 // FromHost decides on a packet that the host has sent or returned and writes the
 // decision to verdict.
 func (h *Holder) FromHost(packet *anvilglade.Packet, now time.Time, verdict *Verdict) {
-	h.recordHostSign(packet)
+	h.recordHostActivity(packet)
 	if packet.Flags.Has(anvilglade.FlagReturned) {
 		h.handleReturned(packet, now, verdict)
 		return
@@ -418,9 +418,10 @@
 	return lost
 }
 
-// recordHostSign records a packet of the host as a sign that it runs. A returned opening
-// packet is none: a host that has crashed returns opening packets, but no others.
-func (h *Holder) recordHostSign(packet *anvilglade.Packet) {
+// recordHostActivity records that the host has sent or returned a packet. A returned
+// opening packet does not show that the host runs: a host that has crashed returns opening
+// packets, but no others.
+func (h *Holder) recordHostActivity(packet *anvilglade.Packet) {
 	if packet.Opens() && packet.Flags.Has(anvilglade.FlagReturned) {
 		if h.activeRequests == 0 {
 			h.hostUnansweredSince = time.Time{}
--- a/internal/flow/agholder/record.go
+++ b/internal/flow/agholder/record.go
@@ -62,9 +62,10 @@
 	}
 }
 
-// acknowledgeCaller records the acknowledgement number of a packet of the caller. Packets
-// that were queued arrive after later acknowledgements.
-func (r *flowRecord) acknowledgeCaller(packet *anvilglade.Packet) {
+// recordAcknowledged records the acknowledgement number of a packet of the caller, unless
+// it is older than the recorded one: a packet that was queued at the agent is handled after
+// later acknowledgements of its flow.
+func (r *flowRecord) recordAcknowledged(packet *anvilglade.Packet) {
 	if packet.Opens() || r.acknowledged == 0 || int32(packet.Acknowledged-r.acknowledged) > 0 {
 		r.acknowledged = packet.Acknowledged
 	}
@@ -162,8 +163,8 @@
 	}
 }
 
-// expectAnswer counts a new flow whose opening packet is delivered to the host.
-func (h *Holder) expectAnswer(record *flowRecord) {
+// expectOpeningAnswer counts a new flow whose opening packet is delivered to the host.
+func (h *Holder) expectOpeningAnswer(record *flowRecord) {
 	if record.state == stateUnconfirmed && !record.openingPending {
 		record.openingPending = true
 		h.openingsPending++
--- a/internal/operate/agpacketagent/admission.go
+++ b/internal/operate/agpacketagent/admission.go
@@ -17,10 +17,6 @@
 	"github.com/anvilglade/anvilglade/internal/packet/agmessage"
 )
 
-// resultAdmitted is the result in the metrics of a flow that is accepted without
-// regard to its class.
-const resultAdmitted = string(agadmission.ResultAdmitted)
-
 var _ anvilglade.RequestObserver = (*requestObserver)(nil)
 
 // requestObserver reports the requests of the host to the estimator and to the
@@ -48,7 +44,7 @@
 	o.capacity.Abandon(flow, now)
 }
 
-// consideredOpening is the latest decision by class, for the log.
+// consideredOpening is the latest decision by expected wait, for the log.
 type consideredOpening struct {
 	opening  agadmission.Opening
 	decision agadmission.Decision
@@ -61,26 +57,32 @@
 		WithField("Expected", c.opening.Expected).WithField("QueueLimit", c.opening.QueueLimit)
 }
 
-// refusal returns the reason to refuse a new flow, empty to accept it.
+// refusal returns the reason to refuse a new flow, empty to accept it, and counts the
+// decision.
 func (p *Process) refusal(forward *agmessage.Forward, now time.Time) string {
-	class, result := agmetric.ClassLabel(forward.Class), resultAdmitted
 	serviceTime := p.capacity.ServiceTime(now)
-	if !forward.Class.HasTarget() || serviceTime == 0 {
-		refusal := p.refusalByLoad(forward, now)
-		if refusal != agopen.RefusalNone {
-			result = string(refusal)
-		}
-		p.metrics.Admissions.WithLabelValues(class, result).Inc()
-		return string(refusal)
+	if forward.Class.HasTarget() && serviceTime != 0 {
+		return p.refusalByWait(forward, serviceTime, now)
 	}
-	refusal := p.gate.CheckFlow(now)
-	if refusal != agopen.RefusalNone {
-		p.metrics.Admissions.WithLabelValues(class, string(refusal)).Inc()
+	refusal := p.refusalByLoad(forward, now)
+	if refusal == agopen.RefusalNone {
+		p.countAdmission(forward.Class, string(agadmission.ResultAdmitted))
+	} else {
+		p.countAdmission(forward.Class, string(refusal))
+	}
+	return string(refusal)
+}
+
+// refusalByWait returns the reason to refuse a flow whose class has a latency target,
+// empty to accept it. The gate counts the flow only if the host takes it.
+func (p *Process) refusalByWait(forward *agmessage.Forward, serviceTime time.Duration, now time.Time) string {
+	if refusal := p.gate.CheckFlow(now); refusal != agopen.RefusalNone {
+		p.countAdmission(forward.Class, string(refusal))
 		return string(refusal)
 	}
 	decision := p.decide(forward, serviceTime, now)
-	p.metrics.Admissions.WithLabelValues(class, string(decision.Result)).Inc()
-	p.metrics.ExpectedWait.WithLabelValues(class).Observe(p.considered.opening.Wait.Seconds())
+	p.countAdmission(forward.Class, string(decision.Result))
+	p.metrics.ExpectedWait.WithLabelValues(agmetric.ClassLabel(forward.Class)).Observe(p.considered.opening.Wait.Seconds())
 	if !decision.Result.Admits() {
 		return agadmission.Cause
 	}
@@ -97,16 +99,21 @@
 	return p.gate.AdmitFlow(now)
 }
 
-// decide decides on a flow by its class.
+func (p *Process) countAdmission(class anvilglade.RequestClass, result string) {
+	p.metrics.Admissions.WithLabelValues(agmetric.ClassLabel(class), result).Inc()
+}
+
+// decide decides on a flow by its class and the expected wait.
 func (p *Process) decide(forward *agmessage.Forward, serviceTime time.Duration, now time.Time) agadmission.Decision {
 	newFlows := p.holder.NewFlows()
+	interval := serviceTime / time.Duration(max(p.capacity.Slots(), 1))
 	p.considered.opening = agadmission.Opening{
 		Class:       forward.Class,
 		Wait:        p.capacity.Wait(newFlows, now),
 		ServiceTime: serviceTime,
 		Expected:    p.capacity.Outstanding() + newFlows,
 		QueueLimit:  p.capacity.QueueLimit(),
-		QueueRoom:   p.queue.Room(forward.Class, serviceTime/time.Duration(max(p.capacity.Slots(), 1))),
+		QueueRoom:   p.queue.Room(forward.Class, interval),
 		HasNext:     len(forward.Candidates) > 0,
 	}
 	p.considered.decision = p.admission.Decide(&p.considered.opening, now)
--- a/internal/operate/agpacketagent/capacity_log.go
+++ b/internal/operate/agpacketagent/capacity_log.go
@@ -1,7 +1,7 @@
 package agpacketagent
 
 // The log of the estimates of the host. A line is written when the service time or the
-// queue limit has changed a lot since the last line, at most once per interval.
+// queue limit has changed by its ratio since the last line, at most once per interval.
 
 import (
 	"time"
@@ -13,8 +13,8 @@
 const (
 	// capacityLogInterval is the minimum time between two lines.
 	capacityLogInterval = time.Second
-	// serviceTimeRatio is the ratio of two service times that counts as a large change.
-	// Short periods of a heavy-tailed load differ by less.
+	// serviceTimeRatio is the ratio of two service times from which a line is written.
+	// The noise of heavy-tailed service times stays below it.
 	serviceTimeRatio = 2
 	// queueLimitRatio is the same for the queue limit, which changes by one request at
 	// a time.
@@ -28,7 +28,7 @@
 	queueLimit  int
 }
 
-// update logs the estimates if they have changed a lot.
+// update logs the estimates if one of them has changed by its ratio.
 func (c *capacityLog) update(log *aglog.Logger, capacity *agcapacity.Estimator, now time.Time) {
 	serviceTime, queueLimit := capacity.ServiceTime(now), capacity.QueueLimit()
 	changed := differs(float64(serviceTime), float64(c.serviceTime), serviceTimeRatio) || differs(float64(queueLimit), float64(c.queueLimit), queueLimitRatio)
--- a/internal/operate/agpacketagent/host.go
+++ b/internal/operate/agpacketagent/host.go
@@ -45,13 +45,13 @@
 	previous, ok := p.gate.Host()
 	previousBorn, previousDraining := previous.Born, previous.Draining
 	result := p.gate.Heartbeat(heartbeat, now)
+	newBoot := !ok || !previousBorn.Equal(heartbeat.Born)
 	if result == agopen.HeartbeatNew {
-		newBoot := !ok || !previousBorn.Equal(heartbeat.Born)
 		p.updateHost(&heartbeat, newBoot && p.gate.HasAllFlows(), now)
 	}
 	changed := p.updateAdmissionState(now)
 	p.mu.Unlock()
-	if result == agopen.HeartbeatNew && (!ok || !previousBorn.Equal(heartbeat.Born) || previousDraining != heartbeat.Draining) {
+	if result == agopen.HeartbeatNew && (newBoot || previousDraining != heartbeat.Draining) {
 		p.log.WithField("Host", heartbeat.Host).WithField("Born", heartbeat.Born.UnixMilli()).WithField("Draining", heartbeat.Draining).WithField("Sequence", heartbeat.Sequence).WithField("Complete", p.hasAllFlows()).
 			WithField("ColdLeft", heartbeat.ColdLeft.String()).Info("Host has changed its state.")
 	}
@@ -172,10 +172,11 @@
 
 func (p *Process) handleHostEnded(writer *agsocket.Writer) {
 	p.mu.Lock()
+	now := time.Now()
 	p.gate.MarkHostDown()
-	lostFlows := p.holder.RemoveAll(time.Now())
-	p.resetEstimates(time.Now())
-	p.updateAdmissionState(time.Now())
+	lostFlows := p.holder.RemoveAll(now)
+	p.resetEstimates(now)
+	p.updateAdmissionState(now)
 	p.mu.Unlock()
 	for _, flow := range lostFlows {
 		p.reset(writer, flow.Flow, flow.Acknowledged)
--- a/internal/operate/agpacketagent/packets.go
+++ b/internal/operate/agpacketagent/packets.go
@@ -87,9 +87,11 @@
 	w.host.Flush()
 }
 
-// forwardBuffer is the reused buffer for a forwarded packet and the decision on it.
+// forwardBuffer holds a forwarded packet and the verdict on it. It is reused, so that
+// packets cause no allocations.
 type forwardBuffer struct {
 	forward agmessage.Forward
+	// raw is the packet that was forwarded. It shares memory with the datagram.
 	raw     []byte
 	packet  anvilglade.Packet
 	verdict agholder.Verdict
@@ -108,8 +110,8 @@
 		p.passForward(out, buffer, now)
 		return
 	}
-	// The task that releases the packet has another writer. What this one holds of the
-	// flow is sent before.
+	// Another task with its own writer may release the packet. Flushing first keeps the
+	// order of the flow's packets.
 	out.host.Flush()
 }
 
@@ -172,7 +174,8 @@
 }
 
 // recordOpening records whether the host has accepted or returned an opening packet, and
-// notifies balancers if the host takes no more flows. The caller holds the mutex.
+// notifies balancers if the host has started or stopped taking new flows. The caller holds
+// the mutex.
 func (p *Process) recordOpening(packet *anvilglade.Packet, now time.Time) {
 	switch {
 	case !packet.Flags.Has(anvilglade.FlagSYN):
--- a/internal/operate/agpacketagent/process.go
+++ b/internal/operate/agpacketagent/process.go
@@ -1,9 +1,12 @@
 // Package agpacketagent runs the agent of packet services on the VM of a host.
 //
-// It connects these parts: agopen decides on new flows from the host's heartbeats
-// and the statuses of balancers, agadmission by their class and by the wait that
-// agcapacity expects, agqueue keeps requests of the highest priority while the host is
-// full, and agholder decides how each packet is handled.
+// It connects these parts:
+//
+//   - agopen decides on new flows by the host's heartbeats and the statuses of balancers,
+//   - agadmission decides on them by their class and the wait that agcapacity expects,
+//   - agqueue queues requests of the highest priority while the host is full,
+//   - agholder decides how each packet is handled.
+//
 // No flow depends on state that only this process has: the host holds its flows.
 // The agent sends the host's packets directly to the caller, without a balancer.
 //
@@ -94,7 +97,8 @@
 	// the queue is empty.
 	releaseTimer *time.Timer
 	releaseAt    time.Time
-	// capacity estimates the speed of the host, admission decides by it.
+	// capacity estimates the service time and the queue limit of the host. admission
+	// decides by them.
 	capacity    *agcapacity.Estimator
 	capacityLog capacityLog
 	admission   *agadmission.Controller
@@ -159,7 +163,12 @@
 	p.connectQueue(p.capacity, &requestObserver{capacity: p.capacity, admission: p.admission})
 	p.capacity.OnResult = p.countResult
 	p.addMetrics()
-	return p, func() { p.releaseTimer.Stop(); closePackets(); closeHostSocket() }, nil
+	closeAll := func() {
+		p.releaseTimer.Stop()
+		closePackets()
+		closeHostSocket()
+	}
+	return p, closeAll, nil
 }
 
 // Run runs the tasks until the agent has stopped after a signal, the context ends
--- a/internal/operate/agpacketagent/queue_test.go
+++ b/internal/operate/agpacketagent/queue_test.go
@@ -74,7 +74,12 @@
 	if err := group.Start("queue", a.releaseExpired); err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { group.Stop(); a.hostSocket.Interrupt(); stopGroup(); stop() })
+	t.Cleanup(func() {
+		group.Stop()
+		a.hostSocket.Interrupt()
+		stopGroup()
+		stop()
+	})
 	return a
 }
 
--- a/internal/packet/agmessage/message.go
+++ b/internal/packet/agmessage/message.go
@@ -117,7 +117,7 @@
 	flagHeld          = 1
 	flagForeign       = 2
 	flagClass         = 4
-	classSize         = 1 + 1 + 2 + 2
+	classSize         = 1 + 1 + 2 + 2 // priority, flags, target, timeout
 	flagRepeatable    = 1
 	flagEstablished   = 1
 )
@@ -158,8 +158,8 @@
 	return append(dst, packet...)
 }
 
-// appendClass appends the class of a flow's requests. Durations above the range of the
-// field are encoded as its largest value.
+// appendClass appends the class of a flow's requests. Durations are encoded in whole
+// milliseconds; those above the range of the field are encoded as its largest value.
 func appendClass(dst []byte, class anvilglade.RequestClass) []byte {
 	var flags byte
 	if class.Repeatable {
@@ -174,18 +174,29 @@
 	return uint16(min(max(duration.Milliseconds(), 0), math.MaxUint16))
 }
 
-func classAt(data []byte) anvilglade.RequestClass {
-	return anvilglade.RequestClass{
+// parseClass decodes the class of a flow's requests at the start of data.
+func parseClass(data []byte) (anvilglade.RequestClass, error) {
+	if len(data) < classSize {
+		return anvilglade.RequestClass{}, fmt.Errorf("class of a forwarded packet: %w", errTooShort)
+	}
+	if data[1]&^flagRepeatable != 0 {
+		return anvilglade.RequestClass{}, fmt.Errorf("class of a forwarded packet has unknown flags %#x", data[1])
+	}
+	class := anvilglade.RequestClass{
 		Priority:   anvilglade.Priority(data[0]),
 		Repeatable: data[1]&flagRepeatable != 0,
 		Target:     time.Duration(binary.BigEndian.Uint16(data[2:])) * time.Millisecond,
 		Timeout:    time.Duration(binary.BigEndian.Uint16(data[4:])) * time.Millisecond,
 	}
+	if !class.HasTarget() {
+		return anvilglade.RequestClass{}, errors.New("class of a forwarded packet has no latency target")
+	}
+	return class, nil
 }
 
 // ParseForward decodes a Forward and returns the packet, which shares memory
 // with the datagram. It reuses forward.Candidates. It returns an error if the
-// datagram is too short.
+// datagram is too short or its class is invalid.
 func ParseForward(datagram []byte, forward *Forward) ([]byte, error) {
 	if len(datagram) < forwardHeaderSize {
 		return nil, fmt.Errorf("forwarded packet: %w", errTooShort)
@@ -205,15 +216,11 @@
 	}
 	forward.Class = anvilglade.RequestClass{}
 	if datagram[1]&flagClass != 0 {
-		if len(datagram) < end+classSize {
-			return nil, fmt.Errorf("class of a forwarded packet: %w", errTooShort)
-		}
-		if datagram[end+1]&^flagRepeatable != 0 {
-			return nil, fmt.Errorf("class of a forwarded packet has unknown flags %#x", datagram[end+1])
-		}
-		if forward.Class = classAt(datagram[end:]); !forward.Class.HasTarget() {
-			return nil, errors.New("class of a forwarded packet has no latency target")
+		class, err := parseClass(datagram[end:])
+		if err != nil {
+			return nil, err
 		}
+		forward.Class = class
 		end += classSize
 	}
 	return datagram[end:], nil
--- a/internal/packet/agsocket/socket.go
+++ b/internal/packet/agsocket/socket.go
@@ -206,7 +206,7 @@
 func (w *Writer) Flush() {
 	for sent := 0; sent < w.used; {
 		n, err := w.socket.batch.WriteBatch(w.messages[sent:w.used], 0)
-		w.count(sent, sent+n)
+		w.countSent(sent, sent+n)
 		sent += max(n, 0)
 		if err == nil {
 			continue
@@ -221,8 +221,9 @@
 	w.used = 0
 }
 
-// count counts the datagrams of a range of the batch as sent.
-func (w *Writer) count(first, end int) {
+// countSent counts the datagrams of a range of the batch. WriteBatch returns -1 on an error;
+// end is below first then.
+func (w *Writer) countSent(first, end int) {
 	bytes := 0
 	for i := first; i < end; i++ {
 		bytes += len(w.slots[i].buffers[0])
--- a/internal/packet/agsocket/traffic.go
+++ b/internal/packet/agsocket/traffic.go
@@ -22,12 +22,12 @@
 	return anvilglade.Traffic{Datagrams: c.datagrams.Load(), Bytes: c.bytes.Load()}
 }
 
-// Sent returns the datagrams that were sent through the socket.
+// Sent returns the number of datagrams that were sent through the socket and their bytes.
 func (s *Socket) Sent() anvilglade.Traffic {
 	return s.sent.traffic()
 }
 
-// Received returns the datagrams that were read from the socket.
+// Received returns the number of datagrams that were read from the socket and their bytes.
 func (s *Socket) Received() anvilglade.Traffic {
 	return s.received.traffic()
 }
--- a/requests.go
+++ b/requests.go
@@ -16,16 +16,18 @@
 // Priority orders classes of requests; 0 is the highest.
 type Priority uint8
 
-// RequestClass describes the requests on the flows of a route, as operators state it.
-// The zero value is the class of a route that states none; its flows are admitted and
-// scheduled without regard to a latency target.
+// RequestClass describes the requests on the flows of a route, as configured there. The
+// zero value is the class of a route without one; its flows are admitted and scheduled
+// without regard to a latency target.
 type RequestClass struct {
+	// Priority is the precedence of the requests when capacity is short.
 	Priority Priority
 	// Repeatable is set if a caller may send a request again that may have run.
 	Repeatable bool
-	// Timeout is the time after which the caller leaves.
+	// Timeout is the time after which the caller gives up, 0 if the route has none.
 	Timeout time.Duration
-	// Target is the latency target, counted from the caller's first attempt.
+	// Target is the latency target, counted from the caller's first attempt; 0 if there
+	// is none.
 	Target time.Duration
 }
 
