--- a/internal/membership/agrank/capacity.go
+++ b/internal/membership/agrank/capacity.go
@@ -1,5 +1,7 @@
 package agrank
 
+// The capacity of a balancer, from the limits of its VM.
+
 import (
 	"math"
 
--- a/internal/membership/agrank/monitor.go
+++ b/internal/membership/agrank/monitor.go
@@ -1,5 +1,8 @@
 package agrank
 
+// Overload of a balancer: the averaged use of its limits, with different thresholds for
+// becoming overloaded and for recovering.
+
 import (
 	"time"
 
@@ -7,18 +10,18 @@
 )
 
 const (
-	// overloadedFrom and relaxedBelow are the shares of a limit in use at which a
+	// overloadThreshold and recoveryThreshold are the shares of a limit in use at which a
 	// balancer becomes overloaded and below which it recovers.
-	overloadedFrom = 0.85
-	relaxedBelow   = 0.5
+	overloadThreshold = 0.85
+	recoveryThreshold = 0.5
 	// averagingTime is the time over which the use is averaged. A garbage collection
 	// or one batch of packets is shorter.
 	averagingTime = time.Second
-	// recoveryTime is the time for which the use has to stay below relaxedBelow. The
+	// recoveryTime is the time for which the use has to stay below recoveryThreshold. The
 	// duties that a balancer has passed on do not return at once and overload it again.
 	recoveryTime = 10 * time.Second
-	// overloadDivisor divides the announced capacity of an overloaded balancer. It makes
-	// a balancer of 0.8 cores as large as one with a link of 10 Mbit/s.
+	// overloadDivisor divides the announced capacity of an overloaded balancer. Balancers
+	// with more than an eighth of its capacity take over its duties.
 	overloadDivisor = 8
 	// datagramOverhead is the size of the Ethernet, IP and UDP headers of a datagram,
 	// in bytes.
@@ -26,14 +29,16 @@
 	bitsPerMegabit   = 1e6
 )
 
-// Reading holds what a process has used since it started.
+// Reading holds the processor time and the traffic that a process has used since it
+// started.
 type Reading struct {
 	Processor time.Duration
 	Sent      anvilglade.Traffic
 	Received  anvilglade.Traffic
 }
 
-// Usage is the use of the limits, as shares. A share of an unknown limit is 0.
+// Usage is the use of the limits, as shares: 1 is the whole limit, 0 that of an unknown
+// one.
 type Usage struct {
 	Processor float64
 	Link      float64
@@ -46,7 +51,7 @@
 	lastAt     time.Time
 	usage      Usage
 	overloaded bool
-	// busyAt is the last time at which the use was not below relaxedBelow.
+	// busyAt is the last time at which the use was not below recoveryThreshold.
 	busyAt time.Time
 }
 
@@ -71,14 +76,14 @@
 	return m.update(now)
 }
 
-// update updates the state of overload and reports whether it has changed.
+// update updates overloaded and reports whether it has changed.
 func (m *Monitor) update(now time.Time) bool {
 	former, use := m.overloaded, max(m.usage.Processor, m.usage.Link)
-	if use >= relaxedBelow {
+	if use >= recoveryThreshold {
 		m.busyAt = now
 	}
 	switch {
-	case use >= overloadedFrom:
+	case use >= overloadThreshold:
 		m.overloaded = true
 	case now.Sub(m.busyAt) >= recoveryTime:
 		m.overloaded = false
@@ -115,7 +120,7 @@
 	return m.overloaded
 }
 
-// Capacity returns the capacity to announce.
+// Capacity returns the capacity to announce, 0 if it is unknown.
 func (m *Monitor) Capacity() anvilglade.Capacity {
 	capacity := CapacityOf(m.limits)
 	if capacity == 0 || !m.overloaded {
--- a/internal/membership/agrank/rank.go
+++ b/internal/membership/agrank/rank.go
@@ -77,7 +77,7 @@
 	return ordered
 }
 
-// Position returns the index of one of the members in Order.
+// Position returns the index in Order of the member with an address. There has to be one.
 func Position(members []Member, address anvilglade.IPv4) int {
 	index := slices.IndexFunc(members, func(m Member) bool { return m.Address == address })
 	self := members[index]
@@ -127,10 +127,11 @@
 	if a.DataCentre == b.DataCentre {
 		return cmp.Compare(b.Capacity, a.Capacity)
 	}
-	// Without a division.
+	// The products compare the quotients without rounding.
 	return cmp.Compare(uint32(b.Capacity)*uint32(largest[a.DataCentre]), uint32(a.Capacity)*uint32(largest[b.DataCentre]))
 }
 
+// compareRanks compares the hashes of two addresses; the lower one is first.
 func compareRanks(a, b Member) int {
 	return cmp.Compare(Rank(a.Address), Rank(b.Address))
 }
--- a/internal/membership/agrank/script_test.go
+++ b/internal/membership/agrank/script_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"os"
 	"strconv"
 	"strings"
 	"testing"
@@ -16,21 +15,13 @@
 // TestScripts runs each script in testdata. Members are written as NAME:DATA_CENTRE:CAPACITY,
 // where b1 and b2 denote addresses.
 func TestScripts(t *testing.T) {
-	scripts, err := agscript.Load(os.DirFS("testdata"))
-	if err != nil {
-		t.Fatal(err)
-	}
-	for _, script := range scripts {
-		t.Run(script.Name, func(t *testing.T) {
-			player := player{t: t, start: time.Unix(1_000_000, 0)}
-			for i := range script.Steps {
-				step := &script.Steps[i]
-				if got := player.play(step); !step.Matches(got) {
-					t.Errorf("%s\n got %s", step.Source, got)
-				}
-			}
-		})
-	}
+	agscript.Run(t, func() agscript.Player {
+		player := player{start: time.Unix(1_000_000, 0)}
+		return func(t *testing.T, step *agscript.Step, _ time.Time) string {
+			player.t = t
+			return player.play(step)
+		}
+	})
 }
 
 type player struct {
--- a/internal/observe/agexplain/explain.go
+++ b/internal/observe/agexplain/explain.go
@@ -47,8 +47,8 @@
 	fieldCause    = "Cause"
 )
 
-// Fields of a change of the state of a split route, and of a flow that was shifted to
-// another service of its route.
+// Fields of a change that concerns no single flow, such as a step of a split route, and of
+// a flow that was shifted to another service of its route.
 const (
 	fieldChange      = "Change"
 	fieldRoute       = "Route"
@@ -206,7 +206,7 @@
 	return explanation
 }
 
-// kind returns the kind of a decision or of a change of a split route.
+// kind returns the kind of a decision or of a change that concerns no single flow.
 func (l *Line) kind() string {
 	if change, ok := l.Inputs[fieldChange].(string); ok {
 		return change
--- a/internal/observe/agexplain/reasons.go
+++ b/internal/observe/agexplain/reasons.go
@@ -40,7 +40,7 @@
 	"returned by the host":          {meaning: "the host could not accept the flow, or does not hold it"},
 	"returned under an unknown tag": {meaning: "the agent has restarted since it delivered the packet"},
 	"NoUsableHost":                  {meaning: "the service that the weights select had no usable host"},
-	"OverAttemptBudget":             {meaning: "the expected time to a response of the service that the weights select was above half of the latency target"},
+	"OverAttemptBudget":             {meaning: "the expected time to a response of the service that the weights select was above a third of the latency target"},
 	"ReceiverNearBudget":            {meaning: "the step was lowered because the wait at the other services was near their limit"},
 	"ReceiverFull":                  {meaning: "the step was lowered because the other services were about to be overloaded"},
 	"CapacityReturned":              {meaning: "the step is being lowered because the service that the weights select has capacity again"},
--- a/internal/operate/agpacketbalancer/order.go
+++ b/internal/operate/agpacketbalancer/order.go
@@ -1,6 +1,6 @@
 package agpacketbalancer
 
-// The order in which the packets of a batch are handled. At a balancer of limited size
+// The order in which the packets of a batch are handled. At a balancer with known limits
 // packets of established flows go first, so that many new flows do not delay them.
 
 import (
@@ -10,7 +10,8 @@
 	"github.com/anvilglade/anvilglade/internal/packet/agsocket"
 )
 
-// batchOrder computes the order of batches. It reuses its slices.
+// batchOrder computes the order in which the packets of a batch are handled. It reuses its
+// slices.
 type batchOrder struct {
 	codec anvilglade.PacketCodec
 	// openingLast is set if opening packets are handled last. Otherwise the order is that
--- a/internal/operate/agpacketbalancer/size.go
+++ b/internal/operate/agpacketbalancer/size.go
@@ -47,7 +47,8 @@
 	messages, bytes prometheus.Counter
 }
 
-// countControl counts control messages of the same size. The caller holds the mutex.
+// countControl counts control messages of the same size in bytes. The caller holds the
+// mutex.
 func (p *Process) countControl(way direction, kind string, messages, size int) {
 	key := controlKey{direction: way, kind: kind}
 	counters, ok := p.controlCounters[key]
@@ -83,17 +84,17 @@
 	size, relieved := p.fleet.Size(now), p.fleet.Relieved(now)
 	p.mu.Unlock()
 	if changed {
-		p.logSize(size).WithField("Overloaded", overloaded).WithField("ProcessorUse", fmt.Sprintf("%.2f", usage.Processor)).
+		p.sizeEntry(size).WithField("Overloaded", overloaded).WithField("ProcessorUse", fmt.Sprintf("%.2f", usage.Processor)).
 			WithField("LinkUse", fmt.Sprintf("%.2f", usage.Link)).Info("Announced capacity has changed.")
 		p.broadcast()
 	}
 	if p.loggedRelieved.Swap(relieved) != relieved {
-		p.logSize(size).WithField("Relieved", relieved).Info("Share in control work has changed.")
+		p.sizeEntry(size).WithField("Relieved", relieved).Info("Share in control work has changed.")
 	}
 }
 
-// logSize returns a log entry with the inputs of the selections by size.
-func (p *Process) logSize(size agfleet.Size) *logrus.Entry {
+// sizeEntry returns a log entry with the inputs of the selections by size.
+func (p *Process) sizeEntry(size agfleet.Size) *logrus.Entry {
 	return p.log.WithField("Capacity", size.Capacity).WithField("Position", size.Position).WithField("Balancers", size.Members).
 		WithField("Large", size.Large)
 }
@@ -143,6 +144,7 @@
 	p.metrics.Gauge("link_use", "Used share of the link, 0 if its rate is unknown.", used(func(usage agrank.Usage) float64 { return usage.Link }))
 }
 
+// gaugeOf returns the value of a gauge for a condition.
 func gaugeOf(set bool) float64 {
 	if set {
 		return 1
--- a/internal/operate/agpacketbalancer/splits.go
+++ b/internal/operate/agpacketbalancer/splits.go
@@ -37,7 +37,7 @@
 		defer p.mu.Unlock()
 		return float64(p.dispatcher.ShiftedFlows())
 	})
-	p.metrics.Shifts("split_step", "Sixteenths of the new flows of a service that go to the other services of the route; missing for 0.", func() []anvilglade.RouteShift {
+	p.metrics.Shifts("split_step", "Sixty-fourths of the new flows of a service that go to the other services of the route; missing for 0.", func() []anvilglade.RouteShift {
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		return p.dispatcher.Shifts()
--- a/internal/operate/agpacketbalancer/watch.go
+++ b/internal/operate/agpacketbalancer/watch.go
@@ -152,7 +152,7 @@
 // logRole logs a change of the role of this balancer.
 func (p *Process) logRole(role anvilglade.StoreWatch, size agfleet.Size) {
 	if former := p.loggedRole.Swap(uint32(role)); former != uint32(role) {
-		p.logSize(size).WithField("Before", roleNames[anvilglade.StoreWatch(former)]).WithField("Now", roleNames[role]).
+		p.sizeEntry(size).WithField("Before", roleNames[anvilglade.StoreWatch(former)]).WithField("Now", roleNames[role]).
 			Info("Role in watching the store has changed.")
 	}
 }
--- a/internal/routing/agdispatch/dispatch.go
+++ b/internal/routing/agdispatch/dispatch.go
@@ -260,6 +260,7 @@
 	}
 }
 
+// takeClass reports whether all agents can decode the class of a forwarded packet.
 func (d *Dispatcher) takeClass(agents []anvilglade.IPv4) bool {
 	for _, agent := range agents {
 		if host, known := d.fleet.Host(agent); !known || !host.TakesClass {
--- a/internal/routing/agdispatch/opening.go
+++ b/internal/routing/agdispatch/opening.go
@@ -123,11 +123,33 @@
 // that have been tried for the flow are left out unless all have been tried. Place is nil
 // for a route without a class.
 func (d *Dispatcher) rank(route *anvilglade.PacketRoute, service anvilglade.ServiceID, place *placement, entry *flowEntry, now time.Time) {
-	d.rankOptions, d.ranked = d.rankOptions[:0], d.ranked[:0]
-	tried, avoided := 0, 0
+	d.ranked = d.ranked[:0]
+	tried, avoided := d.fillOptions(route, service, place, entry, now)
+	if place != nil {
+		d.ranked = d.ranker.Rank(d.ranked, d.rankOptions, place.centres.FlowRate())
+	} else {
+		d.ranked = agplace.Rank(d.ranked, d.rankOptions)
+	}
+	switch {
+	case len(d.ranked) > 0:
+	case avoided > 0:
+		// The other hosts have been ejected or tried since the last update of place.
+		place.mostFailed = true
+		d.rank(route, service, place, entry, now)
+	case tried > 0:
+		entry.clearAttempts()
+		d.rank(route, service, place, entry, now)
+	}
+}
+
+// fillOptions fills d.rankOptions with up to maxOptions hosts that may take a new flow. It
+// starts at a random host, so that all hosts of a large service get flows. It returns the
+// numbers of hosts left out because they have been tried for the flow or are avoided.
+func (d *Dispatcher) fillOptions(route *anvilglade.PacketRoute, service anvilglade.ServiceID, place *placement, entry *flowEntry, now time.Time) (tried, avoided int) {
+	d.rankOptions = d.rankOptions[:0]
 	hosts := d.fleet.Hosts(service)
 	if len(hosts) == 0 {
-		return
+		return 0, 0
 	}
 	first := d.random.IntN(len(hosts))
 	for i := range hosts {
@@ -146,37 +168,30 @@
 			tried++
 			continue
 		}
-		d.rankOptions = append(d.rankOptions, agplace.Option{
-			Agent:          host.Agent,
-			Slots:          host.Slots,
-			Flows:          host.Flows + host.PlacedFlows,
-			ActiveRequests: host.ActiveRequests + host.PlacedFlows,
-			Latency:        host.Latency,
-			Failing:        float64(host.Failing),
-			Suspect:        host.Suspect || d.prober.Unreachable(host.Agent),
-			Local:          d.fleet.Local(host.DataCentre),
-			Cold:           host.Cold,
-			Order:          d.random.Uint64(),
-		})
+		d.rankOptions = append(d.rankOptions, d.optionOf(host))
 		d.addLoad(&d.rankOptions[len(d.rankOptions)-1], host, place, now)
 	}
-	if place != nil {
-		d.ranked = d.ranker.Rank(d.ranked[:0], d.rankOptions, place.centres.FlowRate())
-	} else {
-		d.ranked = agplace.Rank(d.ranked[:0], d.rankOptions)
-	}
-	if len(d.ranked) == 0 && avoided > 0 {
-		// The other hosts have been ejected or tried since the last update of place.
-		place.mostFailed = true
-		d.rank(route, service, place, entry, now)
-		return
-	}
-	if len(d.ranked) == 0 && tried > 0 {
-		entry.clearAttempts()
-		d.rank(route, service, place, entry, now)
+	return tried, avoided
+}
+
+// optionOf returns the option of a host without its load.
+func (d *Dispatcher) optionOf(host *agfleet.Host) agplace.Option {
+	return agplace.Option{
+		Agent:          host.Agent,
+		Slots:          host.Slots,
+		Flows:          host.Flows + host.PlacedFlows,
+		ActiveRequests: host.ActiveRequests + host.PlacedFlows,
+		Latency:        host.Latency,
+		Failing:        float64(host.Failing),
+		Suspect:        host.Suspect || d.prober.Unreachable(host.Agent),
+		Local:          d.fleet.Local(host.DataCentre),
+		Cold:           host.Cold,
+		Order:          d.random.Uint64(),
 	}
 }
 
+// usable reports whether a host accepts new flows of a route: its agent accepts them and
+// sends statuses, and its data centre is neither evacuated nor outside the route's regions.
 func (d *Dispatcher) usable(host *agfleet.Host, route *anvilglade.PacketRoute, now time.Time) bool {
 	if !host.Accepts || now.Sub(host.LastStatus) > host.SilentAfter() {
 		return false
--- a/internal/routing/agdispatch/placement.go
+++ b/internal/routing/agdispatch/placement.go
@@ -15,12 +15,13 @@
 // label of a counter.
 type RemoteReason string
 
-// Reasons for another data centre. RemoteNoLocal: no local host accepts the flow or all
-// have been tried; RemoteSooner: a host there completes its request sooner;
-// RemoteUtilisation: the ranking by utilisation prefers a host there.
+// Reasons for another data centre.
 const (
-	RemoteNoLocal     RemoteReason = "NoLocalHost"
-	RemoteSooner      RemoteReason = "Sooner"
+	// RemoteNoLocal: no local host accepts the flow, or all have been tried.
+	RemoteNoLocal RemoteReason = "NoLocalHost"
+	// RemoteSooner: a host there is expected to complete the request sooner.
+	RemoteSooner RemoteReason = "Sooner"
+	// RemoteUtilisation: the ranking by utilisation prefers a host there.
 	RemoteUtilisation RemoteReason = "Utilisation"
 )
 
@@ -60,8 +61,15 @@
 	return place
 }
 
+// updatePlacement computes the state of a service from the latest statuses of its hosts.
 func (d *Dispatcher) updatePlacement(place *placement, route *anvilglade.PacketRoute, service anvilglade.ServiceID, now time.Time) {
-	place.hosts, place.mostFailed = place.hosts[:0], false
+	place.mostFailed = d.mostFailed(route, service, now)
+	pathCost := d.fillHosts(place, route, service, now)
+	place.centres.Update(place.hosts, d.fleet.DataCentre(), pathCost, route.Class.Target/attemptsInTarget, now)
+}
+
+// mostFailed reports whether the balancer judges most usable hosts of a service as failed.
+func (d *Dispatcher) mostFailed(route *anvilglade.PacketRoute, service anvilglade.ServiceID, now time.Time) bool {
 	usable, failed := 0, 0
 	for _, host := range d.fleet.Hosts(service) {
 		if !d.usable(host, route, now) {
@@ -72,7 +80,13 @@
 			failed++
 		}
 	}
-	place.mostFailed = float64(failed) > maxFailedShare*float64(usable)
+	return float64(failed) > maxFailedShare*float64(usable)
+}
+
+// fillHosts fills place.hosts with the hosts that report a service time and get flows. It
+// returns the cost of the cheapest path to one in another data centre, 0 if there is none.
+func (d *Dispatcher) fillHosts(place *placement, route *anvilglade.PacketRoute, service anvilglade.ServiceID, now time.Time) time.Duration {
+	place.hosts = place.hosts[:0]
 	pathCost := time.Duration(0)
 	for _, host := range d.fleet.Hosts(service) {
 		if host.ServiceTime == 0 || !d.usable(host, route, now) || d.avoided(host, place, now) {
@@ -85,7 +99,7 @@
 			DataCentre: host.DataCentre, Slots: host.Slots, Flows: host.Flows, Load: host.Load(now),
 		})
 	}
-	place.centres.Update(place.hosts, d.fleet.DataCentre(), pathCost, route.Class.Target/attemptsInTarget, now)
+	return pathCost
 }
 
 // avoided reports whether a usable host of a route with a class gets no flows while the
@@ -117,18 +131,29 @@
 	if place != nil {
 		verdict.Expected = d.ranker.Best()
 	}
-	if d.fleet.Local(host.DataCentre) {
-		return
+	if !d.fleet.Local(host.DataCentre) {
+		verdict.Remote = d.remoteReason(host, place)
 	}
-	verdict.Remote = RemoteNoLocal
+}
+
+// remoteReason returns the reason for which a flow is placed on a host in another data
+// centre.
+func (d *Dispatcher) remoteReason(host *agfleet.Host, place *placement) RemoteReason {
+	switch {
+	case !d.hasLocalOption():
+		return RemoteNoLocal
+	case place != nil && host.ServiceTime > 0:
+		return RemoteSooner
+	}
+	return RemoteUtilisation
+}
+
+// hasLocalOption reports whether a local host was among the options for the flow.
+func (d *Dispatcher) hasLocalOption() bool {
 	for i := range d.rankOptions {
-		if !d.rankOptions[i].Local {
-			continue
-		}
-		verdict.Remote = RemoteUtilisation
-		if place != nil && host.ServiceTime > 0 {
-			verdict.Remote = RemoteSooner
+		if d.rankOptions[i].Local {
+			return true
 		}
-		return
 	}
+	return false
 }
--- a/internal/routing/agdispatch/split.go
+++ b/internal/routing/agdispatch/split.go
@@ -11,9 +11,9 @@
 	"github.com/anvilglade/anvilglade/internal/routing/agsplit"
 )
 
-// loadAge is the age up to which the load of a service is used for all its routes. It
+// maxLoadAge is the age up to which the load of a service is used for all its routes. It
 // bounds the cost of many routes that share a service.
-const loadAge = 100 * time.Millisecond
+const maxLoadAge = 100 * time.Millisecond
 
 // loadKey identifies the load of a service on the hosts of some regions.
 type loadKey struct {
@@ -63,8 +63,9 @@
 	return choice.Service
 }
 
-// keepService changes a choice to the service of the flow's entry, if the route selected
-// that service for an earlier copy of the opening packet and it has a usable host.
+// keepService changes a choice to the service of the flow's entry, if the weights or the
+// steps selected that service for an earlier copy of the opening packet and it has a usable
+// host.
 func (d *Dispatcher) keepService(route *anvilglade.PacketRoute, entry *flowEntry, now time.Time, choice *agsplit.Choice) {
 	if !entry.shifted && entry.service != choice.Weighted.Number() {
 		return
@@ -96,12 +97,13 @@
 	d.splits.Observe(status.Balancer, d.fleet.Local(status.DataCentre), status.Shifts, now)
 }
 
-// Shifts returns the steps in force, ReportedShifts as many of them as a status holds.
+// Shifts returns the steps above 0 that are in force.
 func (d *Dispatcher) Shifts() []anvilglade.RouteShift {
 	return d.splits.Shifts()
 }
 
-// ReportedShifts returns the steps for the status of this balancer.
+// ReportedShifts returns the steps for the status of this balancer: the highest of Shifts,
+// as many as a status holds.
 func (d *Dispatcher) ReportedShifts() []anvilglade.RouteShift {
 	return d.splits.Report()
 }
@@ -149,7 +151,7 @@
 	d.updateTargets()
 	key := loadKey{service: service, regions: regionsOf(route)}
 	cached, ok := d.splits.cached[key]
-	if !ok || now.Sub(cached.at) >= loadAge {
+	if !ok || now.Sub(cached.at) >= maxLoadAge {
 		cached = cachedLoad{Load: d.measure(route, service, now), at: now}
 		d.splits.cached[key] = cached
 	}
@@ -159,6 +161,7 @@
 // measure computes the load of a service from the latest statuses of its hosts.
 func (d *Dispatcher) measure(route *anvilglade.PacketRoute, service anvilglade.ServiceID, now time.Time) agsplit.Load {
 	load := agsplit.Load{Target: d.splits.targets[service]}
+	// Counts of slots, as Durations because they weight Durations.
 	slots, reporting, busy := time.Duration(0), time.Duration(0), time.Duration(0)
 	for _, host := range d.fleet.Hosts(service) {
 		if !d.usable(host, route, now) {
--- a/internal/routing/agplace/centres.go
+++ b/internal/routing/agplace/centres.go
@@ -20,15 +20,16 @@
 	// percent of the requests in time: waits are exponentially distributed, and their
 	// quantile of 0.99 is 4.6 times the mean.
 	calmShare = 0.2
-	// stopShare is the share of the margin below which a data centre stops sending.
+	// stopShare is the share of both bounds on the mean wait below which a data centre
+	// stops sending. It is below 1 to prevent oscillation.
 	stopShare = 0.5
 	// smoothing is the time over which the mean wait of a data centre is averaged. The
 	// queues of few hosts vary by more than the margin within one interval of reports.
 	smoothing = 500 * time.Millisecond
-	// reversal is the time after which a data centre that has received flows may send
-	// its own away. By then all balancers have newer statuses, although some were lost
-	// or late.
-	reversal = time.Second
+	// reversalInterval is the minimum time between receiving flows and sending some away,
+	// or the other way round. By then all balancers have newer statuses, although some were
+	// lost or late.
+	reversalInterval = time.Second
 )
 
 // CentreHost is a host as it enters the mean wait of its data centre.
@@ -42,8 +43,8 @@
 // centre is the state of one data centre.
 type centre struct {
 	id anvilglade.DataCentreID
-	// wait is the sum of the waits of its hosts by their capacities, capacity that of
-	// the capacities in requests per second.
+	// wait is the sum of the waits of its hosts in seconds, weighted by their capacities,
+	// capacity the sum of their capacities in requests per second.
 	wait     float64
 	capacity float64
 	// mean is the smoothed mean wait in seconds; known is set if it has a value.
@@ -63,7 +64,8 @@
 	// mean and serviceTime are the means over all hosts, in seconds.
 	mean        float64
 	serviceTime float64
-	flowRate    float64
+	// flowRate is the mean rate of an open flow in requests per second.
+	flowRate float64
 	// sending is set while the local data centre may send flows away.
 	sending bool
 }
@@ -151,7 +153,7 @@
 			calm, margin = stopShare*calm, stopShare*margin
 		}
 		above := one.mean > calm && one.mean > c.mean+margin
-		one.sends = above && now.Sub(one.receivedAt) >= reversal
+		one.sends = above && now.Sub(one.receivedAt) >= reversalInterval
 		if one.sends {
 			one.sentAt, anySends = now, true
 		}
@@ -163,8 +165,9 @@
 	}
 }
 
+// receives reports whether a data centre may receive flows from those that send some.
 func (c *Centres) receives(one *centre) bool {
-	return one.mean < c.mean && c.updatedAt.Sub(one.sentAt) >= reversal
+	return one.mean < c.mean && c.updatedAt.Sub(one.sentAt) >= reversalInterval
 }
 
 // Receives reports whether new flows of the local data centre may go to another one.
@@ -173,6 +176,7 @@
 	return c.sending && one != nil && c.receives(one)
 }
 
+// find returns the state of a data centre, nil if there is none.
 func (c *Centres) find(id anvilglade.DataCentreID) *centre {
 	for i := range c.centres {
 		if c.centres[i].id == id {
@@ -182,6 +186,7 @@
 	return nil
 }
 
+// of returns the state of a data centre, which it creates if there is none.
 func (c *Centres) of(id anvilglade.DataCentreID) *centre {
 	if one := c.find(id); one != nil {
 		return one
--- a/internal/routing/agplace/completion_load_test.go
+++ b/internal/routing/agplace/completion_load_test.go
@@ -91,13 +91,14 @@
 	host   int
 }
 
-// sample is the outcome of one request, or an attempt that arrived at a host.
+// sample is the outcome of one request.
 type sample struct {
 	at, wait time.Duration
 	inTime   bool
 	centre   int
 }
 
+// arrival is an attempt that arrived at a host.
 type arrival struct {
 	at             time.Duration
 	host           int
@@ -122,6 +123,7 @@
 	port    uint32
 }
 
+// simulateLong runs a load. A load without a class is placed by utilisation.
 func simulateLong(l longLoad, seed uint64) *longSimulation {
 	s := &longSimulation{longLoad: l, random: rand.New(rand.NewPCG(seed, seed)), crossed: make(map[[2]int][]time.Duration)}
 	for h := range centreCount * hostsPerCentre {
@@ -379,8 +381,8 @@
 	}
 }
 
-// longestWait returns the quantile 0.99 of the waits of requests sent in a span.
-func (s *longSimulation) longestWait(from, to time.Duration) time.Duration {
+// p99Wait returns the quantile 0.99 of the waits of requests sent in a span.
+func (s *longSimulation) p99Wait(from, to time.Duration) time.Duration {
 	var waits []time.Duration
 	for _, one := range s.samples {
 		if one.at >= from && one.at < to {
@@ -510,7 +512,7 @@
 			run.class = class
 			s := simulateLong(run, seed)
 			for _, span := range [][2]time.Duration{{settled, slow}, {settled, end}} {
-				Expect(s.longestWait(span[0], span[1])).To(BeNumerically("<=", present.longestWait(span[0], span[1])/2))
+				Expect(s.p99Wait(span[0], span[1])).To(BeNumerically("<=", present.p99Wait(span[0], span[1])/2))
 			}
 			loads, mean := s.utilisations(settled, slow)
 			presentLoads, presentMean := present.utilisations(settled, slow)
@@ -525,7 +527,7 @@
 				peaks[i] += s.loadOf(slowed, at, at+time.Second) / s.loadOf(sameSpeed, at, at+time.Second) / seeds
 			}
 			AddReportEntry(fmt.Sprintf("seed %d: p99 of the wait in calm %v (present %v), in all %v (%v); max/mean %.2f (%.2f); to other data centres %.3f (%.3f); new flows on slowed hosts %.4f (%.4f); recovered %.2f",
-				seed, s.longestWait(settled, slow), present.longestWait(settled, slow), s.longestWait(settled, end), present.longestWait(settled, end),
+				seed, s.p99Wait(settled, slow), present.p99Wait(settled, slow), s.p99Wait(settled, end), present.p99Wait(settled, end),
 				slices.Max(loads)/mean, slices.Max(presentLoads)/presentMean, s.calmCrossings(), present.calmCrossings(),
 				s.newFlowShare(slowed, slow+time.Second, recovered), present.newFlowShare(slowed, slow+time.Second, recovered), reached))
 		}
--- a/internal/routing/agplace/expected.go
+++ b/internal/routing/agplace/expected.go
@@ -12,10 +12,10 @@
 )
 
 const (
-	// maxUtilisation is the utilisation above which the expected wait grows linearly. Hosts
+	// linearFrom is the utilisation above which the expected wait grows linearly. Hosts
 	// queue few requests, so waits near full load stay below those of a long queue, and
 	// the error of a rate that is averaged over seconds would dominate the ranking.
-	maxUtilisation = 0.6
+	linearFrom = 0.6
 	// rateWindow is the time over which agents average the rate of requests. Flows that
 	// were opened within it are not yet counted in full.
 	rateWindow = 2 * time.Second
@@ -46,12 +46,12 @@
 // exact for one.
 func (l *Load) expectedWait(slots anvilglade.Slots, utilisation float64) float64 {
 	perSlot := l.ServiceTime.Seconds() / slotCount(slots)
-	if utilisation <= maxUtilisation {
+	if utilisation <= linearFrom {
 		return perSlot * utilisation * utilisation / (1 - utilisation)
 	}
-	const free = 1 - maxUtilisation
-	const slope = maxUtilisation * (2 - maxUtilisation) / (free * free)
-	return perSlot * (maxUtilisation*maxUtilisation/free + slope*(utilisation-maxUtilisation))
+	const free = 1 - linearFrom
+	const slope = linearFrom * (2 - linearFrom) / (free * free)
+	return perSlot * (linearFrom*linearFrom/free + slope*(utilisation-linearFrom))
 }
 
 // backlog returns what remains in seconds of the wait in the last status: the host works
--- a/internal/routing/agplace/ranker.go
+++ b/internal/routing/agplace/ranker.go
@@ -15,25 +15,26 @@
 	// count as equal. Their order is random, because many balancers place by the same
 	// statuses.
 	nearEqual = 0.25
-	// closedPath is added to the time of a host in a data centre that receives none of
-	// this one's flows, and suspectTime to that of a host that may have stopped. They
-	// exceed any wait, so such hosts are used only in the absence of others.
-	closedPath  = 100.0
-	suspectTime = 200.0
-	// attemptTime is the time that a caller loses with a failed request, half of the
-	// shortest latency target.
+	// closedPathPenalty is added, in seconds, to the time of a host in a data centre that
+	// receives none of this one's flows, and suspectTimePenalty to that of a host that may
+	// have stopped. They exceed any wait, so such hosts are used only in the absence of
+	// others.
+	closedPathPenalty  = 100.0
+	suspectTimePenalty = 200.0
+	// attemptTime is the time in seconds that a caller is assumed to lose with a failed
+	// request: half of a latency target of 200 ms.
 	attemptTime = 0.1
 	// maxRanked is the number of agents that Rank returns. An opening packet has fewer
 	// candidates, and a full order would cost most of the time of a placement.
 	maxRanked = 8
-	// trialShare is one in how many flows goes to a host with fewer than trialRate
-	// requests per second, if there is one. Without requests its agent cannot learn that
-	// the host has recovered.
-	trialShare = 32
-	trialRate  = 1.0
-	// minServiceShare is the least share of the service time that counts. In full it left
-	// slow hosts idle and put 1.27 times the mean load on fast ones at a load of 0.6. The
-	// share grows with the part of attemptTime that a request takes.
+	// flowsPerTrial is the mean number of flows of which one goes to a host with fewer than
+	// trialRate requests per second, if there is one. Without requests its agent cannot
+	// learn that the host has recovered.
+	flowsPerTrial = 32
+	trialRate     = 1.0
+	// minServiceShare is the least share of the service time that counts. If all of it
+	// counted, slow hosts would stay idle at a moderate load. The share grows with the part
+	// of attemptTime that a request takes.
 	minServiceShare = 0.5
 	// maxFailing bounds the expected number of attempts at a host that fails.
 	maxFailing = 0.999
@@ -48,15 +49,15 @@
 	Wait       time.Duration
 }
 
-// candidate is an option with its keys.
+// candidate is an option with its sort keys. Cost and wait are in seconds.
 type candidate struct {
 	option *Option
 	cost   float64
 	wait   float64
-	// step is the number of steps of nearEqual above the lowest cost, draw the random key
-	// within a step.
-	step float64
-	draw float64
+	// bucket is the number of intervals of nearEqual above the lowest cost, draw the random
+	// key within a bucket.
+	bucket float64
+	draw   float64
 }
 
 // Ranker ranks hosts by expected completion time. It reuses its memory and is not safe
@@ -73,8 +74,9 @@
 	return r.best
 }
 
-// Rank appends the agents of up to maxRanked options to dst, the one to try first at the
-// front. If no option has a service time, it ranks by utilisation like the function Rank.
+// Rank appends the agents of the first options to dst, the one to try first at the front.
+// FlowRate is the rate in requests per second that the flow is expected to bring. If no
+// option has a service time, it ranks by utilisation like the function Rank.
 func (r *Ranker) Rank(dst []anvilglade.IPv4, options []Option, flowRate float64) []anvilglade.IPv4 {
 	r.best = Expectation{}
 	serviceTime := meanServiceTime(options)
@@ -113,7 +115,7 @@
 	}
 }
 
-// fill computes the keys of all options. ServiceTime is the mean one in seconds.
+// fill computes the sort keys of all options. ServiceTime is the mean one in seconds.
 func (r *Ranker) fill(options []Option, serviceTime, flowRate float64) {
 	r.list = r.list[:0]
 	median, medianKnown := time.Duration(0), false
@@ -144,10 +146,10 @@
 // probability proportional to its spare capacity.
 func (c *candidate) order(best, width, flowRate float64) {
 	if c.option.Load.ServiceTime == 0 {
-		c.step = (c.cost - best) / width
+		c.bucket = (c.cost - best) / width
 		return
 	}
-	c.step = math.Floor((c.cost - best) / width)
+	c.bucket = math.Floor((c.cost - best) / width)
 	uniform := (float64(c.option.Order>>11) + 0.5) / (1 << 53)
 	c.draw = -math.Log(uniform) / c.option.Load.spare(c.option.Slots, flowRate)
 }
@@ -155,7 +157,7 @@
 // tryIdle moves a host without requests to the front for some of the flows, the first one
 // in the order of the ranking.
 func (r *Ranker) tryIdle() {
-	if r.top[0].option.Order%trialShare != 0 {
+	if r.top[0].option.Order%flowsPerTrial != 0 {
 		return
 	}
 	var trial *candidate
@@ -178,8 +180,8 @@
 
 // before reports whether the candidate is to be tried before another one.
 func (c *candidate) before(other *candidate) bool {
-	if c.step != other.step {
-		return c.step < other.step
+	if c.bucket != other.bucket {
+		return c.bucket < other.bucket
 	}
 	return c.draw < other.draw
 }
@@ -192,13 +194,13 @@
 	failing := min(option.Failing, maxFailing)
 	total += attemptTime * failing / (1 - failing)
 	if !option.Local && !option.Open {
-		total += closedPath
+		total += closedPathPenalty
 	}
 	if option.Cold {
 		total += coldPenalty * service
 	}
 	if option.Suspect {
-		total += suspectTime
+		total += suspectTimePenalty
 	}
 	return total
 }
--- a/internal/routing/agsplit/choose.go
+++ b/internal/routing/agsplit/choose.go
@@ -46,7 +46,8 @@
 	return choice
 }
 
-// weighted returns the index of the backend that the weights select for a hash.
+// weighted returns the index of the backend that the weights select for a hash, so that
+// all balancers select the same one.
 func weighted(route *anvilglade.PacketRoute, hash uint64) int {
 	total := 0
 	for _, backend := range route.Backends {
--- a/internal/routing/agsplit/decide.go
+++ b/internal/routing/agsplit/decide.go
@@ -12,9 +12,13 @@
 // of a change some hundred milliseconds later.
 const maxChange = anvilglade.MaxSplitStep / 16
 
-// receiverShare is the divisor of the latency target that gives the limit of a receiver.
-// It is below the attempt budget of any class, so that no flow of the receiver is refused.
-const receiverShare = 4
+const (
+	// budgetDivisor divides the latency target; the result is the attempt budget.
+	budgetDivisor = 3
+	// receiverDivisor divides the latency target; the result is the limit of a receiver. It
+	// is below the attempt budget of any class, so that no flow of the receiver is refused.
+	receiverDivisor = 4
+)
 
 const (
 	// upInterval and backInterval are the minimum times between two steps towards the
@@ -25,7 +29,7 @@
 	// near their limit: the time until the reports of hosts show the effect of one.
 	withdrawInterval = 400 * time.Millisecond
 	// harmPause is the time without further steps towards the receivers after flows were
-	// shifted back because of them.
+	// shifted back because the receivers were near their limit.
 	harmPause = 500 * time.Millisecond
 	// maxUtilisation is the expected utilisation of the receivers up to which flows are
 	// shifted to them. Above it their wait would grow for as long as the step lasts.
@@ -36,7 +40,7 @@
 	// returnUtilisation is the expected utilisation of a service up to which flows are
 	// shifted back to it. It is below maxUtilisation to prevent oscillation.
 	returnUtilisation = 0.85
-	// maxAttempts is the number of attempts of a caller whose flows are refused.
+	// maxAttempts is the assumed number of attempts of a caller whose flows are refused.
 	maxAttempts = 3
 	// reportDelay is the number of evaluations after which the reports of hosts show the
 	// effect of a step.
@@ -45,7 +49,7 @@
 	demandWeight = 0.15
 )
 
-// Cause is the reason of a change of a step. Its string is a field of the log.
+// Cause is the reason for a change of a step. It is written to the log.
 type Cause string
 
 // Causes of changes.
@@ -66,7 +70,7 @@
 	step    anvilglade.SplitStep
 	cause   Cause
 	// steppedAt is the time of the last change, harmedAt that of the last step back
-	// because of a receiver.
+	// because a receiver was near its limit.
 	steppedAt time.Time
 	harmedAt  time.Time
 	// unusable is set if the service had no usable host at the last evaluation.
@@ -113,6 +117,7 @@
 	return s
 }
 
+// matches reports whether the state has the services and weights of a route.
 func (s *split) matches(route *anvilglade.PacketRoute) bool {
 	if len(s.shares) != len(route.Backends) {
 		return false
@@ -139,6 +144,7 @@
 	}
 }
 
+// active reports whether a service has a step above 0.
 func (s *split) active() bool {
 	for i := range s.shares {
 		if s.shares[i].step > 0 {
@@ -148,6 +154,7 @@
 	return false
 }
 
+// appendShifts appends the steps above 0 to a list.
 func (s *split) appendShifts(list []anvilglade.RouteShift) []anvilglade.RouteShift {
 	for i := range s.shares {
 		if share := &s.shares[i]; share.step > 0 {
@@ -163,6 +170,7 @@
 	return s.receiverWeightWithout(-1)
 }
 
+// receiverWeightWithout returns receiverWeight without the service with an index.
 func (s *split) receiverWeightWithout(index int) int {
 	total := 0
 	for i := range s.shares {
@@ -332,7 +340,7 @@
 	}
 	budget := attemptBudget(target)
 	if own.Usable && own.completion() <= budget {
-		if share.step > 0 && own.completion() < budget/2 && !own.backlog() && share.demand*kept(share.step-min(share.step, maxChange)) <= returnUtilisation {
+		if share.step > 0 && share.recovered(own, budget) {
 			return s.back(share, backInterval, CauseCapacityReturned, now)
 		}
 		return share.step, share.cause
@@ -349,6 +357,19 @@
 	return s.up(index, loads, cause, now)
 }
 
+// recovered reports whether the service can serve the flows of the next step back.
+func (s *share) recovered(load *Load, budget time.Duration) bool {
+	if load.completion() >= budget/2 || load.backlog() {
+		return false
+	}
+	return s.demand*kept(stepBack(s.step)) <= returnUtilisation
+}
+
+// stepBack returns the step after the largest change back at once.
+func stepBack(step anvilglade.SplitStep) anvilglade.SplitStep {
+	return step - min(step, maxChange)
+}
+
 // up returns the next step towards the receivers, if it is due and they can serve it.
 func (s *split) up(index int, loads []Load, cause Cause, now time.Time) (anvilglade.SplitStep, Cause) {
 	share := &s.shares[index]
@@ -372,7 +393,7 @@
 	if share.step == 0 || now.Sub(share.steppedAt) < interval {
 		return share.step, share.cause
 	}
-	return share.step - min(share.step, maxChange), cause
+	return stepBack(share.step), cause
 }
 
 // withdraw returns the highest step below the present one that the receivers can serve.
@@ -396,11 +417,12 @@
 	return highest
 }
 
-// attemptBudget is the part of the latency target that one attempt may use if requests of
-// a higher priority share the service, see agadmission. Agents refuse flows of the route
-// from there on. A route of the highest priority shifts a little earlier than it must.
+// attemptBudget returns the part of the latency target that one attempt may use if
+// requests of a higher priority share the service, see agadmission: agents refuse flows
+// whose expected time is longer. The budget of the highest priority is half of the target,
+// so its routes shift before their flows are refused.
 func attemptBudget(target time.Duration) time.Duration {
-	return target / 3
+	return target / budgetDivisor
 }
 
 // receiverLimit returns the time to a response at a receiver from which on its own
@@ -409,5 +431,5 @@
 	if receiver.Target > 0 {
 		target = min(target, receiver.Target)
 	}
-	return target / receiverShare
+	return target / receiverDivisor
 }
--- a/internal/routing/agsplit/split.go
+++ b/internal/routing/agsplit/split.go
@@ -8,12 +8,12 @@
 // class, which is a third of the latency target.
 //
 // A step is taken only if the receivers can serve the flows without harm to their own
-// callers: their mean wait plus service time must be below a quarter of the shortest
-// latency target that they serve, and the utilisation that is expected
-// after the step must be below maxUtilisation. The reports of hosts show the effect of
-// a step only some hundred milliseconds later, so the expectation is computed from the
-// steps that were in force at all balancers when the reports were made. Balancers report
-// their steps to each other in their statuses.
+// callers. Their limit is a quarter of the shortest latency target that they serve: their
+// mean wait must be below half of what their service time leaves of it. The utilisation
+// that is expected after the step must not exceed maxUtilisation. The reports of hosts show
+// the effect of a step only some hundred milliseconds later, so the expectation is computed
+// from the steps that were in force at all balancers when the reports were made. Balancers
+// report their steps to each other in their statuses.
 //
 // Shifted flows are selected by bits of the flow's hash that do not depend on those
 // used for the weights. Balancers with the same steps therefore select the same service
@@ -77,7 +77,8 @@
 	return l.Wait + l.ServiceTime
 }
 
-// backlog reports whether requests wait for longer than single ones do by chance.
+// backlog reports whether the mean wait is longer than a service time. Shorter waits also
+// occur by chance while there is capacity.
 func (l *Load) backlog() bool {
 	return l.Wait > l.ServiceTime
 }
@@ -146,7 +147,7 @@
 	s.changes = current.evaluate(loads, route.Class.Target, now, s.changes)
 }
 
-// Prepare applies the steps that other balancers have reported for a route with several
+// Prepare adopts the steps that other balancers have reported for a route with several
 // services. It is called instead of Evaluate while the loads are incomplete.
 func (s *Splitter) Prepare(route *anvilglade.PacketRoute, now time.Time) {
 	s.prepare(route, now)
@@ -157,6 +158,8 @@
 	return len(s.reported[route.Name]) > 0
 }
 
+// prepare returns the state of a route. It creates the state, with the steps that other
+// balancers have reported, if there is none or if the services of the route have changed.
 func (s *Splitter) prepare(route *anvilglade.PacketRoute, now time.Time) *split {
 	current, ok := s.splits[route.Address]
 	if !ok || !current.matches(route) {
@@ -202,6 +205,7 @@
 	}
 }
 
+// addToSums adds the steps of a report to the sums, or removes them if sign is -1.
 func (s *Splitter) addToSums(shifts []anvilglade.RouteShift, sign int) {
 	for _, shift := range shifts {
 		key := sumKey{route: shift.Route, service: shift.Service}
@@ -264,7 +268,7 @@
 }
 
 // Report returns the steps for the balancer's status: the highest of Shifts, as many as
-// fit.
+// fit into maxReportBytes.
 func (s *Splitter) Report() []anvilglade.RouteShift {
 	list := s.Shifts()
 	slices.SortStableFunc(list, func(a, b anvilglade.RouteShift) int { return cmp.Compare(b.Step, a.Step) })
--- a/internal/state/agfleet/ejection.go
+++ b/internal/state/agfleet/ejection.go
@@ -1,7 +1,7 @@
 package agfleet
 
-// The balancer's judgement on a host that repeatedly stops to accept or to answer opening
-// packets. Each status clears what the balancer has observed, so without this judgement a
+// The balancer's judgement on a host that repeatedly stops accepting flows or answering
+// opening packets. Each status clears what the balancer has observed, so without this judgement a
 // flapping host would get flows again four times a second.
 
 import (
@@ -39,9 +39,10 @@
 type Ejection struct {
 	Cause StopCause
 	// Stops is the number of stops without stableAfter between two of them.
-	Stops  int
+	Stops int
+	// Length is the time for which the host gets no new flows.
 	Length time.Duration
-	// until is the end of the ejection.
+	// until is the end of the ejection, stopAt the time of the last stop.
 	until  time.Time
 	stopAt time.Time
 }
@@ -82,7 +83,7 @@
 	}
 }
 
-// eject records that a host has stopped.
+// eject records that a host has stopped, and extends its ejection.
 func (f *Fleet) eject(host *Host, cause StopCause, now time.Time) {
 	last := &host.ejection
 	if now.Sub(last.stopAt) > stableAfter {
--- a/internal/state/agfleet/paths.go
+++ b/internal/state/agfleet/paths.go
@@ -23,7 +23,7 @@
 	lastStatus   time.Time
 	lastProgress time.Time
 	// opening is the shortest time from an opening packet to a host's answer.
-	opening shortest
+	opening windowedMinimum
 }
 
 func (f *Fleet) pathOf(dataCentre anvilglade.DataCentreID) *centrePath {
@@ -63,37 +63,37 @@
 }
 
 const (
-	// defaultPathCost is the cost of the path to another data centre while unknown. It
-	// is the round trip of the deployment with the greater distances.
+	// defaultPathCost is the assumed cost of the path to another data centre while it is
+	// unknown: a round trip over a few hundred kilometres.
 	defaultPathCost = 5 * time.Millisecond
 	// maxPathCost bounds the cost, so that few slow answers cannot close a path.
 	maxPathCost = 100 * time.Millisecond
-	// shortestWindow is the time after which a shortest time is replaced, as paths
+	// minimumWindow is the time after which a shortest time is replaced, as paths
 	// change.
-	shortestWindow = 30 * time.Second
+	minimumWindow = 30 * time.Second
 )
 
-// shortest is the minimum of a time over the last one to two windows. The minimum leaves
-// out the waits at hosts.
-type shortest struct {
+// windowedMinimum is the minimum of a time over the last one to two windows. The minimum
+// leaves out the waits at hosts.
+type windowedMinimum struct {
 	current, former time.Duration
 	since           time.Time
 }
 
-func (s *shortest) add(value time.Duration, now time.Time) {
-	if now.Sub(s.since) > shortestWindow {
-		s.former, s.current, s.since = s.current, value, now
+func (m *windowedMinimum) add(value time.Duration, now time.Time) {
+	if now.Sub(m.since) > minimumWindow {
+		m.former, m.current, m.since = m.current, value, now
 		return
 	}
-	s.current = min(s.current, value)
+	m.current = min(m.current, value)
 }
 
 // value returns the minimum, 0 if unknown.
-func (s *shortest) value() time.Duration {
-	if s.former == 0 {
-		return s.current
+func (m *windowedMinimum) value() time.Duration {
+	if m.former == 0 {
+		return m.current
 	}
-	return min(s.current, s.former)
+	return min(m.current, m.former)
 }
 
 // RecordOpening records the time from an opening packet to the answer of the host.
--- a/internal/state/agfleet/size.go
+++ b/internal/state/agfleet/size.go
@@ -12,8 +12,8 @@
 )
 
 // smallInterval is the interval of regular statuses of a balancer that is not large, as a
-// multiple of that of a large one. With 2, two statuses have to be lost before the others
-// count the balancer as unresponsive.
+// multiple of that of a large one. With 2, the others count the balancer as unresponsive
+// when two statuses in succession are lost, or one is lost and the next one is late.
 const smallInterval = 2
 
 // SetCapacity sets the capacity that this balancer announces.
@@ -37,6 +37,8 @@
 	return slices.DeleteFunc(f.members(now), func(member agrank.Member) bool { return !f.Local(member.DataCentre) })
 }
 
+// localPosition returns the number of balancers of this data centre before this one in
+// the order of agrank.
 func (f *Fleet) localPosition(now time.Time) int {
 	return agrank.Position(f.localMembers(now), f.options.Self)
 }
@@ -84,8 +86,9 @@
 }
 
 // StatusesPerList returns the number of regular statuses of this balancer of which the
-// first has lists. Base is the number for a large balancer in a small fleet. The first one
-// is a status to all balancers.
+// first has lists. Base is the number for a large balancer in a small fleet. For a small
+// balancer it is a multiple of smallInterval, so that the statuses with lists are among
+// those that all balancers receive.
 func (f *Fleet) StatusesPerList(base uint64, now time.Time) uint64 {
 	if f.Size(now).Large {
 		return agpace.MessagesPerList(base, len(f.balancers))
--- a/internal/state/agfleet/watchers.go
+++ b/internal/state/agfleet/watchers.go
@@ -25,8 +25,8 @@
 )
 
 // WatchRole returns the role of this balancer. Primaries are chosen in the order of
-// agrank, whether the store answers them or not. A standby counts only standbys of a lower rank as
-// healthy watchers, so that a few of them remain when the primaries have failed.
+// agrank, whether the store answers them or not. A standby counts only standbys of a lower
+// rank as healthy watchers, so that a few of them remain when the primaries have failed.
 func (f *Fleet) WatchRole(now time.Time) anvilglade.StoreWatch {
 	if f.UsesShortWait(now) || now.Sub(f.fetchFailedAt) < fetchFailureWindow {
 		return anvilglade.WatchPrimary
