Share the event schedule of simulated load tests

Cause: the load tests of agplace and agsplit had the same heap of events and the same loop. Change: package agschedule of the stand has them; the three test files use it.

--- a/internal/routing/agplace/completion_load_test.go
+++ b/internal/routing/agplace/completion_load_test.go
@@ -1,7 +1,6 @@
 package agplace_test
 
 import (
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -13,6 +12,7 @@
 
 	"github.com/anvilglade/anvilglade"
 	"github.com/anvilglade/anvilglade/internal/routing/agdispatch"
+	"github.com/anvilglade/anvilglade/internal/stand/agschedule"
 	"github.com/anvilglade/anvilglade/internal/state/agfleet"
 )
 
@@ -108,10 +108,9 @@
 }
 
 type longSimulation struct {
+	agschedule.Schedule
 	longLoad
 	random      *rand.Rand
-	now         time.Duration
-	events      schedule
 	hosts       []longHost
 	callers     []longCaller
 	fleets      []*agfleet.Fleet
@@ -135,33 +134,25 @@
 	}
 	for h := range s.hosts {
 		s.report(h, true)
-		s.after(time.Duration(s.random.Int64N(int64(reportEvery))), func() { s.reportAlways(h) })
+		s.After(time.Duration(s.random.Int64N(int64(reportEvery))), func() { s.reportAlways(h) })
 	}
 	s.addCallers()
 	for _, c := range l.changes {
-		s.after(c.at, func() {
+		s.After(c.at, func() {
 			for _, h := range c.hosts {
 				s.hosts[h].slowness *= c.factor
 			}
 		})
 	}
 	for _, m := range l.moves {
-		s.after(m.at, func() { s.move(m.to) })
-	}
-	for len(s.events) > 0 && s.now < l.length {
-		next := heap.Pop(&s.events).(event)
-		s.now = next.at
-		next.do()
+		s.After(m.at, func() { s.move(m.to) })
 	}
+	s.Run(l.length)
 	return s
 }
 
-func (s *longSimulation) after(d time.Duration, do func()) {
-	heap.Push(&s.events, event{at: s.now + d, do: do})
-}
-
 func (s *longSimulation) time() time.Time {
-	return time.Unix(1_000_000, 0).Add(s.now)
+	return time.Unix(1_000_000, 0).Add(s.Now())
 }
 
 func centreName(centre int) anvilglade.DataCentreID {
@@ -206,7 +197,7 @@
 	for i := range s.callers {
 		caller := &s.callers[i]
 		// Flows are opened over time, so that the first statuses arrive before most.
-		s.after(time.Duration(s.random.Int64N(int64(2*time.Second))), func() { s.send(caller) })
+		s.After(time.Duration(s.random.Int64N(int64(2*time.Second))), func() { s.send(caller) })
 	}
 }
 
@@ -223,15 +214,15 @@
 			destination = to
 		}
 		if destination != caller.centre {
-			s.after(time.Duration(s.random.Int64N(int64(time.Second/2))), func() { caller.centre, caller.reopen = destination, true })
+			s.After(time.Duration(s.random.Int64N(int64(time.Second/2))), func() { caller.centre, caller.reopen = destination, true })
 		}
 	}
 }
 
 // send sends the next request of a caller and schedules the one after it.
 func (s *longSimulation) send(caller *longCaller) {
-	s.attempt(&request{caller: caller, sentAt: s.now, left: maxAttempts, centre: caller.centre}, false)
-	s.after(s.exponential(time.Duration(float64(time.Second)/caller.rate)), func() { s.send(caller) })
+	s.attempt(&request{caller: caller, sentAt: s.Now(), left: maxAttempts, centre: caller.centre}, false)
+	s.After(s.exponential(time.Duration(float64(time.Second)/caller.rate)), func() { s.send(caller) })
 }
 
 func (s *longSimulation) attempt(r *request, again bool) {
@@ -246,7 +237,7 @@
 	if host%centreCount != r.centre {
 		delay += linkDelay
 	}
-	s.after(delay, func() { s.arrive(r, host, newFlow) })
+	s.After(delay, func() { s.arrive(r, host, newFlow) })
 }
 
 // open opens another flow of a caller. A flow ends flowLife after its last use.
@@ -263,17 +254,17 @@
 	flow := caller.flow
 	s.hosts[h].flows++
 	if h%centreCount != caller.centre {
-		s.crossed[[2]int{caller.centre, h % centreCount}] = append(s.crossed[[2]int{caller.centre, h % centreCount}], s.now)
+		s.crossed[[2]int{caller.centre, h % centreCount}] = append(s.crossed[[2]int{caller.centre, h % centreCount}], s.Now())
 	}
 	answer := answerTime
 	if h%centreCount != caller.centre {
 		answer += 2 * linkDelay
 	}
-	s.after(answer, func() {
+	s.After(answer, func() {
 		s.dispatchers[b].HandleHolder(agentOf(h), packet.FromCaller(), false, 0, s.time())
 		s.fleets[b].UpdateLoad(agentOf(h), s.hosts[h].flows, s.outstanding(h), s.time())
 	})
-	s.after(s.exponential(flowLife), func() {
+	s.After(s.exponential(flowLife), func() {
 		s.hosts[h].flows--
 		if caller.flow == flow {
 			caller.reopen = true
@@ -299,7 +290,7 @@
 func (s *longSimulation) arrive(r *request, h int, newFlow bool) {
 	host := &s.hosts[h]
 	s.addRate(host, 1)
-	s.arrivals = append(s.arrivals, arrival{at: s.now, host: h, newFlow: newFlow, centre: r.centre, secondsOfSlots: host.slowness * baseWork.Seconds()})
+	s.arrivals = append(s.arrivals, arrival{at: s.Now(), host: h, newFlow: newFlow, centre: r.centre, secondsOfSlots: host.slowness * baseWork.Seconds()})
 	r.host = h
 	if s.outstanding(h) >= slotsPerHost+queueLength {
 		s.shed(r)
@@ -317,17 +308,17 @@
 		s.samples = append(s.samples, sample{at: r.sentAt, wait: failedWait, centre: r.centre})
 		return
 	}
-	s.after(linkDelay, func() { s.attempt(r, true) })
+	s.After(linkDelay, func() { s.attempt(r, true) })
 }
 
 func (s *longSimulation) start(r *request) {
 	const sigma = 0.47
 	host := &s.hosts[r.host]
-	started := s.now
+	started := s.Now()
 	host.running = append(host.running, started)
 	work := time.Duration(host.slowness * float64(baseWork) * math.Exp(sigma*s.random.NormFloat64()-sigma*sigma/2))
-	s.samples = append(s.samples, sample{at: r.sentAt, wait: s.now - r.sentAt, inTime: s.now+work+2*linkDelay-r.sentAt <= target, centre: r.centre})
-	s.after(work, func() {
+	s.samples = append(s.samples, sample{at: r.sentAt, wait: s.Now() - r.sentAt, inTime: s.Now()+work+2*linkDelay-r.sentAt <= target, centre: r.centre})
+	s.After(work, func() {
 		i := slices.Index(host.running, started)
 		host.running = slices.Delete(host.running, i, i+1)
 		host.serviceTime += outcomeWeight * (work.Seconds() - host.serviceTime)
@@ -342,13 +333,13 @@
 // addRate advances the average rate of requests of a host over two seconds.
 func (s *longSimulation) addRate(host *longHost, requests float64) {
 	const window = 2.0
-	host.rate = host.rate*math.Exp(-(s.now-host.rateAt).Seconds()/window) + requests/window
-	host.rateAt = s.now
+	host.rate = host.rate*math.Exp(-(s.Now()-host.rateAt).Seconds()/window) + requests/window
+	host.rateAt = s.Now()
 }
 
 func (s *longSimulation) reportAlways(h int) {
 	s.report(h, false)
-	s.after(reportEvery, func() { s.reportAlways(h) })
+	s.After(reportEvery, func() { s.reportAlways(h) })
 }
 
 // report sends a status to all balancers. A sixth are lost, a sixth arrive an interval
@@ -359,7 +350,7 @@
 	host.sequence++
 	wait := float64(max(0, s.outstanding(h)+1-slotsPerHost)) / slotsPerHost * host.serviceTime
 	for _, started := range host.running {
-		host.serviceTime = max(host.serviceTime, (s.now-started).Seconds()/2)
+		host.serviceTime = max(host.serviceTime, (s.Now()-started).Seconds()/2)
 	}
 	status := anvilglade.AgentStatus{
 		Agent: agentOf(h), Incarnation: 1, Sequence: host.sequence, Service: "feeds", DataCentre: centreName(h % centreCount), Born: 1,
@@ -374,9 +365,9 @@
 			fleet.UpdateAgent(status, s.time())
 		case fate == 0:
 		case fate == 1:
-			s.after(reportEvery, func() { fleet.UpdateAgent(status, s.time()) })
+			s.After(reportEvery, func() { fleet.UpdateAgent(status, s.time()) })
 		default:
-			s.after(answerTime, func() { fleet.UpdateAgent(status, s.time()) })
+			s.After(answerTime, func() { fleet.UpdateAgent(status, s.time()) })
 		}
 	}
 }
--- a/internal/routing/agplace/load_test.go
+++ b/internal/routing/agplace/load_test.go
@@ -1,7 +1,6 @@
 package agplace_test
 
 import (
-	"container/heap"
 	"math"
 	"math/rand/v2"
 	"time"
@@ -11,6 +10,7 @@
 
 	"github.com/anvilglade/anvilglade"
 	"github.com/anvilglade/anvilglade/internal/routing/agplace"
+	"github.com/anvilglade/anvilglade/internal/stand/agschedule"
 )
 
 // load describes a simulated load of callers that open a flow for each request and
@@ -44,24 +44,6 @@
 	failingThreshold = 0.25
 )
 
-// event is an action at a time of the simulation.
-type event struct {
-	at time.Duration
-	do func()
-}
-
-type schedule []event
-
-func (s schedule) Len() int           { return len(s) }
-func (s schedule) Less(i, j int) bool { return s[i].at < s[j].at }
-func (s schedule) Swap(i, j int)      { s[i], s[j] = s[j], s[i] }
-func (s *schedule) Push(x any)        { *s = append(*s, x.(event)) }
-func (s *schedule) Pop() any {
-	last := (*s)[len(*s)-1]
-	*s = (*s)[:len(*s)-1]
-	return last
-}
-
 type simulatedHost struct {
 	flows, working  int
 	failing         float64
@@ -71,10 +53,9 @@
 }
 
 type simulation struct {
+	agschedule.Schedule
 	load
 	random *rand.Rand
-	now    time.Duration
-	events schedule
 	state  []simulatedHost
 	// views holds the options as each balancer has last received them.
 	views          [][]agplace.Option
@@ -91,21 +72,13 @@
 		}
 	}
 	for h := range l.hosts {
-		p.after(time.Duration(p.random.Int64N(int64(l.statusInterval))), func() { p.sendStatuses(h) })
+		p.After(time.Duration(p.random.Int64N(int64(l.statusInterval))), func() { p.sendStatuses(h) })
 	}
 	p.sendRequests()
-	for len(p.events) > 0 && p.now < l.length+drainTime {
-		next := heap.Pop(&p.events).(event)
-		p.now = next.at
-		next.do()
-	}
+	p.Run(l.length + drainTime)
 	return float64(p.answered) / float64(p.sent)
 }
 
-func (p *simulation) after(d time.Duration, do func()) {
-	heap.Push(&p.events, event{at: p.now + d, do: do})
-}
-
 func (p *simulation) sendStatus(h int) {
 	for b := range p.views {
 		p.updateView(b, h)
@@ -115,7 +88,7 @@
 
 func (p *simulation) sendStatuses(h int) {
 	p.sendStatus(h)
-	p.after(p.statusInterval, func() { p.sendStatuses(h) })
+	p.After(p.statusInterval, func() { p.sendStatuses(h) })
 }
 
 // reportChange sends a status when a host starts or stops failing.
@@ -123,7 +96,7 @@
 	host := &p.state[h]
 	if failing := host.failing >= failingThreshold; failing != host.reportedFailing {
 		host.reportedFailing = failing
-		p.after(answerTime, func() { p.sendStatus(h) })
+		p.After(answerTime, func() { p.sendStatus(h) })
 	}
 }
 
@@ -134,12 +107,12 @@
 }
 
 func (p *simulation) sendRequests() {
-	if p.now >= p.length {
+	if p.Now() >= p.length {
 		return
 	}
 	p.sent++
 	p.try(p.tries)
-	p.after(time.Duration(p.random.ExpFloat64()/p.rate*float64(time.Second)), p.sendRequests)
+	p.After(time.Duration(p.random.ExpFloat64()/p.rate*float64(time.Second)), p.sendRequests)
 }
 
 // try places the flow of a request by the view of one random balancer.
@@ -151,8 +124,8 @@
 	h := int(agplace.Rank(nil, p.views[b])[0][3])
 	p.views[b][h].Flows++
 	p.state[h].flows++
-	p.after(answerTime, func() { p.updateView(b, h) })
-	p.after(requestTime, func() { p.request(h, left) })
+	p.After(answerTime, func() { p.updateView(b, h) })
+	p.After(requestTime, func() { p.request(h, left) })
 }
 
 func (p *simulation) request(h, left int) {
@@ -178,7 +151,7 @@
 	// A lognormal distribution whose standard deviation is half the mean.
 	const sigma = 0.47
 	serviceTime := time.Duration(float64(p.work) * math.Exp(sigma*p.random.NormFloat64()-sigma*sigma/2))
-	p.after(serviceTime, func() {
+	p.After(serviceTime, func() {
 		host := &p.state[h]
 		host.working--
 		host.flows--
--- a/internal/routing/agsplit/load_test.go
+++ b/internal/routing/agsplit/load_test.go
@@ -1,7 +1,6 @@
 package agsplit_test
 
 import (
-	"container/heap"
 	"math"
 	"math/rand/v2"
 	"testing"
@@ -9,6 +8,7 @@
 
 	"github.com/anvilglade/anvilglade"
 	"github.com/anvilglade/anvilglade/internal/routing/agsplit"
+	"github.com/anvilglade/anvilglade/internal/stand/agschedule"
 )
 
 // The load of the test: a live stream on a route with the weights 90 and 10 to services
@@ -45,23 +45,6 @@
 	phaseEnds    = [phases]time.Duration{10 * time.Second, 20 * time.Second, 30 * time.Second, 50 * time.Second}
 )
 
-type event struct {
-	at time.Duration
-	do func()
-}
-
-type schedule []event
-
-func (s schedule) Len() int           { return len(s) }
-func (s schedule) Less(i, j int) bool { return s[i].at < s[j].at }
-func (s schedule) Swap(i, j int)      { s[i], s[j] = s[j], s[i] }
-func (s *schedule) Push(x any)        { *s = append(*s, x.(event)) }
-func (s *schedule) Pop() any {
-	last := (*s)[len(*s)-1]
-	*s = (*s)[:len(*s)-1]
-	return last
-}
-
 // service is a pool of slots with one FIFO queue.
 type service struct {
 	slots, working int
@@ -76,10 +59,9 @@
 }
 
 type simulation struct {
+	agschedule.Schedule
 	random    *rand.Rand
 	tries     int
-	now       time.Duration
-	events    schedule
 	services  [2]*service
 	splitters []*agsplit.Splitter
 	route     *anvilglade.PacketRoute
@@ -95,13 +77,9 @@
 	second, flows int
 }
 
-func (p *simulation) after(d time.Duration, do func()) {
-	heap.Push(&p.events, event{at: p.now + d, do: do})
-}
-
 func (p *simulation) phase() int {
 	for i, end := range phaseEnds {
-		if p.now < end {
+		if p.Now() < end {
 			return i
 		}
 	}
@@ -109,7 +87,7 @@
 }
 
 func (p *simulation) clock() time.Time {
-	return time.Unix(1_000_000, 0).Add(p.now)
+	return time.Unix(1_000_000, 0).Add(p.Now())
 }
 
 // simulate runs the load with callers that send a request up to tries times if it is
@@ -125,17 +103,13 @@
 	p.sample()
 	for i := range balancers {
 		p.splitters = append(p.splitters, agsplit.NewSplitter(p.clock()))
-		p.after(time.Duration(p.random.Int64N(int64(peerInterval))), func() { p.sendSteps(i) })
+		p.After(time.Duration(p.random.Int64N(int64(peerInterval))), func() { p.sendSteps(i) })
 	}
 	for phase := halfLost; phase < phases; phase++ {
-		p.after(phaseEnds[phase-1], func() { p.resize(slots * runningHosts[phase]) })
+		p.After(phaseEnds[phase-1], func() { p.resize(slots * runningHosts[phase]) })
 	}
 	p.arrive(shift)
-	for len(p.events) > 0 && p.now < phaseEnds[returned]+time.Second {
-		next := heap.Pop(&p.events).(event)
-		p.now = next.at
-		next.do()
-	}
+	p.Run(phaseEnds[returned] + time.Second)
 	return p
 }
 
@@ -161,7 +135,7 @@
 			service.samples = service.samples[1:]
 		}
 	}
-	p.after(sampleInterval, p.sample)
+	p.After(sampleInterval, p.sample)
 }
 
 func (p *simulation) sendSteps(from int) {
@@ -170,18 +144,18 @@
 			splitter.Observe(anvilglade.IPv4{10, 0, 0, byte(from)}, true, p.splitters[from].Report(), p.clock())
 		}
 	}
-	p.after(peerInterval, func() { p.sendSteps(from) })
+	p.After(peerInterval, func() { p.sendSteps(from) })
 }
 
 func (p *simulation) arrive(shift bool) {
-	if p.now >= phaseEnds[returned] {
+	if p.Now() >= phaseEnds[returned] {
 		return
 	}
 	rate := utilisation * float64(slots*(hostCounts[0]+hostCounts[1])) / work.Seconds()
-	r := &request{sim: p, shift: shift, sentAt: p.now, score: &p.scores[p.phase()]}
+	r := &request{sim: p, shift: shift, sentAt: p.Now(), score: &p.scores[p.phase()]}
 	r.score.sent++
 	r.try(1)
-	p.after(time.Duration(p.random.ExpFloat64()/rate*float64(time.Second)), func() { p.arrive(shift) })
+	p.After(time.Duration(p.random.ExpFloat64()/rate*float64(time.Second)), func() { p.arrive(shift) })
 }
 
 type request struct {
@@ -218,12 +192,12 @@
 		p.flows++
 		p.second += index
 	}
-	p.after(requestTime, func() { r.run(p.services[index], number) })
+	p.After(requestTime, func() { r.run(p.services[index], number) })
 }
 
 func (r *request) retry(number int) {
 	if number < r.sim.tries {
-		r.sim.after(requestTime, func() { r.try(number + 1) })
+		r.sim.After(requestTime, func() { r.try(number + 1) })
 	}
 }
 
@@ -243,7 +217,7 @@
 	// A lognormal distribution whose standard deviation is half the mean.
 	const sigma = 0.47
 	at.working++
-	r.sim.after(time.Duration(float64(work)*math.Exp(sigma*r.sim.random.NormFloat64()-sigma*sigma/2)), func() {
+	r.sim.After(time.Duration(float64(work)*math.Exp(sigma*r.sim.random.NormFloat64()-sigma*sigma/2)), func() {
 		at.working--
 		r.finish()
 		for len(at.queue) > 0 && at.working < at.slots {
@@ -255,7 +229,7 @@
 }
 
 func (r *request) finish() {
-	if r.sim.now-r.sentAt > target {
+	if r.sim.Now()-r.sentAt > target {
 		return
 	}
 	r.score.inTime++
@@ -273,7 +247,7 @@
 		}
 		p.step = change.Step
 		if p.step == 0 {
-			p.backAt = p.now
+			p.backAt = p.Now()
 		}
 	}
 }
