State units and subjects of metrics and sizes

Cause: the help of control_bytes_total points to another metric, the fields of agmetric leave out the unit, and the comment on adoptWindow leaves out why all balancers have sent a status by then. Change: correct the comments and the two help texts; names and values stay.

--- a/internal/observe/agmetric/metric.go
+++ b/internal/observe/agmetric/metric.go
@@ -61,17 +61,17 @@
 	Latency *prometheus.HistogramVec
 	// Queue counts the requests that an agent queues, by class and outcome.
 	Queue *prometheus.CounterVec
-	// QueueTime is the time of requests in the queue of an agent, by class.
+	// QueueTime is the time of requests in the queue of an agent in seconds, by class.
 	QueueTime *prometheus.HistogramVec
 	// Admissions counts decisions of an agent on new flows by class and result.
 	Admissions *prometheus.CounterVec
 	// Requests counts requests at an agent by class and result.
 	Requests *prometheus.CounterVec
-	// ExpectedWait is the wait at the host that an agent expects for each new flow, by
-	// class.
+	// ExpectedWait is the wait in seconds at the host that an agent expects for each new
+	// flow, by class.
 	ExpectedWait *prometheus.HistogramVec
-	// Expected is, at a balancer, the expected completion time of the host on which a flow
-	// is placed, by service. RemotePlacements counts the flows that are placed in another
+	// Expected is, at a balancer, the expected completion time in seconds at the host on
+	// which a flow is placed, by service. RemotePlacements counts the flows that are placed in another
 	// data centre, by service and reason, and Ejections the hosts that the balancer has
 	// ejected, by service and cause.
 	Expected         *prometheus.HistogramVec
@@ -92,7 +92,7 @@
 		Malformed:       counter("malformed_total", "Datagrams that could not be decoded.", "kind"),
 		StoreCalls:      counter("store_calls_total", "Calls to the platform's store by outcome.", "what", "outcome"),
 		ControlMessages: counter("control_messages_total", "Messages between processes other than packets of callers.", "direction", "kind"),
-		ControlBytes:    counter("control_bytes_total", "Bytes of these messages, without headers.", "direction", "kind"),
+		ControlBytes:    counter("control_bytes_total", "Bytes of messages between processes other than packets of callers, without headers.", "direction", "kind"),
 		Latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Namespace: namespace, Name: "latency_seconds", Help: "Latency of flows and answers.", ConstLabels: labels, Buckets: latencyBuckets,
 		}, []string{"service"}),
@@ -109,7 +109,7 @@
 			Namespace: namespace, Name: "expected_completion_seconds", Help: "Expected completion time at the host of a placed flow.", ConstLabels: labels, Buckets: latencyBuckets,
 		}, []string{"service"}),
 		RemotePlacements: counter("remote_placements_total", "Flows that are placed in another data centre.", "service", "reason"),
-		Ejections:        counter("ejections_total", "Hosts that get no new flows because they stopped to take them.", "service", "cause"),
+		Ejections:        counter("ejections_total", "Hosts that get no new flows because they stopped taking them.", "service", "cause"),
 	}
 	m.registry.MustRegister(m.Decisions, m.Malformed, m.StoreCalls, m.ControlMessages, m.ControlBytes, m.Latency, m.Queue, m.QueueTime, m.Admissions,
 		m.Requests, m.ExpectedWait, m.Expected, m.RemotePlacements, m.Ejections)
--- a/internal/routing/agsplit/split.go
+++ b/internal/routing/agsplit/split.go
@@ -47,7 +47,7 @@
 	// evaluateInterval is the minimum time between two evaluations of a route.
 	evaluateInterval = 100 * time.Millisecond
 	// adoptWindow is the time after the start in which the steps of other balancers are
-	// taken over. All of them have sent a status by then.
+	// taken over. They answer the first status of a balancer that has started at once.
 	adoptWindow = 2 * time.Second
 	// maxReportBytes is the maximum encoded size of the steps in a status, which has to
 	// fit into one datagram with the lists of processes.
--- a/internal/state/agfleet/size.go
+++ b/internal/state/agfleet/size.go
@@ -50,7 +50,9 @@
 	Position int
 	// Members is the number of responsive balancers, with this one.
 	Members int
-	Large   bool
+	// Large is set if this balancer has at least half of the capacity of the largest one,
+	// see agrank.Large.
+	Large bool
 }
 
 // Size returns the size of this balancer.
