Fix faults found while reading the diff

Cause: a latency target below a millisecond was encoded as no target, and agents rejected the packets of the route; a priority without recent requests kept its precedence until a newer class had a notable share; a placement was shared by routes with other regions or targets, and never removed; the split steps of an outdated status replaced newer ones; copies of a queued packet counted as requests.

Change: durations of a class are rounded up; the largest recent class has precedence if none has a notable share; a placement is kept per service, regions and target, and expires when unused; steps are taken from the latest status only. explain has a meaning for NoReceiver and keeps the last ejection of each host.

--- a/internal/admission/agpriority/recent.go
+++ b/internal/admission/agpriority/recent.go
@@ -79,12 +79,21 @@
 	return r.top
 }
 
+// updateTop sets the highest priority. If none of those with a request within the window
+// has a notable share yet, it is the one with the largest share of them.
 func (r *Recent) updateTop(now time.Time) {
+	largest := 0.0
 	for _, share := range r.shares {
-		if share.weight >= minShare*r.total && now.Sub(share.latest) <= window {
+		if now.Sub(share.latest) > window {
+			continue
+		}
+		if share.weight >= minShare*r.total {
 			r.top = share.priority
 			return
 		}
+		if share.weight > largest {
+			largest, r.top = share.weight, share.priority
+		}
 	}
 }
 
--- a/internal/admission/agqueue/queue.go
+++ b/internal/admission/agqueue/queue.go
@@ -179,12 +179,12 @@
 		return DecisionDeliver
 	}
 	starts := arrival.StartsRequest && arrival.Class.HasTarget()
-	if starts {
-		q.recent.Add(arrival.Class.Priority, now)
-	}
 	if request := q.byFlow[arrival.Flow]; request != nil {
 		return q.offerBehind(request, arrival, now)
 	}
+	if starts {
+		q.recent.Add(arrival.Class.Priority, now)
+	}
 	if !starts || arrival.Class.Priority > q.recent.Top() || !q.full(now) {
 		return DecisionDeliver
 	}
--- a/internal/observe/agexplain/explain.go
+++ b/internal/observe/agexplain/explain.go
@@ -218,7 +218,7 @@
 func (l *Line) contextKey() string {
 	key := l.Node + "/" + l.Message
 	if _, ok := l.Inputs[fieldChange]; ok {
-		key += fmt.Sprintf("/%v/%v", l.Inputs[fieldRoute], l.Inputs[fieldService])
+		key += fmt.Sprintf("/%v/%v/%v", l.Inputs[fieldRoute], l.Inputs[fieldService], l.Host)
 	}
 	return key
 }
--- a/internal/observe/agexplain/reasons.go
+++ b/internal/observe/agexplain/reasons.go
@@ -42,6 +42,7 @@
 	"NoUsableHost":                  {meaning: "the service that the weights select had no usable host"},
 	"OverAttemptBudget":             {meaning: "the expected time to a response of the service that the weights select was above a third of the latency target"},
 	"ReceiverNearBudget":            {meaning: "the step was lowered because the wait at the other services was near their limit"},
+	"NoReceiver":                    {meaning: "no other service of the route had a usable host"},
 	"ReceiverFull":                  {meaning: "the step was lowered because the other services were about to be overloaded"},
 	"CapacityReturned":              {meaning: "the step is being lowered because the service that the weights select has capacity again"},
 	"TakenOver":                     {meaning: "the balancer had just started and used the step of another one of its data centre"},
--- a/internal/operate/agpacketbalancer/packets.go
+++ b/internal/operate/agpacketbalancer/packets.go
@@ -153,7 +153,9 @@
 	}
 	hadPending := p.fleet.HasPendingAgents()
 	started := p.fleet.UpdateBalancer(status, now)
-	p.dispatcher.ObserveShifts(&status, now)
+	if p.fleet.IsLatest(&status) {
+		p.dispatcher.ObserveShifts(&status, now)
+	}
 	if started {
 		p.sendFullStatus(writer, from, now)
 	}
--- a/internal/packet/agmessage/message.go
+++ b/internal/packet/agmessage/message.go
@@ -170,8 +170,11 @@
 	return binary.BigEndian.AppendUint16(dst, clampMilliseconds(class.Timeout))
 }
 
+// clampMilliseconds rounds up, so that a positive duration does not become 0, which stands
+// for none.
 func clampMilliseconds(duration time.Duration) uint16 {
-	return uint16(min(max(duration.Milliseconds(), 0), math.MaxUint16))
+	rounded := (duration + time.Millisecond - 1).Milliseconds()
+	return uint16(min(max(rounded, 0), math.MaxUint16))
 }
 
 // parseClass decodes the class of a flow's requests at the start of data.
--- a/internal/packet/agmessage/message_test.go
+++ b/internal/packet/agmessage/message_test.go
@@ -32,6 +32,10 @@
 	if err != nil || string(packet) != "packet" || !reflect.DeepEqual(parsed, classified) {
 		t.Errorf("%+v %q %v", parsed, packet, err)
 	}
+	classified.Class.Target = time.Microsecond
+	if _, err = agmessage.ParseForward(agmessage.AppendForward(nil, &classified, []byte("packet")), &parsed); err != nil || parsed.Class.Target != time.Millisecond {
+		t.Errorf("short target: %+v %v", parsed, err)
+	}
 	owner := agmessage.Owner{Flow: flow, Established: true, Sequence: 1 << 31, Flows: 9, ActiveRequests: 3}
 	if got, err := agmessage.ParseOwner(agmessage.AppendOwner(nil, &owner)); err != nil || got != owner {
 		t.Errorf("%+v %v", got, err)
--- a/internal/routing/agdispatch/dispatch.go
+++ b/internal/routing/agdispatch/dispatch.go
@@ -127,7 +127,7 @@
 	rankOptions []agplace.Option
 	ranked      []anvilglade.IPv4
 	ranker      agplace.Ranker
-	placements  map[anvilglade.ServiceID]*placement
+	placements  map[placementKey]*placement
 	// holders is the slice that possibleHolders reuses.
 	holders  []anvilglade.IPv4
 	searcher *agsearch.Searcher
@@ -142,7 +142,7 @@
 func NewDispatcher(fleet *agfleet.Fleet, random *rand.Rand, now time.Time) *Dispatcher {
 	return &Dispatcher{
 		fleet: fleet, random: random, started: now, flows: make(map[anvilglade.Flow]*flowEntry), searcher: agsearch.NewSearcher(),
-		splits: newSplits(now), prober: agpath.NewProber(), placements: make(map[anvilglade.ServiceID]*placement),
+		splits: newSplits(now), prober: agpath.NewProber(), placements: make(map[placementKey]*placement),
 	}
 }
 
@@ -343,6 +343,11 @@
 			d.removeEntry(flow, entry)
 		}
 	}
+	for key, place := range d.placements {
+		if now.Sub(place.usedAt) > idle {
+			delete(d.placements, key)
+		}
+	}
 	d.prober.Forget(func(agent anvilglade.IPv4) bool {
 		_, known := d.fleet.Host(agent)
 		return known
--- a/internal/routing/agdispatch/placement.go
+++ b/internal/routing/agdispatch/placement.go
@@ -36,8 +36,18 @@
 	failedShare = 0.5
 )
 
-// placement is the state of one service.
+// placementKey identifies the flows that share a placement: those of routes with the same
+// regions and latency target to one service.
+type placementKey struct {
+	service anvilglade.ServiceID
+	// regions has the regions of the route, empty for all.
+	regions string
+	target  time.Duration
+}
+
+// placement is the state of a service for some routes.
 type placement struct {
+	usedAt  time.Time
 	centres agplace.Centres
 	hosts   []agplace.CentreHost
 	// mostFailed is set while most hosts of the service are judged as failed.
@@ -50,11 +60,13 @@
 	if !route.Class.HasTarget() {
 		return nil
 	}
-	place := d.placements[service]
+	key := placementKey{service: service, regions: regionsOf(route), target: route.Class.Target}
+	place := d.placements[key]
 	if place == nil {
 		place = &placement{}
-		d.placements[service] = place
+		d.placements[key] = place
 	}
+	place.usedAt = now
 	if place.centres.Due(now) {
 		d.updatePlacement(place, route, service, now)
 	}
--- a/internal/state/agfleet/balancers.go
+++ b/internal/state/agfleet/balancers.go
@@ -55,6 +55,13 @@
 	return firstStatus
 }
 
+// IsLatest reports whether a status is the latest one that has been adopted of its
+// balancer. It is not if a newer one has overtaken it.
+func (f *Fleet) IsLatest(status *anvilglade.BalancerStatus) bool {
+	balancer, ok := f.balancers[status.Balancer]
+	return ok && balancer.Incarnation == status.Incarnation && balancer.Sequence == status.Sequence
+}
+
 // AddBalancers adds addresses on which balancers may run, such as the seeds.
 func (f *Fleet) AddBalancers(addresses []anvilglade.IPv4) {
 	for _, address := range addresses {
