Do not take quickly failed requests for a fast host

Cause: a host that answers a part of its requests at once with an error lowers its measured service time, so it seems fast and attracts flows.

Change: answers in less than an eighth of the mean are no samples while they are 20% to 90% of the recent ones.

--- a/internal/admission/agcapacity/estimator_test.go
+++ b/internal/admission/agcapacity/estimator_test.go
@@ -15,6 +15,9 @@
 
 const slots = 2
 
+// errorTime is the time after which a host answers a request that it fails.
+const errorTime = time.Millisecond
+
 // TestScripts runs each script in testdata against an Estimator of a host with two
 // slots. The comment at the top of a script names the failure that it guards against.
 func TestScripts(t *testing.T) {
@@ -67,12 +70,10 @@
 }
 
 // load runs requests for a time on a host whose slots are always busy. Service times
-// are log-normal with a mean and a shape.
+// are log-normal with a mean and a shape. A host that fails a share of the requests
+// answers these after errorTime.
 func (r *scriptRunner) load(step *agscript.Step, now time.Time) {
-	sigma, err := strconv.ParseFloat(agscript.Option(step.Args, "Sigma", "0"), 64)
-	if err != nil {
-		r.t.Fatal(err)
-	}
+	sigma, failing := r.number(step, "Sigma"), r.number(step, "Failing")
 	mean, end := r.duration(step, "Mean"), now.Add(r.duration(step, "For"))
 	var flows [slots]anvilglade.Flow
 	ends := [slots]time.Time{now, now}
@@ -85,13 +86,25 @@
 		r.flows++
 		flows[next] = flowOf("x" + strconv.Itoa(r.flows))
 		r.estimator.Arrive(flows[next], anvilglade.RequestClass{}, ends[next])
-		ends[next] = ends[next].Add(time.Duration(float64(mean) * math.Exp(sigma*r.random.NormFloat64()-sigma*sigma/2)))
+		work := time.Duration(float64(mean) * math.Exp(sigma*r.random.NormFloat64()-sigma*sigma/2))
+		if failing > 0 && r.random.Float64() < failing {
+			work = errorTime
+		}
+		ends[next] = ends[next].Add(work)
 	}
 	for i := range flows {
 		r.estimator.Answer(flows[i], ends[i])
 	}
 }
 
+func (r *scriptRunner) number(step *agscript.Step, name string) float64 {
+	number, err := strconv.ParseFloat(agscript.Option(step.Args, name, "0"), 64)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	return number
+}
+
 func (r *scriptRunner) duration(step *agscript.Step, name string) time.Duration {
 	duration, err := time.ParseDuration(agscript.Option(step.Args, name, "0s"))
 	if err != nil {
--- a/internal/admission/agcapacity/service.go
+++ b/internal/admission/agcapacity/service.go
@@ -26,6 +26,16 @@
 	// log-normal distribution (sigma 1) by less than 4%; a ratio of 5 would lower it by
 	// about 5% and delay the estimate of a host that has become six times slower.
 	maxSampleRatio = 6
+	// quickDivisor is the divisor of the mean below which a request counts as quick. A
+	// host that fails requests answers them in a fraction of the usual time, and the agent
+	// cannot tell the answer from a good one; it would seem fast and attract requests.
+	quickDivisor = 8
+	// Quick requests are no samples while their share is between minQuickShare and
+	// maxQuickShare. Fewer are the lower end of the distribution; if nearly all are quick,
+	// the host has become faster. quickWeight is the weight of one request in the share.
+	minQuickShare = 0.2
+	maxQuickShare = 0.9
+	quickWeight   = 1.0 / 16
 	// riseRatio is the ratio of the fast to the slow average from which the host counts
 	// as slower. At the rate of two busy slots noise rarely reaches it.
 	riseRatio = 1.5
@@ -48,6 +58,8 @@
 type serviceTime struct {
 	slow, fast movingMean
 	samples    int
+	// quickShare is the share of quick requests among the recent ones.
+	quickShare float64
 	updatedAt  time.Time
 }
 
@@ -61,13 +73,17 @@
 
 // add adds the service time of one request.
 func (s *serviceTime) add(sample time.Duration, now time.Time) {
-	elapsed := float64(now.Sub(s.updatedAt))
-	s.updatedAt = now
 	if s.samples < minSamples {
+		s.updatedAt = now
 		s.addFirst(float64(sample))
 		return
 	}
+	if s.isQuick(float64(sample)) {
+		return
+	}
 	value := min(float64(sample), maxSampleRatio*s.slow.value)
+	elapsed := float64(now.Sub(s.updatedAt))
+	s.updatedAt = now
 	s.slow.add(value, math.Exp(-elapsed/float64(slowPeriod)))
 	s.fast.add(value, math.Exp(-elapsed/float64(fastPeriod)))
 	if s.fast.value > riseRatio*s.slow.value {
@@ -75,6 +91,16 @@
 	}
 }
 
+// isQuick records whether a request was quick and reports whether it is no sample.
+func (s *serviceTime) isQuick(sample float64) bool {
+	quick := 0.0
+	if sample < s.slow.value/quickDivisor {
+		quick = 1
+	}
+	s.quickShare += quickWeight * (quick - s.quickShare)
+	return quick == 1 && s.quickShare >= minQuickShare && s.quickShare <= maxQuickShare
+}
+
 // addFirst adds one of the first samples, which have equal weights.
 func (s *serviceTime) addFirst(value float64) {
 	s.samples++
