--- a/internal/routing/agplace/ranker.go
+++ b/internal/routing/agplace/ranker.go
@@ -22,7 +22,7 @@
 	closedPathPenalty  = 100.0
 	suspectTimePenalty = 200.0
 	// attemptTime is the time in seconds that a caller is assumed to lose with a failed
-	// request: half of a latency target of 200 ms.
+	// request, from its first packet to that of the next attempt.
 	attemptTime = 0.1
 	// maxRanked is the number of agents that Rank returns. An opening packet has fewer
 	// candidates, and a full order would cost most of the time of a placement.
