Decode each packet of a batch once, and look up no route for a held flow

Cause: balancers with known limits decoded each packet twice, first to order the batch.

Change: batchOrder keeps the decoded headers. A flow's entry keeps the class until the desired state changes, and the host that is already at hand says whether its agent takes it.

Package tests pass; the test of the order also checks the headers and that malformed packets are left out.

--- a/internal/admission/agcapacity/estimator.go
+++ b/internal/admission/agcapacity/estimator.go
@@ -25,7 +25,7 @@
 // running request was missed. The model is corrected accordingly, and a request whose
 // start is not known gives no sample.
 //
-// An agent that has just started does not know the requests that its host already
+// An agent that has just started has no record of the requests that its host already
 // has, so requests of the first half second give no sample. The service time is 0
 // until there are enough samples.
 //
--- a/internal/operate/agpacketbalancer/order.go
+++ b/internal/operate/agpacketbalancer/order.go
@@ -10,32 +10,34 @@
 	"github.com/anvilglade/anvilglade/internal/packet/agsocket"
 )
 
-// batchOrder computes the order in which the packets of a batch are handled. It reuses its
-// slices.
+// batchOrder decodes the packets of a batch and computes the order in which they are
+// handled. It reuses its slices.
 type batchOrder struct {
 	codec anvilglade.PacketCodec
 	// openingLast is set if opening packets are handled last. Otherwise the order is that
 	// of the arrival.
 	openingLast bool
-	order       []int
-	last        []int
+	// packets has the headers of the batch, valid for the indexes that of returns.
+	packets []anvilglade.Packet
+	order   []int
+	last    []int
 	// flows has the flows of the packets in last.
 	flows []anvilglade.Flow
 }
 
-// of returns the indexes of the packets of a batch in the order in which to handle them.
-// The packets of a flow stay in the order of their arrival: a packet that follows an
-// opening packet of its flow is handled last, too.
+// of decodes a batch and returns the indexes of its packets in the order in which to
+// handle them, without the malformed ones. The packets of a flow stay in the order of
+// their arrival: a packet that follows an opening packet of its flow is handled last, too.
 func (o *batchOrder) of(batch []agsocket.Packet) []int {
 	o.order, o.last, o.flows = o.order[:0], o.last[:0], o.flows[:0]
-	var packet anvilglade.Packet
+	o.packets = slices.Grow(o.packets[:0], len(batch))[:len(batch)]
 	for i := range batch {
-		if o.openingLast && o.codec.Parse(batch[i].Data, &packet) == nil {
-			flow := packet.FromCaller()
-			if packet.Opens() || slices.Contains(o.flows, flow) {
-				o.last, o.flows = append(o.last, i), append(o.flows, flow)
-				continue
-			}
+		if err := o.codec.Parse(batch[i].Data, &o.packets[i]); err != nil {
+			continue
+		}
+		if flow := o.packets[i].FromCaller(); o.openingLast && (o.packets[i].Opens() || slices.Contains(o.flows, flow)) {
+			o.last, o.flows = append(o.last, i), append(o.flows, flow)
+			continue
 		}
 		o.order = append(o.order, i)
 	}
--- a/internal/operate/agpacketbalancer/order_test.go
+++ b/internal/operate/agpacketbalancer/order_test.go
@@ -10,7 +10,7 @@
 )
 
 // Guards against opening packets that delay packets of established flows, against
-// reordered packets of one flow, and against a changed order at balancers whose limits
+// reordered packets of one flow, against malformed packets that are handled, and against a changed order at balancers whose limits
 // are unknown.
 func TestPacketsOfEstablishedFlowsGoFirst(t *testing.T) {
 	packets := []struct {
@@ -28,12 +28,18 @@
 	for _, c := range []struct {
 		openingLast bool
 		want        string
-	}{{true, "[1 4 5 7 0 2 3 6]"}, {false, "[0 1 2 3 4 5 6 7]"}} {
+	}{{true, "[1 4 5 0 2 3 6]"}, {false, "[0 1 2 3 4 5 6]"}} {
 		order := batchOrder{codec: agplatform.Codec{}, openingLast: c.openingLast}
 		for range 2 {
-			if got := fmt.Sprint(order.of(batch)); got != c.want {
+			indexes := order.of(batch)
+			if got := fmt.Sprint(indexes); got != c.want {
 				t.Errorf("opening packets last %t: order is %s, want %s", c.openingLast, got, c.want)
 			}
+			for _, i := range indexes {
+				if got := order.packets[i].Source.IP[3]; got != packets[i].caller {
+					t.Errorf("packet %d is of caller %d, want %d", i, got, packets[i].caller)
+				}
+			}
 		}
 	}
 }
--- a/internal/operate/agpacketbalancer/packets.go
+++ b/internal/operate/agpacketbalancer/packets.go
@@ -26,7 +26,6 @@
 // readPackets reads and dispatches packets of callers.
 func (p *Process) readPackets(ctx context.Context) error {
 	reader, writer := p.packets.NewReader(batchSize, maxDatagram), p.packets.NewWriter(batchSize)
-	var packet anvilglade.Packet
 	var verdict agdispatch.Verdict
 	order := batchOrder{codec: p.parts.Codec, openingLast: p.sized()}
 	for {
@@ -37,16 +36,17 @@
 		now := time.Now()
 		p.mu.Lock()
 		p.fleet.Tick(now)
-		for _, i := range order.of(batch) {
-			if err := p.parts.Codec.Parse(batch[i].Data, &packet); err != nil {
-				p.metrics.Malformed.WithLabelValues("Packet").Inc()
-				continue
-			}
-			p.dispatcher.FromCaller(&packet, now, &verdict)
-			p.applyVerdict(writer, batch[i].Data, &packet, &verdict)
+		indexes := order.of(batch)
+		if malformed := len(batch) - len(indexes); malformed > 0 {
+			p.metrics.Malformed.WithLabelValues("Packet").Add(float64(malformed))
+		}
+		for _, i := range indexes {
+			packet := &order.packets[i]
+			p.dispatcher.FromCaller(packet, now, &verdict)
+			p.applyVerdict(writer, batch[i].Data, packet, &verdict)
 			p.count(&verdict)
 			p.observePlacement(&verdict)
-			p.logVerdict(&packet, &verdict, now)
+			p.logVerdict(packet, &verdict, now)
 		}
 		p.logSplitChanges(now)
 		p.sendQueries(writer, now)
--- a/internal/routing/agdispatch/dispatch.go
+++ b/internal/routing/agdispatch/dispatch.go
@@ -168,7 +168,7 @@
 			host, _ := d.fleet.Host(holder)
 			entry.acknowledge(packet, host, now)
 			if d.checkHolder(entry, host, flow, now, verdict) {
-				d.forwardToHolder(flow, entry, holder, verdict)
+				d.forwardToHolder(flow, entry, holder, host, verdict)
 				return
 			}
 		}
@@ -244,11 +244,30 @@
 	return lost
 }
 
-func (d *Dispatcher) forwardToHolder(flow anvilglade.Flow, entry *flowEntry, holder anvilglade.IPv4, verdict *Verdict) {
+// forwardToHolder sets the verdict to forward a packet to the holder of its flow. Host is
+// the holder's host, nil if it is unknown.
+func (d *Dispatcher) forwardToHolder(flow anvilglade.Flow, entry *flowEntry, holder anvilglade.IPv4, host *agfleet.Host, verdict *Verdict) {
 	verdict.Action, verdict.Reason, verdict.ToHolder = ActionForward, ReasonHeld, true
 	verdict.Service = entry.service
 	verdict.To = append(verdict.To, holder)
-	d.setClass(flow, verdict)
+	if host != nil && host.TakesClass {
+		verdict.Class = d.classOf(flow, entry)
+	}
+}
+
+// classOf returns the class of a cached flow, the zero value if its route is unknown. The
+// entry keeps it until the desired state changes, which saves a lookup of the route for
+// each packet.
+func (d *Dispatcher) classOf(flow anvilglade.Flow, entry *flowEntry) anvilglade.RequestClass {
+	desired, _ := d.fleet.Desired()
+	if entry.classVersion == desired.Version {
+		return entry.class
+	}
+	entry.class, entry.classVersion = anvilglade.RequestClass{}, desired.Version
+	if route, ok := d.fleet.Route(flow.Service); ok {
+		entry.class = route.Class
+	}
+	return entry.class
 }
 
 // setClass sets the class of a verdict to that of the flow's route. It leaves the class
--- a/internal/routing/agdispatch/flow.go
+++ b/internal/routing/agdispatch/flow.go
@@ -30,6 +30,9 @@
 	lastAttempt time.Time
 	// offers lists the hosts that have answered the opening packet.
 	offers []offer
+	// class is the class of the flow's route as of the desired state classVersion.
+	class        anvilglade.RequestClass
+	classVersion anvilglade.DesiredVersion
 	// acknowledged is the caller's latest acknowledgement number.
 	acknowledged uint32
 	// route is the route at the start of the search for the holder, nil if there
--- a/internal/routing/agdispatch/opening.go
+++ b/internal/routing/agdispatch/opening.go
@@ -30,7 +30,7 @@
 	if entry != nil && entry.established {
 		host, _ := d.fleet.Host(entry.holder)
 		if d.checkHolder(entry, host, flow, now, verdict) {
-			d.forwardToHolder(flow, entry, entry.holder, verdict)
+			d.forwardToHolder(flow, entry, entry.holder, host, verdict)
 		}
 		return
 	}
--- a/internal/routing/agdispatch/search.go
+++ b/internal/routing/agdispatch/search.go
@@ -53,7 +53,8 @@
 	if entry == nil || !entry.established {
 		return nil
 	}
-	d.forwardToHolder(flow, entry, entry.holder, verdict)
+	host, _ := d.fleet.Host(entry.holder)
+	d.forwardToHolder(flow, entry, entry.holder, host, verdict)
 	return d.takePackets(entry)
 }
 
