Remove the guess that a silent host has ended

Cause: a host that returned opening packets and was silent on three flows for 500 ms, and did not accept a connection, counted as ended, and its flows were reset. Its flows could be reset while the host lives.

The circuit breaker stays.

--- a/internal/flow/agholder/holder.go
+++ b/internal/flow/agholder/holder.go
@@ -72,13 +72,6 @@
 	// firstRequestTimeout is the time after which the first request of a new
 	// flow, or the answer to its opening packet, is no longer counted as expected.
 	firstRequestTimeout = 500 * time.Millisecond
-	// silentTimeout is the time without a packet of the host after which it may count
-	// as ended. A running host acknowledges data within milliseconds, and callers
-	// retransmit it at least once in this time.
-	silentTimeout = 500 * time.Millisecond
-	// minSilentFlows is the number of flows with requests in progress from which the
-	// silence of the host does not depend on a single caller.
-	minSilentFlows = 3
 	// lookupTimeout is the time that the host has to answer a packet that was
 	// delivered to find the holder of a flow.
 	lookupTimeout = 2 * time.Second
@@ -162,9 +155,6 @@
 	// hostUnansweredSince is the delivery time of the first packet that needs an
 	// answer since the last packet from the host; zero if there is none.
 	hostUnansweredSince time.Time
-	// returnsOpenings is set if the host has returned an opening packet since its last
-	// packet of another kind.
-	returnsOpenings bool
 }
 
 // NewHolder returns a Holder without flows.
@@ -250,7 +240,7 @@
 	if record.state == stateOpen && !forward.ToHolder && !record.originNotified {
 		h.notifyOrigin(verdict.Flow, record, verdict)
 	}
-	if h.hostUnansweredSince.IsZero() && (packet.Opens() && !h.returnsOpenings || packet.DataLength > 0) {
+	if h.hostUnansweredSince.IsZero() && (packet.Opens() || packet.DataLength > 0) {
 		// A host need not answer any other packet.
 		h.hostUnansweredSince = now
 	}
@@ -311,7 +301,7 @@
 // FromHost decides on a packet that the host has sent or returned and writes the
 // decision to verdict.
 func (h *Holder) FromHost(packet *anvilglade.Packet, now time.Time, verdict *Verdict) {
-	h.recordHostActivity(packet)
+	h.hostUnansweredSince = time.Time{}
 	if packet.Flags.Has(anvilglade.FlagReturned) {
 		h.handleReturned(packet, now, verdict)
 		return
@@ -418,27 +408,6 @@
 	return lost
 }
 
-// recordHostActivity records that the host has sent or returned a packet. A returned
-// opening packet does not show that the host runs: a host that has crashed returns opening
-// packets, but no others.
-func (h *Holder) recordHostActivity(packet *anvilglade.Packet) {
-	if packet.Opens() && packet.Flags.Has(anvilglade.FlagReturned) {
-		if h.activeRequests == 0 {
-			h.hostUnansweredSince = time.Time{}
-		}
-		h.returnsOpenings = true
-		return
-	}
-	h.hostUnansweredSince, h.returnsOpenings = time.Time{}, false
-}
-
-// LooksEnded reports whether the host has most likely ended without a message: it
-// returns opening packets, and for silentTimeout it has sent nothing on several flows
-// with requests in progress.
-func (h *Holder) LooksEnded(now time.Time) bool {
-	return h.returnsOpenings && h.activeRequests >= minSilentFlows && h.UnansweredTime(now) >= silentTimeout
-}
-
 // UnansweredTime returns the time since the delivery of the first packet that
 // needs an answer and since which the host has neither sent nor returned a packet;
 // 0 if there is none.
--- a/internal/flow/agholder/script_test.go
+++ b/internal/flow/agholder/script_test.go
@@ -79,8 +79,6 @@
 		return fmt.Sprint(r.holder.NewFlows())
 	case "Failing":
 		return fmt.Sprintf("%.2f", r.holder.Failing(r.now))
-	case "LooksEnded":
-		return fmt.Sprint(r.holder.LooksEnded(r.now))
 	case "Unanswered":
 		return r.holder.UnansweredTime(r.now).String()
 	default:
--- a/internal/operate/agpacketagent/host.go
+++ b/internal/operate/agpacketagent/host.go
@@ -25,9 +25,8 @@
 	// within milliseconds.
 	suspectAfter = 250 * time.Millisecond
 	// checkInterval is the minimum time between two checks, each of which opens a
-	// connection. It is endedCheckInterval while the host looks as if it had ended.
-	checkInterval      = time.Second
-	endedCheckInterval = 250 * time.Millisecond
+	// connection.
+	checkInterval = time.Second
 	// checkTimeout is the timeout of a check. The host is on the same VM.
 	checkTimeout = 200 * time.Millisecond
 	// failingThreshold is the share of failed requests at which the agent sends a
@@ -109,16 +108,13 @@
 		}
 		now := time.Now()
 		p.mu.Lock()
-		unanswered, interval := p.holder.UnansweredTime(now), checkInterval
-		if p.holder.LooksEnded(now) {
-			interval = endedCheckInterval
-		}
+		unanswered := p.holder.UnansweredTime(now)
 		p.capacityLog.update(p.log, p.capacity, now)
 		if p.updateAdmissionState(now) {
 			p.wakeStatus()
 		}
 		p.mu.Unlock()
-		if unanswered < suspectAfter || now.Sub(lastCheck) < interval {
+		if unanswered < suspectAfter || now.Sub(lastCheck) < checkInterval {
 			continue
 		}
 		lastCheck = now
@@ -145,20 +141,11 @@
 func (p *Process) checkHost(ctx context.Context, writer *agsocket.Writer, unanswered time.Duration) {
 	err := dialHost(ctx, p.settings.HostAddr)
 	p.log.WithError(err).WithField("Silent", unanswered.String()).Info("Host was checked at the start of the agent or because it does not answer packets.")
-	if errors.Is(err, syscall.ECONNREFUSED) || err != nil && p.looksEnded() {
+	if errors.Is(err, syscall.ECONNREFUSED) {
 		p.handleHostEnded(writer)
 	}
 }
 
-// looksEnded reports whether the packets of the host show that it has ended. It is the
-// second condition for a host that does not accept connections: a lost packet can delay
-// a connection as well.
-func (p *Process) looksEnded() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.holder.LooksEnded(time.Now())
-}
-
 // dialHost connects to the host's port. A refused connection proves that nothing
 // listens there; any other error proves nothing.
 func dialHost(ctx context.Context, address anvilglade.Endpoint) error {
