--- a/internal/admission/agqueue/load_test.go
+++ b/internal/admission/agqueue/load_test.go
@@ -1,7 +1,6 @@
 package agqueue_test
 
 import (
-	"container/heap"
 	"encoding/binary"
 	"fmt"
 	"math"
@@ -11,6 +10,7 @@
 
 	"github.com/anvilglade/anvilglade"
 	"github.com/anvilglade/anvilglade/internal/admission/agqueue"
+	"github.com/anvilglade/anvilglade/internal/stand/agschedule"
 )
 
 // The load test runs callers, agents and hosts in virtual time. Hosts have hostSlots
@@ -33,39 +33,23 @@
 	low  = anvilglade.RequestClass{Priority: 2, Timeout: time.Second, Target: 200 * time.Millisecond, Repeatable: true}
 )
 
-// event is a function that runs at a point in virtual time.
-type event struct {
-	at  time.Time
-	run func()
-}
-
-type events []event
-
-func (e events) Len() int           { return len(e) }
-func (e events) Less(i, j int) bool { return e[i].at.Before(e[j].at) }
-func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
 // classResult counts the requests of a class.
 type classResult struct{ sent, inTime, refusals int }
 
+// start is the time at which the virtual time starts.
+var start = time.Unix(1_000_000, 0)
+
 type simulation struct {
+	agschedule.Schedule
 	random  *rand.Rand
-	now     time.Time
-	events  events
 	servers []*server
 	flows   uint32
 	results map[anvilglade.Priority]*classResult
 	maxWait time.Duration
 }
 
-func (s *simulation) after(d time.Duration, run func()) {
-	heap.Push(&s.events, event{at: s.now.Add(d), run: run})
+func (s *simulation) now() time.Time {
+	return start.Add(s.Now())
 }
 
 // service draws a service time from a log-normal distribution, limited to the range from
@@ -107,7 +91,7 @@
 	flow := anvilglade.Flow{Caller: anvilglade.Endpoint{IP: anvilglade.IPv4(binary.BigEndian.AppendUint32(nil, s.flows)), Port: 1}}
 	h.release()
 	arrival := agqueue.Arrival{Flow: flow, Class: r.class, Packet: &anvilglade.Packet{DataLength: 100}, Datagram: make([]byte, 132), StartsRequest: true}
-	decision := h.queue.Offer(&arrival, s.now)
+	decision := h.queue.Offer(&arrival, s.now())
 	h.release()
 	if decision.Delivers() {
 		h.deliver(flow, r)
@@ -121,14 +105,14 @@
 func (h *server) arm() {
 	if deadline, ok := h.queue.Deadline(); ok && deadline != h.armed {
 		h.armed = deadline
-		h.simulation.after(deadline.Sub(h.simulation.now), h.release)
+		h.simulation.After(deadline.Sub(h.simulation.now()), h.release)
 	}
 }
 
 func (h *server) release() {
 	s := h.simulation
 	for {
-		release, ok := h.queue.Next(s.now)
+		release, ok := h.queue.Next(s.now())
 		if !ok {
 			h.arm()
 			return
@@ -140,15 +124,15 @@
 
 func (h *server) deliver(flow anvilglade.Flow, r *request) {
 	h.outstanding++
-	h.queue.Arrive(flow, r.class, h.simulation.now)
-	h.simulation.after(linkDelay, func() { h.accept(flow, r) })
+	h.queue.Arrive(flow, r.class, h.simulation.now())
+	h.simulation.After(linkDelay, func() { h.accept(flow, r) })
 }
 
 // accept handles a request at the host.
 func (h *server) accept(flow anvilglade.Flow, r *request) {
 	s := h.simulation
 	run := func() {
-		s.after(service(h.work), func() { h.complete(flow, r) })
+		s.After(service(h.work), func() { h.complete(flow, r) })
 	}
 	switch {
 	case h.running < hostSlots:
@@ -157,12 +141,12 @@
 	case len(h.waiting) < hostQueue:
 		h.waiting = append(h.waiting, run)
 	default:
-		s.after(refusalTime, func() { h.answer(flow, r, false) })
+		s.After(refusalTime, func() { h.answer(flow, r, false) })
 	}
 }
 
 func (h *server) complete(flow anvilglade.Flow, r *request) {
-	h.simulation.after(linkDelay, func() { h.answer(flow, r, true) })
+	h.simulation.After(linkDelay, func() { h.answer(flow, r, true) })
 	if len(h.waiting) == 0 {
 		h.running--
 		return
@@ -176,11 +160,11 @@
 func (h *server) answer(flow anvilglade.Flow, r *request, ran bool) {
 	s := h.simulation
 	h.outstanding--
-	h.queue.Answer(flow, s.now)
+	h.queue.Answer(flow, s.now())
 	h.release()
 	result := s.results[r.class.Priority]
 	if ran {
-		if s.now.Add(networkDelay).Sub(r.started) <= r.class.Target {
+		if s.now().Add(networkDelay).Sub(r.started) <= r.class.Target {
 			result.inTime++
 		}
 		return
@@ -189,7 +173,7 @@
 	if r.attempt++; r.attempt < attempts {
 		// The caller opens a flow to another host before it sends the request.
 		r.server = (r.server + 1 + s.random.IntN(hosts-1)) % hosts
-		s.after(4*networkDelay, func() { s.servers[r.server].arrive(r) })
+		s.After(4*networkDelay, func() { s.servers[r.server].arrive(r) })
 	}
 }
 
@@ -198,18 +182,13 @@
 func simulate(seed uint64, load float64, queues bool) *simulation {
 	s := newSimulation(seed, queues)
 	s.addRequests(seed, load)
-	for len(s.events) > 0 {
-		next := heap.Pop(&s.events).(event)
-		s.now = next.at
-		next.run()
-	}
+	s.Run(math.MaxInt64)
 	return s
 }
 
 func newSimulation(seed uint64, queues bool) *simulation {
 	s := &simulation{
 		random:  rand.New(rand.NewPCG(seed, 1)),
-		now:     time.Unix(1_000_000, 0),
 		results: map[anvilglade.Priority]*classResult{1: {}, 2: {}},
 	}
 	for i := range uint64(hosts) {
@@ -237,9 +216,9 @@
 		if workload.Float64() < 0.2 {
 			class = high
 		}
-		r := &request{class: class, started: s.now.Add(time.Duration(at)), server: workload.IntN(hosts)}
+		r := &request{class: class, started: s.now().Add(time.Duration(at)), server: workload.IntN(hosts)}
 		s.results[class.Priority].sent++
-		s.after(time.Duration(at)+networkDelay, func() { s.servers[r.server].arrive(r) })
+		s.After(time.Duration(at)+networkDelay, func() { s.servers[r.server].arrive(r) })
 	}
 }
 
