--- a/fleet.go
+++ b/fleet.go
@@ -10,9 +10,14 @@
 type DesiredVersion uint64
 
 // StoreRevision is the platform's counter of changes to the store. It never
-// decreases.
+// decreases within an era of the store.
 type StoreRevision uint64
 
+// StoreEra counts how often the store has been restored from an older copy. The copy
+// lacks the last changes, and their revisions are given out again. It is 0 if the store
+// does not state its era.
+type StoreEra uint64
+
 // DesiredState is the configuration of packet services that their operators
 // request.
 type DesiredState struct {
@@ -267,4 +272,6 @@
 	// NextEvacuations waits up to the given time for a change of the present
 	// evacuations and returns the newest ones.
 	NextEvacuations(ctx context.Context, present Evacuations, wait time.Duration) (Evacuations, error)
+	// Era returns the highest era in which the store has answered, 0 if unknown.
+	Era() StoreEra
 }
--- a/internal/operate/agpacketbalancer/metrics.go
+++ b/internal/operate/agpacketbalancer/metrics.go
@@ -64,6 +64,12 @@
 	p.metrics.Gauge("store_watch", "2 while this balancer watches the store as a primary, 1 as a standby, 0 if not or if the store does not answer.", func() float64 {
 		return float64(p.watch())
 	})
+	p.metrics.Gauge("store_era", "Highest era in which the store has answered; it rises when the store is restored from an older copy.", func() float64 {
+		return float64(p.parts.Feed.Era())
+	})
+	p.metrics.Gauge("evacuations_revision", "Revision of the store at which the evacuations in effect were read.", locked(func(time.Time) float64 {
+		return float64(p.fleet.Evacuations().Revision)
+	}))
 	p.metrics.Gauge("ready", "1 while callers' packets may come here.", func() float64 {
 		if p.Ready() {
 			return 1
--- a/internal/operate/agpacketbalancer/state.go
+++ b/internal/operate/agpacketbalancer/state.go
@@ -74,6 +74,10 @@
 		p.mu.Lock()
 		adopted := p.fleet.AdoptEvacuations(next)
 		p.mu.Unlock()
+		if !adopted && next.Revision < current.Revision {
+			p.log.WithField("DataCentres", next.DataCentres).WithField("Revision", next.Revision).WithField("InEffect", current.Revision).
+				WithField("Era", p.parts.Feed.Era()).Warn("Evacuations are ignored: their revision is lower than the one in effect.")
+		}
 		if adopted && len(next.DataCentres) != len(current.DataCentres) {
 			p.log.WithField("DataCentres", next.DataCentres).WithField("Revision", next.Revision).Info("Evacuations have changed.")
 			p.broadcast()
