--- a/fleet.go
+++ b/fleet.go
@@ -18,6 +18,21 @@
 // does not state its era.
 type StoreEra uint64
 
+// StorePosition is a point in the history of the store. Positions of different eras are
+// ordered by their eras alone.
+type StorePosition struct {
+	Era      StoreEra      `cbor:"1,keyasint,omitempty"`
+	Revision StoreRevision `cbor:"2,keyasint,omitempty"`
+}
+
+// Before reports whether the store has reached p before other.
+func (p StorePosition) Before(other StorePosition) bool {
+	if p.Era != other.Era {
+		return p.Era < other.Era
+	}
+	return p.Revision < other.Revision
+}
+
 // DesiredState is the configuration of packet services that their operators
 // request.
 type DesiredState struct {
--- a/internal/stand/agapi/backend.go
+++ b/internal/stand/agapi/backend.go
@@ -34,10 +34,10 @@
 	return object, nil
 }
 
-// List returns the objects of a kind and the current revision of the store.
-func (b *backend) List(ctx context.Context, kind string) ([]anvilglade.Object, anvilglade.StoreRevision, error) {
-	revision := b.server.objects.Revision()
-	return b.server.objects.List(kind, ageOf(ctx)), revision, nil
+// List returns the objects of a kind and the current position of the store.
+func (b *backend) List(ctx context.Context, kind string) ([]anvilglade.Object, anvilglade.StorePosition, error) {
+	objects, position := b.server.objects.List(kind, ageOf(ctx))
+	return objects, position, nil
 }
 
 // Create writes a new object. It returns an error that wraps ErrConflict if the
@@ -84,8 +84,9 @@
 
 // Changes waits up to the given time for changes of a kind after a revision. It
 // also polls every stalePoll, because a stale view changes over time and not only
-// on a write. During an outage it returns errOutage.
-func (b *backend) Changes(ctx context.Context, kind string, after anvilglade.StoreRevision, wait time.Duration) ([]anvilglade.Object, anvilglade.StoreRevision, error) {
+// on a write. During an outage it returns errOutage, and an error that wraps
+// ErrHistoryGone for a revision that the store has not reached in the present era.
+func (b *backend) Changes(ctx context.Context, kind string, after anvilglade.StoreRevision, wait time.Duration) ([]anvilglade.Object, anvilglade.StorePosition, error) {
 	s := b.server
 	s.watchCount.Add(1)
 	end := time.NewTimer(wait)
@@ -96,19 +97,22 @@
 		changed := s.objects.Changed()
 		if s.faults.active().Outage {
 			s.unavailable.Add(1)
-			return nil, 0, errOutage
+			return nil, anvilglade.StorePosition{}, errOutage
+		}
+		objects, position, ok := s.objects.Changes(kind, anvilglade.Version(after), ageOf(ctx))
+		if !ok {
+			return nil, position, fmt.Errorf("changes of %s after revision %d: %w", kind, after, anvilglade.ErrHistoryGone)
 		}
-		objects, revision := s.objects.Changes(kind, anvilglade.Version(after), ageOf(ctx))
 		if len(objects) > 0 {
-			return objects, revision, nil
+			return objects, position, nil
 		}
 		select {
 		case <-changed:
 		case <-poll.C:
 		case <-end.C:
-			return nil, revision, nil
+			return nil, position, nil
 		case <-ctx.Done():
-			return nil, 0, ctx.Err()
+			return nil, anvilglade.StorePosition{}, ctx.Err()
 		}
 	}
 }
--- a/internal/stand/agapi/objects.go
+++ b/internal/stand/agapi/objects.go
@@ -19,6 +19,7 @@
 	clock anvilglade.Clock
 
 	mu      sync.Mutex
+	era     anvilglade.StoreEra
 	counter anvilglade.Version
 	objects map[string][]storedObject
 	changed chan struct{}
@@ -31,7 +32,7 @@
 
 // NewObjects returns a state without objects.
 func NewObjects(clock anvilglade.Clock) *Objects {
-	return &Objects{clock: clock, objects: map[string][]storedObject{}, changed: make(chan struct{})}
+	return &Objects{clock: clock, era: 1, objects: map[string][]storedObject{}, changed: make(chan struct{})}
 }
 
 // Get returns the object as it was before the given age; age 0 is its newest
@@ -43,27 +44,61 @@
 	return object, ok && object.Data != nil
 }
 
-// Revision returns the version number of the newest write.
-func (o *Objects) Revision() anvilglade.StoreRevision {
+// Position returns the era and the version number of the newest write.
+func (o *Objects) Position() anvilglade.StorePosition {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return anvilglade.StoreRevision(o.counter)
+	return o.position()
 }
 
-// Changes returns the objects of a kind with a version above after, and the
-// revision up to which the list is complete. Deleted objects have no Data.
-func (o *Objects) Changes(kind string, after anvilglade.Version, age time.Duration) ([]anvilglade.Object, anvilglade.StoreRevision) {
+func (o *Objects) position() anvilglade.StorePosition {
+	return anvilglade.StorePosition{Era: o.era, Revision: anvilglade.StoreRevision(o.counter)}
+}
+
+// Restore replaces the state by a copy that is as old as age, at most versionRetention,
+// and begins a new era. The version numbers that the copy lacks are given out again.
+func (o *Objects) Restore(age time.Duration) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	revision := max(o.counter, after)
+	copiedAt := o.clock.Now().Add(-age)
+	o.counter = 0
+	for key, versions := range o.objects {
+		kept := slices.DeleteFunc(slices.Clone(versions), func(stored storedObject) bool { return stored.writtenAt.After(copiedAt) })
+		if len(kept) == 0 {
+			delete(o.objects, key)
+			continue
+		}
+		o.objects[key] = kept
+		o.counter = max(o.counter, kept[len(kept)-1].object.Version)
+	}
+	o.era++
+	o.signalChange()
+}
+
+// signalChange ends the waits on Changed. The caller holds the mutex.
+func (o *Objects) signalChange() {
+	close(o.changed)
+	o.changed = make(chan struct{})
+}
+
+// Changes returns the objects of a kind with a version above after, and the position up
+// to which the list is complete. Deleted objects have no Data. It returns false if the
+// store has not reached that version in the present era.
+func (o *Objects) Changes(kind string, after anvilglade.Version, age time.Duration) ([]anvilglade.Object, anvilglade.StorePosition, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	position := o.position()
+	if after > o.counter {
+		return nil, position, false
+	}
 	if age > 0 {
-		revision = after
+		position.Revision = anvilglade.StoreRevision(after)
 	}
 	found := o.list(kind, age, func(object anvilglade.Object) bool { return object.Version > after })
 	for _, object := range found {
-		revision = max(revision, object.Version)
+		position.Revision = max(position.Revision, anvilglade.StoreRevision(object.Version))
 	}
-	return found, anvilglade.StoreRevision(revision)
+	return found, position, true
 }
 
 // newestAt returns the newest version that had been written at a time.
@@ -77,11 +112,11 @@
 }
 
 // List returns the objects of a kind as they were before the given age, sorted by
-// name.
-func (o *Objects) List(kind string, age time.Duration) []anvilglade.Object {
+// name, and the present position.
+func (o *Objects) List(kind string, age time.Duration) ([]anvilglade.Object, anvilglade.StorePosition) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.list(kind, age, func(object anvilglade.Object) bool { return object.Data != nil })
+	return o.list(kind, age, func(object anvilglade.Object) bool { return object.Data != nil }), o.position()
 }
 
 // list returns the objects of a kind for which keep returns true, sorted by name.
@@ -119,8 +154,7 @@
 	object.Data = slices.Clone(object.Data)
 	now := o.clock.Now()
 	o.objects[key] = append(dropReplaced(versions, now.Add(-versionRetention)), storedObject{object: object, writtenAt: now})
-	close(o.changed)
-	o.changed = make(chan struct{})
+	o.signalChange()
 	return object.Version, true
 }
 
--- a/internal/stand/agapi/server.go
+++ b/internal/stand/agapi/server.go
@@ -136,6 +136,7 @@
 			return
 		}
 		r.Body = io.NopCloser(bytes.NewReader(body))
+		agplatform.SetEra(w.Header(), s.objects.Position().Era)
 		if !s.admit(w, write) {
 			return
 		}
--- a/internal/stand/agemulator/caller.go
+++ b/internal/stand/agemulator/caller.go
@@ -49,6 +49,9 @@
 	socket     *agsocket.Socket
 	demand     *demand
 	random     *rand.Rand
+	// through is the balancer to which all packets are sent; nil stands for the router's
+	// choice.
+	through *anvilglade.Endpoint
 
 	mu      sync.Mutex
 	port    uint16
@@ -250,7 +253,13 @@
 
 func (c *Caller) send(flow *callerFlow, flags anvilglade.PacketFlags, sequence, acknowledged uint32, data []byte) {
 	packet := anvilglade.Packet{Source: flow.id.Caller, Destination: flow.id.Service, Flags: flags, Sequence: sequence, Acknowledged: acknowledged}
-	c.fleet.router.forward(c.dataCentre, flow.id, agplatform.AppendPacket(nil, &packet, data, packetKey))
+	datagram := agplatform.AppendPacket(nil, &packet, data, packetKey)
+	if c.through == nil {
+		c.fleet.router.forward(c.dataCentre, flow.id, datagram)
+		return
+	}
+	// A write error counts as a lost datagram.
+	_ = c.socket.WriteTo(datagram, c.through.AddrPort())
 }
 
 // close ends the flow with a FIN packet.
--- a/internal/stand/agemulator/fleet.go
+++ b/internal/stand/agemulator/fleet.go
@@ -85,6 +85,8 @@
 	agents    []*machine
 	callers   []*Caller
 	demands   []*demand
+	// probers is the number of callers that have probed added routes.
+	probers atomic.Int64
 	// pauseDivisor divides the pauses of the callers; above 1 in a burst.
 	pauseDivisor atomic.Int64
 
--- a/internal/stand/agemulator/ledger.go
+++ b/internal/stand/agemulator/ledger.go
@@ -21,7 +21,7 @@
 // packets have a valid checksum. OwnAnswer: a caller receives only the answer to its
 // own request. Drained: a draining host receives no new flows after drainLimit.
 // Evacuated: a host of an evacuated data centre receives no new flows after
-// evacuateLimit.
+// evacuateLimit. Applied: a route that operators have added is served after applyLimit.
 const (
 	PromiseFlowKept     Promise = "FlowKept"
 	PromiseRightService Promise = "RightService"
@@ -30,6 +30,7 @@
 	PromiseOwnAnswer    Promise = "OwnAnswer"
 	PromiseDrained      Promise = "Drained"
 	PromiseEvacuated    Promise = "Evacuated"
+	PromiseApplied      Promise = "Applied"
 )
 
 const (
@@ -65,6 +66,7 @@
 	notes          []string
 	runCounts      map[uint64]int
 	disturbedUntil map[anvilglade.IPv4]time.Time
+	storeCalmFrom  time.Time
 }
 
 func newLedger() *Ledger {
@@ -94,6 +96,22 @@
 	}
 }
 
+// markStoreDisturbed records that a trouble affects the store until a time.
+func (l *Ledger) markStoreDisturbed(until time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if until.After(l.storeCalmFrom) {
+		l.storeCalmFrom = until
+	}
+}
+
+// storeCalmSince returns the end of the last trouble that affects the store.
+func (l *Ledger) storeCalmSince() time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.storeCalmFrom
+}
+
 // undisturbed reports whether the last disturbance of the process at address ended
 // more than recoveryTime ago.
 func (l *Ledger) undisturbed(address anvilglade.IPv4) bool {
--- a/internal/stand/agemulator/scenario.go
+++ b/internal/stand/agemulator/scenario.go
@@ -75,7 +75,8 @@
 	// Index chooses a balancer, host or data centre, modulo their number.
 	Index int
 	// Share is the affected share of calls or connections, 0 to 1. For LosePackets
-	// it is the share of maxLoss, for Burst that of burstFactor.
+	// it is the share of maxLoss, for Burst that of burstFactor, for RestoreStore that of
+	// maxCopyAge.
 	Share float64
 }
 
@@ -142,22 +143,24 @@
 	return errors.Join(faults...)
 }
 
-// connectionShare and demandShare are the numbers of troubles that break connections to
-// the store, and of those that change what callers demand of the hosts, as shares of
-// the number of other troubles.
+// connectionShare, demandShare and restoreShare are the numbers of troubles that break
+// connections to the store, of those that change what callers demand of the hosts, and of
+// restorations of the store, as shares of the number of other troubles.
 const (
 	connectionShare = 0.25
 	demandShare     = 0.25
+	restoreShare    = 0.25
 )
 
-// DrawTroubles returns count random troubles, and connectionShare and demandShare
-// times as many of the two other groups. Their times are random and may overlap. Each
+// DrawTroubles returns count random troubles, and connectionShare, demandShare and
+// restoreShare times as many of the three other groups. Their times are random and may overlap. Each
 // group is drawn after the former ones, so that it does not change which of their
 // troubles a seed produces.
 func DrawTroubles(random *rand.Rand, duration time.Duration, count int) []Trouble {
 	list := draw(random, duration, count, troubleKinds(groupMain))
 	list = append(list, draw(random, duration, int(connectionShare*float64(count)), troubleKinds(groupConnections))...)
-	return append(list, draw(random, duration, int(demandShare*float64(count)), troubleKinds(groupDemand))...)
+	list = append(list, draw(random, duration, int(demandShare*float64(count)), troubleKinds(groupDemand))...)
+	return append(list, draw(random, duration, int(restoreShare*float64(count)), troubleKinds(groupRestore))...)
 }
 
 func draw(random *rand.Rand, duration time.Duration, count int, kinds []string) []Trouble {
--- a/internal/stand/agemulator/troubles.go
+++ b/internal/stand/agemulator/troubles.go
@@ -46,10 +46,11 @@
 		"LosePackets":   losePackets,
 		"Burst":         burst,
 		"ColdReturn":    coldReturn,
+		"RestoreStore":  restoreStore,
 	}
 	for kind, fault := range connectionTroubles {
 		troubleHandlers[kind] = func(ctx context.Context, f *fleet, t Trouble) error {
-			f.markAgentsDisturbed(t)
+			f.markStoreDisturbed(time.Duration(t.For))
 			return f.proxy.inject(ctx, fault, t.Share, time.Duration(t.For))
 		}
 	}
@@ -72,6 +73,7 @@
 	groupMain drawGroup = iota
 	groupConnections
 	groupDemand
+	groupRestore
 )
 
 // groupOf returns the group of a kind.
@@ -79,8 +81,11 @@
 	if _, is := connectionTroubles[kind]; is {
 		return groupConnections
 	}
-	if kind == "Burst" || kind == "ColdReturn" {
+	switch kind {
+	case "Burst", "ColdReturn":
 		return groupDemand
+	case "RestoreStore":
+		return groupRestore
 	}
 	return groupMain
 }
@@ -254,14 +259,19 @@
 	return f.setEvacuated(dataCentre, false)
 }
 
-// changeRoutes adds a route that carries no load.
-func changeRoutes(_ context.Context, f *fleet, _ Trouble) error {
-	return f.putDesired(func(state *anvilglade.DesiredState) {
+// changeRoutes adds a route that carries no load and checks that it is served.
+func changeRoutes(ctx context.Context, f *fleet, t Trouble) error {
+	var added, control anvilglade.Endpoint
+	if err := f.putDesired(func(state *anvilglade.DesiredState) {
 		idle := state.Routes[0]
 		idle.Name = fmt.Sprintf("idle-%d", len(state.Routes))
 		idle.Address = serviceAddress(len(state.Routes) + 20)
+		added, control = idle.Address, state.Routes[0].Address
 		state.Routes = append(state.Routes[:len(state.Routes):len(state.Routes)], idle)
-	})
+	}); err != nil {
+		return err
+	}
+	return f.checkApplied(ctx, t.Index%f.scenario.DataCentres, added, control)
 }
 
 func storeOutage(_ context.Context, f *fleet, t Trouble) error {
@@ -272,17 +282,19 @@
 	return f.injectStoreFaults(t, agapi.Faults{Delay: anvilglade.Duration(storeDelay), LostAnswers: t.Share})
 }
 
-// markAgentsDisturbed marks all agents as disturbed for the duration of a store
-// fault, because an evacuation may take effect later if the store cannot be read.
-func (f *fleet) markAgentsDisturbed(t Trouble) {
+// markStoreDisturbed marks the store as disturbed for the duration of a fault, and with it
+// all agents, because an evacuation may take effect later if the store cannot be read.
+func (f *fleet) markStoreDisturbed(length time.Duration) {
+	until := time.Now().Add(length)
+	f.ledger.markStoreDisturbed(until)
 	for _, agent := range f.agents {
-		f.ledger.markDisturbed(agent.settings.IP, time.Now().Add(time.Duration(t.For)))
+		f.ledger.markDisturbed(agent.settings.IP, until)
 	}
 }
 
 // injectStoreFaults makes faults of the store active for the duration of the trouble.
 func (f *fleet) injectStoreFaults(t Trouble, faults agapi.Faults) error {
-	f.markAgentsDisturbed(t)
+	f.markStoreDisturbed(time.Duration(t.For))
 	return f.store.Play(agapi.Script{Seed: f.options.Seed, Steps: []agapi.Step{{Faults: faults}, {After: t.For}}})
 }
 
