Keep each watch of the store within one era

Cause: after an outage a balancer watched again from the revision that it had. A restored store gives out that revision again, does not refuse the watch by then, and never delivers the changes below it. Change: a position in the store is an era and a revision. Each watch continues from what it has read itself, not from the position of a peer.

--- a/fleet.go
+++ b/fleet.go
@@ -273,20 +273,21 @@
 }
 
 // PlatformFeed reads the configuration that operators write for packet services.
-// If a Next method returns ErrHistoryGone, changes may have been missed and the
-// state must be read again as a whole.
+// If a method returns ErrHistoryGone, changes may have been missed, or the store has been
+// restored from an older copy, and the state must be read again as a whole.
 type PlatformFeed interface {
-	// Desired returns the desired state and the revision to pass to NextDesired.
+	// Desired returns the desired state and the position to pass to NextDesired.
 	// The Version is 0 if the stored state cannot be decoded.
-	Desired(ctx context.Context) (DesiredState, StoreRevision, error)
-	// NextDesired waits up to the given time for changes after a revision. It
-	// returns the newest state, with Version 0 if there is none, and the revision
+	Desired(ctx context.Context) (DesiredState, StorePosition, error)
+	// NextDesired waits up to the given time for changes after a position. It
+	// returns the newest state, with Version 0 if there is none, and the position
 	// for the next call.
-	NextDesired(ctx context.Context, after StoreRevision, wait time.Duration) (DesiredState, StoreRevision, error)
-	Evacuations(ctx context.Context) (Evacuations, error)
-	// NextEvacuations waits up to the given time for a change of the present
-	// evacuations and returns the newest ones.
-	NextEvacuations(ctx context.Context, present Evacuations, wait time.Duration) (Evacuations, error)
+	NextDesired(ctx context.Context, after StorePosition, wait time.Duration) (DesiredState, StorePosition, error)
+	// Evacuations returns the evacuations and the position to pass to NextEvacuations.
+	Evacuations(ctx context.Context) (Evacuations, StorePosition, error)
+	// NextEvacuations waits up to the given time for changes of the present evacuations
+	// after a position. It returns the newest ones and the position for the next call.
+	NextEvacuations(ctx context.Context, present Evacuations, after StorePosition, wait time.Duration) (Evacuations, StorePosition, error)
 	// Era returns the highest era in which the store has answered, 0 if unknown.
 	Era() StoreEra
 }
--- a/internal/operate/agpacketbalancer/state.go
+++ b/internal/operate/agpacketbalancer/state.go
@@ -29,24 +29,21 @@
 
 // watchDesired watches the desired state in the store and applies its changes.
 func (p *Process) watchDesired(ctx context.Context) error {
-	var revision anvilglade.StoreRevision
+	var position anvilglade.StorePosition
+	loaded := false
 	return p.watchStore(ctx, storeTask{what: "desired state", health: &p.desiredWatch, read: func(ctx context.Context) error {
 		var state anvilglade.DesiredState
 		var err error
-		if revision == 0 {
-			state, revision, err = p.parts.Feed.Desired(ctx)
+		if loaded {
+			state, position, err = p.parts.Feed.NextDesired(ctx, position, p.watchWait())
 		} else {
-			var next anvilglade.StoreRevision
-			if state, next, err = p.parts.Feed.NextDesired(ctx, revision, p.watchWait()); err == nil {
-				revision = next
-			}
+			state, position, err = p.parts.Feed.Desired(ctx)
 		}
 		if err != nil {
-			if errors.Is(err, anvilglade.ErrHistoryGone) {
-				revision = 0
-			}
+			loaded = loaded && !errors.Is(err, anvilglade.ErrHistoryGone)
 			return err
 		}
+		loaded = true
 		p.adopt(state, sourceStore)
 		return nil
 	}})
@@ -55,6 +52,7 @@
 // watchEvacuations watches the evacuated data centres in the store and
 // applies their changes.
 func (p *Process) watchEvacuations(ctx context.Context) error {
+	var position anvilglade.StorePosition
 	loaded := false
 	return p.watchStore(ctx, storeTask{what: "evacuations", health: &p.evacuationWatch, read: func(ctx context.Context) error {
 		p.mu.Lock()
@@ -63,9 +61,9 @@
 		var next anvilglade.Evacuations
 		var err error
 		if loaded {
-			next, err = p.parts.Feed.NextEvacuations(ctx, current, p.watchWait())
+			next, position, err = p.parts.Feed.NextEvacuations(ctx, current, position, p.watchWait())
 		} else {
-			next, err = p.parts.Feed.Evacuations(ctx)
+			next, position, err = p.parts.Feed.Evacuations(ctx)
 		}
 		loaded = err == nil
 		if err != nil {
