Order evacuations by era and revision, and keep those that a copy lacks

Cause: balancers and agents adopted evacuations only with a higher revision than the one in effect. After the restoration of the store revisions are lower, so nothing was adopted until the counter had passed its former value. Change: agevacuation holds the latest decision on each data centre by its position, which orders eras first, so this holds for every later restoration. Changes are also logged by balancers that take them from a peer, and a change that swaps two data centres is announced at once.

--- a/fleet.go
+++ b/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 )
 
@@ -69,21 +70,49 @@
 	ColdRate float64 `cbor:"2,keyasint,omitempty"`
 }
 
-// Evacuations lists the data centres that must not receive new flows. A list
-// with a higher revision replaces one with a lower revision as a whole.
+// Evacuations are the data centres that must not receive new flows, as a process knows
+// them.
 type Evacuations struct {
-	Revision    StoreRevision  `cbor:"1,keyasint,omitempty"`
+	// Revision and Era are the position in the store up to which the decisions are
+	// complete. Builds before eras compare the revision alone.
+	Revision StoreRevision `cbor:"1,keyasint,omitempty"`
+	// DataCentres lists the evacuated data centres.
 	DataCentres []DataCentreID `cbor:"2,keyasint,omitempty"`
+	Era         StoreEra       `cbor:"3,keyasint,omitempty"`
+	// Decisions has the latest decision on each data centre that has been evacuated.
+	// Builds before eras do not send it.
+	Decisions []EvacuationDecision `cbor:"4,keyasint,omitempty"`
+}
+
+// EvacuationDecision is a decision of operators to evacuate a data centre or to take it
+// back.
+type EvacuationDecision struct {
+	DataCentre DataCentreID `cbor:"1,keyasint,omitempty"`
+	Evacuated  bool         `cbor:"2,keyasint,omitempty"`
+	// Position is the last position of the store at which the decision is known to have
+	// been in force. Of two decisions on a data centre, the one with the later position
+	// replaces the other.
+	Position StorePosition `cbor:"3,keyasint,omitempty"`
+}
+
+// EvacuationUpdate is the result of a read of the store.
+type EvacuationUpdate struct {
+	// Position is the position of the store up to which the update is complete.
+	Position StorePosition
+	// Listed is set if Decisions has all evacuated data centres. Otherwise it has those
+	// whose decision has changed since the last read.
+	Listed    bool
+	Decisions []EvacuationDecision
 }
 
 // Has reports whether a data centre is evacuated.
 func (e *Evacuations) Has(dataCentre DataCentreID) bool {
-	for _, name := range e.DataCentres {
-		if name == dataCentre {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(e.DataCentres, dataCentre)
+}
+
+// Position returns the position in the store up to which the decisions are complete.
+func (e *Evacuations) Position() StorePosition {
+	return StorePosition{Era: e.Era, Revision: e.Revision}
 }
 
 // HostHeartbeat is the status that a backend server reports to its agent.
@@ -283,11 +312,10 @@
 	// returns the newest state, with Version 0 if there is none, and the position
 	// for the next call.
 	NextDesired(ctx context.Context, after StorePosition, wait time.Duration) (DesiredState, StorePosition, error)
-	// Evacuations returns the evacuations and the position to pass to NextEvacuations.
-	Evacuations(ctx context.Context) (Evacuations, StorePosition, error)
-	// NextEvacuations waits up to the given time for changes of the present evacuations
-	// after a position. It returns the newest ones and the position for the next call.
-	NextEvacuations(ctx context.Context, present Evacuations, after StorePosition, wait time.Duration) (Evacuations, StorePosition, error)
+	// Evacuations returns all evacuated data centres.
+	Evacuations(ctx context.Context) (EvacuationUpdate, error)
+	// NextEvacuations waits up to the given time for decisions after a position.
+	NextEvacuations(ctx context.Context, after StorePosition, wait time.Duration) (EvacuationUpdate, error)
 	// Era returns the highest era in which the store has answered, 0 if unknown.
 	Era() StoreEra
 }
--- a/internal/operate/agpacketagent/metrics.go
+++ b/internal/operate/agpacketagent/metrics.go
@@ -50,7 +50,7 @@
 		return float64(p.capacity.Outstanding())
 	}))
 	p.metrics.Gauge("evacuations_revision", "Revision of the evacuations that are known.", locked(func(time.Time) float64 {
-		return float64(p.evacuations.Revision)
+		return float64(p.evacuations.Evacuations().Revision)
 	}))
 	p.metrics.Ages("peer_age_seconds", "Time since each balancer was heard.", func() map[string]time.Duration {
 		p.mu.Lock()
--- a/internal/operate/agpacketagent/packets.go
+++ b/internal/operate/agpacketagent/packets.go
@@ -246,6 +246,6 @@
 		line = p.considered.addTo(line)
 	}
 	line.WithField("Flow", verdict.Flow.String()).WithField("Opens", packet.Opens()).WithField("Cause", verdict.Cause).
-		WithField("To", verdict.To).WithField("Revision", p.evacuations.Revision).WithField("ColdRate", p.gate.ColdRate()).
+		WithField("To", verdict.To).WithField("Revision", p.evacuations.Evacuations().Revision).WithField("ColdRate", p.gate.ColdRate()).
 		WithField("HeartbeatAge", p.gate.HeartbeatAge(time.Now()).String()).Info("Packet is not accepted by the host.")
 }
--- a/internal/operate/agpacketagent/process.go
+++ b/internal/operate/agpacketagent/process.go
@@ -46,6 +46,7 @@
 	"github.com/anvilglade/anvilglade/internal/operate/agpackettask"
 	"github.com/anvilglade/anvilglade/internal/packet/agsocket"
 	"github.com/anvilglade/anvilglade/internal/runtime/agtask"
+	"github.com/anvilglade/anvilglade/internal/state/agevacuation"
 )
 
 const (
@@ -110,7 +111,7 @@
 	// failing is set while the share of failed requests of the host is at least
 	// failingThreshold.
 	failing     bool
-	evacuations anvilglade.Evacuations
+	evacuations *agevacuation.Set
 	roster      *agroster.Roster
 	// newBalancers has the balancers of the roster that have not received a status.
 	newBalancers []anvilglade.IPv4
@@ -151,6 +152,7 @@
 		}),
 		holder:         agholder.NewHolder(agholder.Options{Service: settings.Service.Number(), IdleTimeout: settings.MaxFlowAge}, time.Now()),
 		releaseTimer:   newStoppedTimer(),
+		evacuations:    agevacuation.NewSet(),
 		capacity:       agcapacity.NewEstimator(0),
 		admission:      agadmission.NewController(),
 		admissionState: agopen.RefusalNoHeartbeat,
--- a/internal/operate/agpacketagent/status.go
+++ b/internal/operate/agpacketagent/status.go
@@ -50,10 +50,9 @@
 		return
 	}
 	p.triggerStatusToNew(p.roster.HandleStatus(&status, now))
-	if status.Evacuations.Revision > p.evacuations.Revision {
-		p.evacuations = status.Evacuations
-	}
-	if status.Desired == 0 || p.evacuations.Revision == 0 {
+	p.evacuations.Merge(&status.Evacuations, now)
+	evacuations := p.evacuations.Evacuations()
+	if status.Desired == 0 || evacuations.Revision == 0 {
 		return
 	}
 	rate := 0.0
@@ -62,7 +61,7 @@
 			rate = service.ColdRate
 		}
 	}
-	p.gate.SetPolicy(p.evacuations.Has(p.settings.DataCentre), rate, now)
+	p.gate.SetPolicy(evacuations.Has(p.settings.DataCentre), rate, now)
 	if p.updateAdmissionState(now) {
 		p.wakeStatus()
 	}
--- a/internal/operate/agpacketbalancer/metrics.go
+++ b/internal/operate/agpacketbalancer/metrics.go
@@ -44,6 +44,9 @@
 	p.metrics.Gauge("evacuated_data_centres", "Data centres that get no new flows.", locked(func(time.Time) float64 {
 		return float64(len(p.fleet.Evacuations().DataCentres))
 	}))
+	p.metrics.Gauge("evacuations_missing", "Evacuated data centres whose evacuation the restored store lacks.", locked(func(time.Time) float64 {
+		return float64(len(p.fleet.MissingEvacuations()))
+	}))
 	p.metrics.Gauge("hosts_known", "Hosts that are known.", locked(func(now time.Time) float64 {
 		_, total := p.fleet.CountHosts(now)
 		return float64(total)
--- a/internal/operate/agpacketbalancer/packets.go
+++ b/internal/operate/agpacketbalancer/packets.go
@@ -153,6 +153,7 @@
 	}
 	hadPending := p.fleet.HasPendingAgents()
 	started := p.fleet.UpdateBalancer(status, now)
+	p.logEvacuations(from.String())
 	if p.fleet.IsLatest(&status) {
 		p.dispatcher.ObserveShifts(&status, now)
 	}
--- a/internal/operate/agpacketbalancer/process.go
+++ b/internal/operate/agpacketbalancer/process.go
@@ -117,12 +117,19 @@
 	// lastReply contains the last reply to each agent.
 	lastReply  map[anvilglade.IPv4]lastReply
 	broadcasts uint64
+	logged     loggedEvacuations
 	// states is the reused buffer for parsing flow replies.
 	states []agmessage.FlowState
 	// adopted is the time at which the desired state came into effect.
 	adopted time.Time
 }
 
+// loggedEvacuations are the data centres of the last line about evacuations: those in
+// effect and those that the restored store lacks.
+type loggedEvacuations struct {
+	evacuated, missing []anvilglade.DataCentreID
+}
+
 // decision identifies a counter of decisions on packets.
 type decision struct {
 	service anvilglade.ServiceNumber
--- a/internal/operate/agpacketbalancer/state.go
+++ b/internal/operate/agpacketbalancer/state.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/anvilglade/anvilglade"
@@ -55,35 +56,41 @@
 	var position anvilglade.StorePosition
 	loaded := false
 	return p.watchStore(ctx, storeTask{what: "evacuations", health: &p.evacuationWatch, read: func(ctx context.Context) error {
-		p.mu.Lock()
-		current := *p.fleet.Evacuations()
-		p.mu.Unlock()
-		var next anvilglade.Evacuations
+		var update anvilglade.EvacuationUpdate
 		var err error
 		if loaded {
-			next, position, err = p.parts.Feed.NextEvacuations(ctx, current, position, p.watchWait())
+			update, err = p.parts.Feed.NextEvacuations(ctx, position, p.watchWait())
 		} else {
-			next, position, err = p.parts.Feed.Evacuations(ctx)
+			update, err = p.parts.Feed.Evacuations(ctx)
 		}
 		loaded = err == nil
 		if err != nil {
 			return err
 		}
+		position = update.Position
 		p.mu.Lock()
-		adopted := p.fleet.AdoptEvacuations(next)
+		changed := p.fleet.AdoptEvacuations(&update, time.Now())
+		p.logEvacuations(sourceStore)
 		p.mu.Unlock()
-		if !adopted && next.Revision < current.Revision {
-			p.log.WithField("DataCentres", next.DataCentres).WithField("Revision", next.Revision).WithField("InEffect", current.Revision).
-				WithField("Era", p.parts.Feed.Era()).Warn("Evacuations are ignored: their revision is lower than the one in effect.")
-		}
-		if adopted && len(next.DataCentres) != len(current.DataCentres) {
-			p.log.WithField("DataCentres", next.DataCentres).WithField("Revision", next.Revision).Info("Evacuations have changed.")
+		if changed {
 			p.broadcast()
 		}
 		return nil
 	}})
 }
 
+// logEvacuations logs a change of the evacuations in effect, or of those that the restored
+// store lacks. The caller holds the mutex.
+func (p *Process) logEvacuations(source string) {
+	current, missing := p.fleet.Evacuations(), p.fleet.MissingEvacuations()
+	if slices.Equal(current.DataCentres, p.logged.evacuated) && slices.Equal(missing, p.logged.missing) {
+		return
+	}
+	p.logged.evacuated, p.logged.missing = current.DataCentres, missing
+	p.log.WithField("DataCentres", current.DataCentres).WithField("Missing", missing).WithField("Revision", current.Revision).
+		WithField("Era", current.Era).WithField("Source", source).Info("Evacuations have changed.")
+}
+
 // adopt puts a desired state into effect if it is newer than the current one.
 func (p *Process) adopt(state anvilglade.DesiredState, source string) {
 	if state.Version == 0 {
--- a/internal/packet/agmessage/message_test.go
+++ b/internal/packet/agmessage/message_test.go
@@ -70,8 +70,11 @@
 	}
 	balancer := anvilglade.BalancerStatus{
 		Balancer: anvilglade.IPv4{10, 0, 0, 3}, Incarnation: 1 << 60, Sequence: 9, DataCentre: "dk1", Leaving: true, Settled: true, Desired: 7,
-		Evacuations: anvilglade.Evacuations{Revision: 4, DataCentres: []anvilglade.DataCentreID{"dk2"}},
-		ColdRates:   []anvilglade.PacketService{{Service: "alerts", ColdRate: 0.5}}, Balancers: forward.Candidates, Agents: forward.Candidates,
+		Evacuations: anvilglade.Evacuations{
+			Revision: 4, DataCentres: []anvilglade.DataCentreID{"dk2"}, Era: 2,
+			Decisions: []anvilglade.EvacuationDecision{{DataCentre: "dk2", Evacuated: true, Position: anvilglade.StorePosition{Era: 1, Revision: 9}}, {DataCentre: "dk3"}},
+		},
+		ColdRates: []anvilglade.PacketService{{Service: "alerts", ColdRate: 0.5}}, Balancers: forward.Candidates, Agents: forward.Candidates,
 		Shifts: []anvilglade.RouteShift{{Route: "live", Service: "alerts", Step: anvilglade.MaxSplitStep}},
 	}
 	if data, err = agmessage.AppendBalancerStatus(nil, &balancer); err != nil {
--- a/internal/routing/agdispatch/script_test.go
+++ b/internal/routing/agdispatch/script_test.go
@@ -62,11 +62,11 @@
 		return ""
 	},
 	"Evacuate": func(p *player, _ *testing.T, args []string, _ *agdispatch.Verdict) string {
-		evacuations := anvilglade.Evacuations{Revision: anvilglade.StoreRevision(numberOf(args[0]))}
+		update := anvilglade.EvacuationUpdate{Position: anvilglade.StorePosition{Era: 1, Revision: anvilglade.StoreRevision(numberOf(args[0]))}, Listed: true}
 		for _, name := range args[1:] {
-			evacuations.DataCentres = append(evacuations.DataCentres, anvilglade.DataCentreID(name))
+			update.Decisions = append(update.Decisions, anvilglade.EvacuationDecision{DataCentre: anvilglade.DataCentreID(name), Evacuated: true, Position: update.Position})
 		}
-		p.fleet.AdoptEvacuations(evacuations)
+		p.fleet.AdoptEvacuations(&update, p.now)
 		return ""
 	},
 	"Open": func(p *player, _ *testing.T, args []string, verdict *agdispatch.Verdict) string {
--- a/internal/state/agfleet/balancers.go
+++ b/internal/state/agfleet/balancers.go
@@ -49,7 +49,7 @@
 	}
 	firstStatus := !ok || !balancer.HasStatus || balancer.Incarnation != status.Incarnation
 	f.balancers[status.Balancer] = &Balancer{BalancerStatus: status, LastStatus: now, HasStatus: true}
-	f.AdoptEvacuations(status.Evacuations)
+	f.evacuations.Merge(&status.Evacuations, now)
 	f.addPending(status.Agents, now)
 	f.agentsListed = f.agentsListed || status.Settled
 	return firstStatus
--- a/internal/state/agfleet/ejection.go
+++ b/internal/state/agfleet/ejection.go
@@ -60,7 +60,7 @@
 // recordRefusal ejects a host whose agent no longer accepts flows. Hosts that end or whose
 // data centre is evacuated have not stopped of their own.
 func (f *Fleet) recordRefusal(host *Host, status *anvilglade.AgentStatus, now time.Time) {
-	planned := status.Ended || f.evacuations.Has(status.DataCentre)
+	planned := status.Ended || f.Evacuations().Has(status.DataCentre)
 	if host.Accepts && !status.Accepts && !planned {
 		f.eject(host, StopRefuses, now)
 	}
--- a/internal/state/agfleet/fleet.go
+++ b/internal/state/agfleet/fleet.go
@@ -4,7 +4,8 @@
 // Updates come from the platform's store, from other balancers and from agents.
 // An update is adopted only if its version is higher than the stored one,
 // whatever its source. The order in which updates arrive therefore does not
-// matter, and no version decreases while the process runs.
+// matter, and no version decreases while the process runs. Evacuations are ordered by
+// their positions in the store, see agevacuation.
 //
 // A host is silent while its last agent status is older than Host.SilentAfter,
 // and lost once it is older than Host.LostAfter. All methods that depend on the
@@ -26,6 +27,7 @@
 
 	"github.com/anvilglade/anvilglade"
 	"github.com/anvilglade/anvilglade/internal/membership/agrank"
+	"github.com/anvilglade/anvilglade/internal/state/agevacuation"
 )
 
 // Times without a status after which the state of its sender changes.
@@ -111,7 +113,7 @@
 	desired     anvilglade.DesiredState
 	hasDesired  bool
 	routes      map[anvilglade.Endpoint]*anvilglade.PacketRoute
-	evacuations anvilglade.Evacuations
+	evacuations *agevacuation.Set
 	hosts       map[anvilglade.IPv4]*Host
 	// pending has the agents that the store or a peer has listed and that have
 	// not sent a status yet, with the time at which they were first listed.
@@ -134,13 +136,14 @@
 // NewFleet returns an empty Fleet.
 func NewFleet(options Options) *Fleet {
 	return &Fleet{
-		options:   options,
-		routes:    make(map[anvilglade.Endpoint]*anvilglade.PacketRoute),
-		hosts:     make(map[anvilglade.IPv4]*Host),
-		pending:   make(map[anvilglade.IPv4]time.Time),
-		byService: make(map[anvilglade.ServiceID][]*Host),
-		balancers: make(map[anvilglade.IPv4]*Balancer),
-		paths:     make(map[anvilglade.DataCentreID]*centrePath),
+		options:     options,
+		evacuations: agevacuation.NewSet(),
+		routes:      make(map[anvilglade.Endpoint]*anvilglade.PacketRoute),
+		hosts:       make(map[anvilglade.IPv4]*Host),
+		pending:     make(map[anvilglade.IPv4]time.Time),
+		byService:   make(map[anvilglade.ServiceID][]*Host),
+		balancers:   make(map[anvilglade.IPv4]*Balancer),
+		paths:       make(map[anvilglade.DataCentreID]*centrePath),
 	}
 }
 
@@ -170,19 +173,21 @@
 	return route, ok
 }
 
-// AdoptEvacuations adopts evacuations if their revision is higher than that of
-// the ones in effect, and reports whether it did.
-func (f *Fleet) AdoptEvacuations(evacuations anvilglade.Evacuations) bool {
-	if evacuations.Revision <= f.evacuations.Revision {
-		return false
-	}
-	f.evacuations = evacuations
-	return true
+// AdoptEvacuations adopts the evacuations that were read from the store. It reports
+// whether the evacuated data centres have changed.
+func (f *Fleet) AdoptEvacuations(update *anvilglade.EvacuationUpdate, now time.Time) bool {
+	return f.evacuations.Update(update, now)
 }
 
-// Evacuations returns the evacuations in effect.
+// Evacuations returns the evacuations in effect. The result must not be modified.
 func (f *Fleet) Evacuations() *anvilglade.Evacuations {
-	return &f.evacuations
+	return f.evacuations.Evacuations()
+}
+
+// MissingEvacuations returns the evacuated data centres whose evacuation a restored store
+// lacks.
+func (f *Fleet) MissingEvacuations() []anvilglade.DataCentreID {
+	return f.evacuations.Missing()
 }
 
 // UpdateAgent adopts the status of an agent if it is newer than the stored one,
--- a/internal/state/agfleet/model_test.go
+++ b/internal/state/agfleet/model_test.go
@@ -37,9 +37,10 @@
 
 // TestVersionsNeverDecrease simulates a store, balancers and agents whose messages
 // are delayed, duplicated and reordered, and which restart with clocks that may
-// have been set back. No version may decrease between two restarts of a balancer.
-// Once messages are delivered again, all balancers must have the newest state,
-// also those that cannot reach the store.
+// have been set back. The store is restored from older copies. No version may decrease
+// between two restarts of a balancer, and an evacuation that it has received must stay in
+// effect while operators want it. Once messages are delivered again, all balancers must
+// have the newest state, also those that cannot reach the store.
 func TestVersionsNeverDecrease(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := newModel()
@@ -47,6 +48,8 @@
 		t.Repeat(map[string]func(*rapid.T){
 			"Operate":        m.changeDesired,
 			"Evacuate":       m.evacuate,
+			"Restore":        m.restore,
+			"Rewrite":        m.rewrite,
 			"ReadStore":      m.readStore,
 			"Fetch":          m.fetch,
 			"SendStatus":     m.sendBalancerStatus,
@@ -60,6 +63,9 @@
 			"ReadStoreAgain": m.readStore,
 		})
 		m.converge()
+		// An evacuation that the restored store lacks may stay in effect for this time.
+		m.advance(maxHold)
+		m.converge()
 		m.checkConverged(t)
 	})
 }
@@ -76,26 +82,29 @@
 	fleet       *agfleet.Fleet
 	incarnation anvilglade.Incarnation
 	sequence    anvilglade.Sequence
-	// version, revision and agents are what the last check has read from the fleet;
-	// they are empty after a start.
-	version  anvilglade.DesiredVersion
-	revision anvilglade.StoreRevision
-	agents   map[anvilglade.IPv4]anvilglade.AgentStatus
+	// version, position, evacuated and agents are what the last check has read from the
+	// fleet; they are empty after a start. evacuated is set if the balancer has received
+	// the operators' last decision and that is the evacuation written at writtenAt.
+	version   anvilglade.DesiredVersion
+	position  anvilglade.StorePosition
+	evacuated bool
+	writtenAt anvilglade.StorePosition
+	agents    map[anvilglade.IPv4]anvilglade.AgentStatus
 }
 
 type model struct {
-	now         time.Time
-	desired     anvilglade.DesiredState
-	evacuations anvilglade.Evacuations
-	balancers   []*modelBalancer
-	agents      []*anvilglade.AgentStatus
-	inFlight    []delayedMessage
+	now       time.Time
+	desired   anvilglade.DesiredState
+	store     *modelStore
+	balancers []*modelBalancer
+	agents    []*anvilglade.AgentStatus
+	inFlight  []delayedMessage
 	// restarts is the number of restarts of balancers and agents.
 	restarts anvilglade.Incarnation
 }
 
 func newModel() *model {
-	m := &model{now: time.Unix(1_000_000, 0), desired: anvilglade.DesiredState{Version: 1}, evacuations: anvilglade.Evacuations{Revision: 1}}
+	m := &model{now: time.Unix(1_000_000, 0), desired: anvilglade.DesiredState{Version: 1}, store: newModelStore()}
 	for i := range modelBalancers {
 		m.balancers = append(m.balancers, &modelBalancer{})
 		m.startBalancer(i, firstIncarnation)
@@ -125,13 +134,6 @@
 	m.desired.Version += anvilglade.DesiredVersion(1 + pick(t, 5, "step"))
 }
 
-func (m *model) evacuate(t *rapid.T) {
-	m.evacuations = anvilglade.Evacuations{Revision: m.evacuations.Revision + anvilglade.StoreRevision(1+pick(t, 5, "step"))}
-	if rapid.Bool().Draw(t, "evacuated") {
-		m.evacuations.DataCentres = []anvilglade.DataCentreID{"dk2"}
-	}
-}
-
 func (m *model) send(isStatus bool, handle func()) {
 	m.inFlight = append(m.inFlight, delayedMessage{sent: m.now, handle: handle, isStatus: isStatus})
 }
@@ -144,10 +146,10 @@
 }
 
 func (m *model) sendStoreAnswer(fleet *agfleet.Fleet) {
-	desired, evacuations := m.desired, m.evacuations
+	desired, evacuations := m.desired, m.store.list()
 	m.send(false, func() {
 		fleet.AdoptDesired(desired)
-		fleet.AdoptEvacuations(evacuations)
+		fleet.AdoptEvacuations(evacuations, m.now)
 	})
 }
 
@@ -252,23 +254,34 @@
 
 func (m *model) advance(time time.Duration) {
 	m.now = m.now.Add(time)
+	if m.now.Sub(m.store.restoredAt) > maxRewriteDelay {
+		m.store.rewrite()
+	}
 	m.inFlight = slices.DeleteFunc(m.inFlight, func(message delayedMessage) bool {
 		return message.isStatus && m.now.Sub(message.sent) > statusDelay
 	})
 }
 
-// check fails if a version, a revision or the sequence number of an agent has
-// decreased since the balancer started.
+// check fails if a version, a position or the sequence number of an agent has
+// decreased since the balancer started, or if an evacuation has ended early.
 func (m *model) check(t *rapid.T) {
 	for i, balancer := range m.balancers {
 		desired, _ := balancer.fleet.Desired()
 		if desired.Version < balancer.version {
 			t.Fatalf("balancer %d: desired version decreased from %d to %d", i, balancer.version, desired.Version)
 		}
-		if revision := balancer.fleet.Evacuations().Revision; revision < balancer.revision {
-			t.Fatalf("balancer %d: revision of the evacuations decreased from %d to %d", i, balancer.revision, revision)
+		evacuations := balancer.fleet.Evacuations()
+		if evacuations.Position().Before(balancer.position) {
+			t.Fatalf("balancer %d: position of the evacuations decreased from %v to %v", i, balancer.position, evacuations.Position())
+		}
+		if balancer.evacuated && balancer.writtenAt == m.store.writtenAt && !evacuations.Has("dk2") {
+			t.Fatalf("balancer %d: the evacuation of position %v has ended although operators want it", i, balancer.writtenAt)
 		}
-		balancer.version, balancer.revision = desired.Version, balancer.fleet.Evacuations().Revision
+		balancer.version, balancer.position = desired.Version, evacuations.Position()
+		if balancer.writtenAt != m.store.writtenAt {
+			balancer.evacuated, balancer.writtenAt = false, m.store.writtenAt
+		}
+		balancer.evacuated = balancer.evacuated || m.hasDecision(evacuations)
 		for _, host := range balancer.fleet.AllHosts() {
 			former := balancer.agents[host.Agent]
 			if host.Incarnation == former.Incarnation && host.Sequence < former.Sequence {
@@ -282,6 +295,7 @@
 // converge delivers all messages in order. Only the first balancer reaches the
 // store.
 func (m *model) converge() {
+	m.store.rewrite()
 	m.deliverAll()
 	m.advance(time.Second)
 	m.sendStoreAnswer(m.balancers[0].fleet)
@@ -315,8 +329,12 @@
 		if desired, _ := balancer.fleet.Desired(); desired.Version != m.desired.Version {
 			t.Errorf("balancer %d has version %d, the store %d", i, desired.Version, m.desired.Version)
 		}
-		if revision := balancer.fleet.Evacuations().Revision; revision != m.evacuations.Revision {
-			t.Errorf("balancer %d has revision %d, the store %d", i, revision, m.evacuations.Revision)
+		evacuations := balancer.fleet.Evacuations()
+		if position := evacuations.Position(); position != m.store.position() {
+			t.Errorf("balancer %d has position %v, the store %v", i, position, m.store.position())
+		}
+		if evacuations.Has("dk2") != m.store.wanted {
+			t.Errorf("balancer %d has %v as evacuated, operators want an evacuation of dk2: %t", i, evacuations.DataCentres, m.store.wanted)
 		}
 		for _, agent := range m.agents {
 			host, exists := balancer.fleet.Host(agent.Agent)
