Join the lists of processes again in each era of the store

Operators would have seen it later: a process that starts while its seeds are down finds the others through lists in the store. Cause: a process joined its list once. The copy from which the store is restored may lack that entry, and nobody wrote it again. Change: Store.Ensure returns the era in which an object exists; an Entry joins again when a later era is known, from the store's own answers or from statuses. Processes do so spread over about two seconds, with one write each. Lists are still read once only: processes that run are known from their statuses.

--- a/internal/membership/agregistry/registry.go
+++ b/internal/membership/agregistry/registry.go
@@ -4,12 +4,14 @@
 // A process joins when it starts and leaves when it terminates for good. A process
 // that crashes stays listed, so a listed process is not necessarily running. The
 // list costs one write per start of a process and one read per start of a reader.
-// Entries are not renewed.
+// Entries are not renewed, but a process joins again in each era of the store, because
+// the copy from which the store was restored may lack its entry.
 //
 // # Usage
 //
 //	registry := agregistry.NewRegistry(store, agregistry.KindBalancer)
-//	if err := registry.Join(ctx, ip, node); err != nil {
+//	entry := agregistry.NewEntry(registry, ip, node)
+//	if err := entry.Join(ctx, era); err != nil {
 //		return err
 //	}
 //	addresses, faults, err := registry.Members(ctx)
@@ -40,14 +42,15 @@
 	return &Registry{store: store, kind: kind}
 }
 
-// Join adds a process to the list. It succeeds without a change if the process is
-// already listed. The error is that of the store.
-func (r *Registry) Join(ctx context.Context, address anvilglade.IPv4, node string) error {
-	_, err := r.store.Put(ctx, anvilglade.Object{Kind: r.kind, Name: address.String(), Data: []byte(node)}, 0)
-	if err != nil && !errors.Is(err, anvilglade.ErrConflict) {
-		return fmt.Errorf("join the list %s: %w", r.kind, err)
+// Join adds a process to the list and returns the era of the store in which it is listed.
+// It succeeds without a change if the process is already listed. The error is that of the
+// store.
+func (r *Registry) Join(ctx context.Context, address anvilglade.IPv4, node string) (anvilglade.StoreEra, error) {
+	era, err := r.store.Ensure(ctx, anvilglade.Object{Kind: r.kind, Name: address.String(), Data: []byte(node)})
+	if err != nil {
+		return era, fmt.Errorf("join the list %s: %w", r.kind, err)
 	}
-	return nil
+	return era, nil
 }
 
 // Leave removes a process from the list. It succeeds if the process is not listed.
--- a/internal/operate/agpacketagent/status.go
+++ b/internal/operate/agpacketagent/status.go
@@ -224,7 +224,7 @@
 }
 
 // discover registers this agent in the store, so that balancers that start later can
-// find it. While no balancer responds, it reads the list of balancers from the store,
+// find it, and again after the store has been restored. While no balancer responds, it reads the list of balancers from the store,
 // because seeds may be stale or down.
 func (p *Process) discover(ctx context.Context) error {
 	agents := agregistry.NewRegistry(p.parts.Store, agregistry.KindAgent)
@@ -232,14 +232,12 @@
 	if err := agtask.Sleep(ctx, seedGrace); err != nil {
 		return err
 	}
-	joined, interval := false, discoverInterval
+	entry := agregistry.NewEntry(agents, p.settings.IP, p.settings.Node)
+	interval := discoverInterval
 	for {
-		var joinErr, readErr error
-		if !joined {
-			joinErr = agents.Join(ctx, p.settings.IP, p.settings.Node)
-			p.logDiscovery(joinErr)
-			joined = joinErr == nil
-		}
+		var readErr error
+		joinErr := entry.Join(ctx, p.storeEra())
+		p.logDiscovery(joinErr)
 		if !p.hasResponsiveBalancer(time.Now()) {
 			readErr = p.readBalancers(ctx, balancers)
 			p.logDiscovery(readErr)
@@ -254,6 +252,13 @@
 	}
 }
 
+// storeEra returns the era of the store according to the balancers, 0 if unknown.
+func (p *Process) storeEra() anvilglade.StoreEra {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.evacuations.Evacuations().Era
+}
+
 // readBalancers adds the balancers that the store lists. It returns an error if the
 // list or one of its entries cannot be read.
 func (p *Process) readBalancers(ctx context.Context, balancers *agregistry.Registry) error {
--- a/internal/operate/agpacketbalancer/state.go
+++ b/internal/operate/agpacketbalancer/state.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"time"
@@ -22,6 +23,9 @@
 	fetchInterval = 200 * time.Millisecond
 	// fetchTimeout is the timeout of a transfer of the desired state.
 	fetchTimeout = 1500 * time.Millisecond
+	// rejoinDelay is the maximum time after which a balancer joins the list of balancers
+	// again in a new era of the store. Not all of them should do so at the same moment.
+	rejoinDelay = 2 * time.Second
 )
 
 // sourceStore is the source of a desired state that was read from the store. That of
@@ -178,36 +182,60 @@
 	return agtask.ServeHTTP(ctx, p.endpointOf(p.settings.IP, p.settings.InnerPort).String(), mux)
 }
 
-// discover registers this balancer in the store and reads the lists of balancers
-// and agents from it, because seeds may be stale or down.
+// discover registers this balancer in the store, again after the store has been restored,
+// and reads the lists of balancers and agents from it once, because seeds may be stale or
+// down.
 func (p *Process) discover(ctx context.Context) error {
-	balancers := agregistry.NewRegistry(p.parts.Store, agregistry.KindBalancer)
-	agents := agregistry.NewRegistry(p.parts.Store, agregistry.KindAgent)
+	entry := agregistry.NewEntry(agregistry.NewRegistry(p.parts.Store, agregistry.KindBalancer), p.settings.IP, p.settings.Node)
+	listed := false
 	return p.watchStore(ctx, storeTask{what: "lists of processes", read: func(ctx context.Context) error {
-		if err := balancers.Join(ctx, p.settings.IP, p.settings.Node); err != nil {
+		if err := entry.Join(ctx, p.storeEra()); err != nil {
 			return err
 		}
-		peers, faults, err := balancers.Members(ctx)
-		if err != nil {
-			return err
+		if !listed {
+			if err := p.readLists(ctx); err != nil {
+				return err
+			}
+			listed = true
 		}
-		p.logFaults(faults)
-		agentAddresses, faults, err := agents.Members(ctx)
-		if err != nil {
-			return err
+		for !entry.Lacking(p.storeEra()) {
+			if err := agtask.Sleep(ctx, rejoinDelay/2+rand.N(rejoinDelay/2)); err != nil {
+				return err
+			}
 		}
-		p.logFaults(faults)
-		p.mu.Lock()
-		p.fleet.AddBalancers(peers)
-		p.fleet.AdoptAgentList(agentAddresses, time.Now())
-		p.mu.Unlock()
-		p.broadcast()
-		p.wakeNotify()
-		<-ctx.Done()
-		return ctx.Err()
+		return nil
 	}})
 }
 
+// storeEra returns the era of the store according to its answers and to other balancers,
+// 0 if unknown.
+func (p *Process) storeEra() anvilglade.StoreEra {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return max(p.parts.Feed.Era(), p.fleet.Evacuations().Era)
+}
+
+// readLists reads the lists of balancers and agents from the store.
+func (p *Process) readLists(ctx context.Context) error {
+	peers, faults, err := agregistry.NewRegistry(p.parts.Store, agregistry.KindBalancer).Members(ctx)
+	if err != nil {
+		return err
+	}
+	p.logFaults(faults)
+	agents, faults, err := agregistry.NewRegistry(p.parts.Store, agregistry.KindAgent).Members(ctx)
+	if err != nil {
+		return err
+	}
+	p.logFaults(faults)
+	p.mu.Lock()
+	p.fleet.AddBalancers(peers)
+	p.fleet.AdoptAgentList(agents, time.Now())
+	p.mu.Unlock()
+	p.broadcast()
+	p.wakeNotify()
+	return nil
+}
+
 func (p *Process) logFaults(faults []error) {
 	for _, fault := range faults {
 		p.logFailure(fault, "List entry cannot be read and is ignored.")
--- a/internal/stand/agemulator/ledger.go
+++ b/internal/stand/agemulator/ledger.go
@@ -22,6 +22,7 @@
 // own request. Drained: a draining host receives no new flows after drainLimit.
 // Evacuated: a host of an evacuated data centre receives no new flows after
 // evacuateLimit. Applied: a route that operators have added is served after applyLimit.
+// Listed: the store lists all processes listLimit after it has been restored.
 const (
 	PromiseFlowKept     Promise = "FlowKept"
 	PromiseRightService Promise = "RightService"
@@ -31,6 +32,7 @@
 	PromiseDrained      Promise = "Drained"
 	PromiseEvacuated    Promise = "Evacuated"
 	PromiseApplied      Promise = "Applied"
+	PromiseListed       Promise = "Listed"
 )
 
 const (
--- a/internal/stand/agemulator/restore.go
+++ b/internal/stand/agemulator/restore.go
@@ -1,7 +1,7 @@
 package agemulator
 
-// The restoration of the store from an older copy, and the check that routes which
-// operators have added are served.
+// The restoration of the store from an older copy, the check that processes list themselves
+// again, and the check that routes which operators have added are served.
 
 import (
 	"bytes"
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/anvilglade/anvilglade"
+	"github.com/anvilglade/anvilglade/internal/membership/agregistry"
 	"github.com/anvilglade/anvilglade/internal/packet/agsocket"
 	"github.com/anvilglade/anvilglade/internal/runtime/agtask"
 	"github.com/anvilglade/anvilglade/internal/stand/agapi"
@@ -24,6 +25,9 @@
 	rewriteDelay = 800 * time.Millisecond
 	// applyLimit is the time within which a desired state takes effect.
 	applyLimit = 3 * time.Second
+	// listLimit is the time after which processes have listed themselves again in a store
+	// that was restored.
+	listLimit = 4 * time.Second
 	// maxProbes is the number of flows that are opened on a new route before it counts as
 	// not served.
 	maxProbes = 3
@@ -42,7 +46,35 @@
 	delay := rewriteDelay * time.Duration(t.Index%8) / 8
 	// Operators also write if the run ends during the wait.
 	_ = agtask.Sleep(ctx, time.Duration(t.For)+delay)
-	return f.rewriteObjects()
+	if err := f.rewriteObjects(); err != nil {
+		return err
+	}
+	if f.awaitCalmStore(ctx, listLimit) {
+		f.checkListed()
+	}
+	return nil
+}
+
+// awaitCalmStore waits until no trouble has affected the store for the given time. It
+// returns false if the run ends first.
+func (f *fleet) awaitCalmStore(ctx context.Context, length time.Duration) bool {
+	for wait := length; wait > 0; wait = time.Until(f.ledger.storeCalmSince().Add(length)) {
+		if err := agtask.Sleep(ctx, wait); err != nil {
+			return false
+		}
+	}
+	return true
+}
+
+// checkListed checks that the store lists all processes that no trouble affects.
+func (f *fleet) checkListed() {
+	for kind, machines := range map[string][]*machine{agregistry.KindBalancer: f.balancers, agregistry.KindAgent: f.agents} {
+		for _, m := range machines {
+			if _, listed := f.store.Objects().Get(kind, m.settings.IP.String(), 0); !listed && f.ledger.undisturbed(m.settings.IP) {
+				f.ledger.recordViolation(PromiseListed, "%s is not listed in the restored store", m.name)
+			}
+		}
+	}
 }
 
 // rewriteObjects makes the objects of operators in the store those that they wrote last.
@@ -82,11 +114,8 @@
 		return err
 	}
 	defer closeProber()
-	for wait := applyLimit; wait > 0; wait = time.Until(f.ledger.storeCalmSince().Add(applyLimit)) {
-		if err := agtask.Sleep(ctx, wait); err != nil {
-			// The run has ended.
-			return nil
-		}
+	if !f.awaitCalmStore(ctx, applyLimit) {
+		return nil
 	}
 	for _, balancer := range f.balancers {
 		ip := balancer.settings.IP
--- a/state.go
+++ b/state.go
@@ -54,6 +54,8 @@
 	// it must not exist yet. It returns the new version. ErrConflict means that
 	// nothing was written, ErrUnknownOutcome that the write may have taken effect.
 	Put(ctx context.Context, object Object, ifVersion Version) (Version, error)
+	// Ensure writes an object unless it exists, and returns the era in which it exists.
+	Ensure(ctx context.Context, object Object) (StoreEra, error)
 	// Delete removes an object, or returns ErrNotFound.
 	Delete(ctx context.Context, kind, name string) error
 	// List returns all objects of a kind.
