End a process whose task has panicked with a mutex locked

Operators would see a process that runs, logs nothing and serves nothing, and that the platform does not restart. Cause: a group turns a panic into an error and waits for its other tasks. The task may have held the mutex for which they wait, so the wait never ended. Change: after a panic a group waits for its tasks for 2 s only, and the error has the stack of the panic.

--- a/internal/runtime/agtask/group.go
+++ b/internal/runtime/agtask/group.go
@@ -2,7 +2,9 @@
 //
 // All goroutines of anvilglade are started through a Group, which uses an ants
 // pool. A group has a name for each task, converts a panic into an error, and
-// stops all its tasks when one of them fails or the group is stopped.
+// stops all its tasks when one of them fails or the group is stopped. A task that
+// panics may leave a mutex locked for which others wait, so after a panic a group
+// waits for its tasks for abandonAfter only.
 //
 // # Usage
 //
@@ -21,8 +23,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/panjf2000/ants/v2"
 )
@@ -32,6 +36,10 @@
 // above its size.
 const unlimited = -1
 
+// abandonAfter is the time for which a group waits for its other tasks after one of them
+// has panicked.
+const abandonAfter = 2 * time.Second
+
 // Group is a set of tasks that stop together.
 type Group struct {
 	ctx     context.Context
@@ -39,17 +47,24 @@
 	pool    *ants.Pool
 	tasks   sync.WaitGroup
 	running atomic.Int64
+	// panicked is closed by markPanicked when a task has panicked.
+	panicked     chan struct{}
+	markPanicked func()
 }
 
 // NewGroup returns a group whose tasks are stopped when ctx ends. The returned
-// function stops all tasks, waits until they have ended and releases the pool.
+// function stops all tasks, waits for them like Wait and releases the pool.
 func NewGroup(ctx context.Context) (*Group, func(), error) {
 	pool, err := ants.NewPool(unlimited)
 	if err != nil {
 		return nil, nil, fmt.Errorf("create task pool: %w", err)
 	}
 	groupCtx, cancel := context.WithCancelCause(ctx)
-	g := &Group{ctx: groupCtx, cancel: cancel, pool: pool}
+	panicked := make(chan struct{})
+	g := &Group{
+		ctx: groupCtx, cancel: cancel, pool: pool,
+		panicked: panicked, markPanicked: sync.OnceFunc(func() { close(panicked) }),
+	}
 	return g, g.close, nil
 }
 
@@ -78,10 +93,10 @@
 	g.cancel(context.Canceled)
 }
 
-// Wait waits until all tasks have ended. It returns the error that stopped the
-// group, or nil if the group was stopped without one.
+// Wait waits until all tasks have ended, or abandonAfter after a panic. It returns the
+// error that stopped the group, or nil if the group was stopped without one.
 func (g *Group) Wait() error {
-	g.tasks.Wait()
+	g.await()
 	cause := context.Cause(g.ctx)
 	if cause == nil || errors.Is(cause, context.Canceled) {
 		return nil
@@ -99,7 +114,8 @@
 	defer g.running.Add(-1)
 	defer func() {
 		if cause := recover(); cause != nil {
-			g.cancel(fmt.Errorf("task %s: panic: %v", name, cause))
+			g.cancel(fmt.Errorf("task %s: panic: %v\n%s", name, cause, debug.Stack()))
+			g.markPanicked()
 		}
 	}()
 	if err := task(g.ctx); err != nil && !errors.Is(err, context.Canceled) {
@@ -109,6 +125,25 @@
 
 func (g *Group) close() {
 	g.Stop()
-	g.tasks.Wait()
+	g.await()
 	g.pool.Release()
 }
+
+// await waits until all tasks have ended, or abandonAfter after a panic.
+func (g *Group) await() {
+	ended := make(chan struct{})
+	if err := g.pool.Submit(func() { g.tasks.Wait(); close(ended) }); err != nil {
+		// A released pool has no tasks to abandon.
+		g.tasks.Wait()
+		return
+	}
+	select {
+	case <-ended:
+		return
+	case <-g.panicked:
+	}
+	select {
+	case <-ended:
+	case <-time.After(abandonAfter):
+	}
+}
--- a/internal/runtime/agtask/group_test.go
+++ b/internal/runtime/agtask/group_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"testing"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -44,4 +46,22 @@
 		Expect(group.Start("panicking", func(context.Context) error { panic("index out of range") })).To(Succeed())
 		Expect(group.Wait()).To(MatchError(ContainSubstring("index out of range")))
 	})
+
+	// Guards against a process that neither works nor exits, because the task that
+	// panicked has left a mutex locked.
+	It("ends after a panic although another task is blocked", func(SpecContext) {
+		var mu sync.Mutex
+		locked := make(chan struct{})
+		Expect(group.Start("blocked", func(context.Context) error {
+			<-locked
+			mu.Lock()
+			return nil
+		})).To(Succeed())
+		Expect(group.Start("panicking", func(context.Context) error {
+			mu.Lock()
+			close(locked)
+			panic("index out of range")
+		})).To(Succeed())
+		Expect(group.Wait()).To(MatchError(ContainSubstring("index out of range")))
+	}, SpecTimeout(10*time.Second), GracePeriod(time.Second))
 })
