--- a/internal/membership/agroster/script_test.go
+++ b/internal/membership/agroster/script_test.go
@@ -1,9 +1,6 @@
 package agroster_test
 
 import (
-	"fmt"
-	"slices"
-	"strings"
 	"testing"
 	"time"
 
@@ -27,17 +24,17 @@
 	t.Helper()
 	switch step.Verb {
 	case "Seeds":
-		roster.AddSeeds(addresses(step.Args))
+		roster.AddSeeds(agscript.Addresses(step.Args))
 	case "Learn":
-		return formatAdded(roster.Add(addresses(step.Args), now))
+		return formatAdded(roster.Add(agscript.Addresses(step.Args), now))
 	case "Hear":
-		return formatAdded(roster.HandleStatus(&anvilglade.BalancerStatus{Balancer: address(step.Args[0]), Balancers: addresses(step.Args[1:])}, now))
+		return formatAdded(roster.HandleStatus(&anvilglade.BalancerStatus{Balancer: agscript.Address(step.Args[0]), Balancers: agscript.Addresses(step.Args[1:])}, now))
 	case "Leaves":
-		return formatAdded(roster.HandleStatus(&anvilglade.BalancerStatus{Balancer: address(step.Args[0]), Leaving: true}, now))
+		return formatAdded(roster.HandleStatus(&anvilglade.BalancerStatus{Balancer: agscript.Address(step.Args[0]), Leaving: true}, now))
 	case "Receivers":
-		return names(roster.Receivers(now))
+		return agscript.Names("b", roster.Receivers(now))
 	case "Answering":
-		return names(roster.Responsive(now))
+		return agscript.Names("b", roster.Responsive(now))
 	default:
 		t.Fatalf("unknown verb: %s", step.Source)
 	}
@@ -50,24 +47,3 @@
 	}
 	return ""
 }
-
-func address(name string) anvilglade.IPv4 {
-	return anvilglade.IPv4{10, 0, 0, name[1] - '0'}
-}
-
-func addresses(names []string) []anvilglade.IPv4 {
-	var list []anvilglade.IPv4
-	for _, name := range names {
-		list = append(list, address(name))
-	}
-	return list
-}
-
-func names(addresses []anvilglade.IPv4) string {
-	list := make([]string, 0, len(addresses))
-	for _, address := range addresses {
-		list = append(list, fmt.Sprintf("b%d", address[3]))
-	}
-	slices.Sort(list)
-	return strings.Join(list, " ")
-}
