Correct comments of agevacuation found while reading the diff

Cause: one said that the view is never modified, while only its slices are not; the reason for which an outdated decision ends an evacuation was missing. No code is changed.

--- a/internal/state/agevacuation/set.go
+++ b/internal/state/agevacuation/set.go
@@ -5,7 +5,7 @@
 // the one with the later position counts. Updates may therefore arrive in any order.
 //
 // The store may be restored from an older copy, which begins a new era. The copy may lack
-// an evacuation that operators have been told is in force, until they write it again. Such
+// an evacuation that the store has acknowledged, until operators write it again. Such
 // an evacuation stays in effect: it ends when the new era has another decision on the data
 // centre, or when the store still lacks it after restoreHold. An evacuation that the copy
 // contains is in effect although operators had ended it, until they end it again. Both
@@ -51,7 +51,8 @@
 // Set holds the latest decision on each data centre.
 type Set struct {
 	decisions map[anvilglade.DataCentreID]*decision
-	// current is never modified, as statuses refer to it.
+	// current is the view of decisions that statuses carry. Its slices are replaced as a
+	// whole, because statuses that are being sent refer to them.
 	current anvilglade.Evacuations
 }
 
@@ -146,8 +147,9 @@
 }
 
 // decide adopts a decision. What is known of the present era is complete up to the current
-// position, at which all decisions of that era are in force: an earlier decision of that era only shows that the era has decided on a data
-// centre that is still evacuated by a decision of a former era.
+// position, at which all known decisions of that era are in force. An earlier decision of
+// that era is therefore outdated, but it shows that the era has decided on the data centre:
+// an evacuation of a former era has ended.
 func (s *Set) decide(next anvilglade.EvacuationDecision, now time.Time) {
 	current := s.current.Position()
 	held, known := s.decisions[next.DataCentre]
