Return the older object from a watch of a restored store

Operators would see each balancer of the product's own tables call the store about 20 times a second after a restoration. Cause: a watch after a version that the restored store lacks is refused with 410; the client then read the object and reported its lower version as "no change", after which the watcher calls again without a pause. Change: the older object is returned. Packet services do not use this call.

--- a/state.go
+++ b/state.go
@@ -61,6 +61,7 @@
 	// List returns all objects of a kind.
 	List(ctx context.Context, kind string) ([]Object, error)
 	// Watch waits until the object has a version above after and returns it. It
-	// returns ErrNoChange if the platform ends the wait first.
+	// returns ErrNoChange if the platform ends the wait first. The version may be
+	// lower if the platform has lost its last changes.
 	Watch(ctx context.Context, kind, name string, after Version) (Object, error)
 }
