Log and measure the answers to each watch of the store

Cause: a watch that is not answered left no line until its timeout, so a silent connection could not be separated from a change that the store did not deliver; a decoding error looked like an outage. Change: failed reads have the duration of the call, the time since the last answer and the revision reached; the line of a new desired state has the revision. Gauges store_answer_age_seconds by watch and desired_revision; outcome and line of their own for answers that cannot be decoded.

--- a/errors.go
+++ b/errors.go
@@ -25,6 +25,8 @@
 	// ErrHistoryGone means that the platform no longer has the changes since the
 	// requested revision.
 	ErrHistoryGone = errors.New("history of changes is gone")
+	// ErrUnreadable means that the platform answered with data that cannot be decoded.
+	ErrUnreadable = errors.New("answer cannot be decoded")
 	// ErrNotRun means that no backend server has run the request: no byte of it
 	// was sent to one, or the server responded that it did not run it.
 	ErrNotRun = errors.New("request was not run")
--- a/internal/observe/agmetric/metric.go
+++ b/internal/observe/agmetric/metric.go
@@ -130,16 +130,16 @@
 	}, read))
 }
 
-// Ages adds a gauge in seconds for each peer that read returns. The number of
-// peers is bounded by the size of the fleet.
-func (m *Metrics) Ages(name, help string, read func() map[string]time.Duration) {
+// Ages adds a gauge in seconds for each subject that read returns, such as a peer. The
+// label has the subject; their number must be bounded by the size of the fleet.
+func (m *Metrics) Ages(name, label, help string, read func() map[string]time.Duration) {
 	m.registry.MustRegister(&ageCollector{
-		description: prometheus.NewDesc(prometheus.BuildFQName(namespace, "", name), help, []string{"peer"}, m.labels),
+		description: prometheus.NewDesc(prometheus.BuildFQName(namespace, "", name), help, []string{label}, m.labels),
 		read:        read,
 	})
 }
 
-// ageCollector reads the ages of all peers at each scrape.
+// ageCollector reads the ages of all subjects at each scrape.
 type ageCollector struct {
 	description *prometheus.Desc
 	read        func() map[string]time.Duration
@@ -152,8 +152,8 @@
 
 // Collect implements prometheus.Collector.
 func (c *ageCollector) Collect(metrics chan<- prometheus.Metric) {
-	for peer, age := range c.read() {
-		metrics <- prometheus.MustNewConstMetric(c.description, prometheus.GaugeValue, age.Seconds(), peer)
+	for subject, age := range c.read() {
+		metrics <- prometheus.MustNewConstMetric(c.description, prometheus.GaugeValue, age.Seconds(), subject)
 	}
 }
 
--- a/internal/observe/agmetric/metric_test.go
+++ b/internal/observe/agmetric/metric_test.go
@@ -27,7 +27,7 @@
 		metrics.Latency.WithLabelValues("alerts").Observe(0.02)
 		metrics.Gauge("ready", "1 while ready.", func() float64 { return 1 })
 		metrics.Counter("unreadable_objects_total", "Objects.", func() float64 { return 3 })
-		metrics.Ages("peer_age_seconds", "Ages.", func() map[string]time.Duration {
+		metrics.Ages("peer_age_seconds", "peer", "Ages.", func() map[string]time.Duration {
 			return map[string]time.Duration{"10.0.0.1": 250 * time.Millisecond, "10.0.0.2": 2 * time.Second}
 		})
 		metrics.Shifts("split_step", "Steps.", func() []anvilglade.RouteShift {
--- a/internal/operate/agpacketagent/metrics.go
+++ b/internal/operate/agpacketagent/metrics.go
@@ -52,7 +52,7 @@
 	p.metrics.Gauge("evacuations_revision", "Revision of the evacuations that are known.", locked(func(time.Time) float64 {
 		return float64(p.evacuations.Evacuations().Revision)
 	}))
-	p.metrics.Ages("peer_age_seconds", "Time since each balancer was heard.", func() map[string]time.Duration {
+	p.metrics.Ages("peer_age_seconds", "peer", "Time since each balancer was heard.", func() map[string]time.Duration {
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		return p.roster.Ages(time.Now())
--- a/internal/operate/agpacketbalancer/metrics.go
+++ b/internal/operate/agpacketbalancer/metrics.go
@@ -55,7 +55,7 @@
 		responding, _ := p.fleet.CountHosts(now)
 		return float64(responding)
 	}))
-	p.metrics.Ages("peer_age_seconds", "Time since each other balancer and each agent was heard.", func() map[string]time.Duration {
+	p.metrics.Ages("peer_age_seconds", "peer", "Time since each other balancer and each agent was heard.", func() map[string]time.Duration {
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		return p.fleet.Ages(time.Now())
@@ -67,6 +67,10 @@
 	p.metrics.Gauge("store_watch", "2 while this balancer watches the store as a primary, 1 as a standby, 0 if not or if the store does not answer.", func() float64 {
 		return float64(p.watch())
 	})
+	p.metrics.Ages("store_answer_age_seconds", "what", "Time since the last answer of the store to each watch of this balancer.", p.watchAges)
+	p.metrics.Gauge("desired_revision", "Revision of the store up to which the watch of the desired state has received changes.", func() float64 {
+		return float64(p.desiredWatch.revision.Load())
+	})
 	p.metrics.Gauge("store_era", "Highest era in which the store has answered; it rises when the store is restored from an older copy.", func() float64 {
 		return float64(p.parts.Feed.Era())
 	})
--- a/internal/operate/agpacketbalancer/process.go
+++ b/internal/operate/agpacketbalancer/process.go
@@ -88,10 +88,9 @@
 	packets     *agsocket.Socket
 	inner       *agsocket.Socket
 	http        *http.Client
-	// desiredWatch and evacuationWatch are the roles in which the two watches of the
-	// store work, as anvilglade.StoreWatch.
-	desiredWatch    atomic.Uint32
-	evacuationWatch atomic.Uint32
+	// desiredWatch and evacuationWatch describe the two watches of the store.
+	desiredWatch    watchHealth
+	evacuationWatch watchHealth
 	// loggedRole is the role that was logged last.
 	loggedRole atomic.Uint32
 	// loggedRelieved is whether this balancer was relieved when that was logged last.
--- a/internal/operate/agpacketbalancer/state.go
+++ b/internal/operate/agpacketbalancer/state.go
@@ -32,11 +32,17 @@
 // any other is the address of a peer.
 const sourceStore = "store"
 
+// Names of the two watches of the store in logs and metrics.
+const (
+	whatDesired     = "desired state"
+	whatEvacuations = "evacuations"
+)
+
 // watchDesired watches the desired state in the store and applies its changes.
 func (p *Process) watchDesired(ctx context.Context) error {
 	var position anvilglade.StorePosition
 	loaded := false
-	return p.watchStore(ctx, storeTask{what: "desired state", health: &p.desiredWatch, read: func(ctx context.Context) error {
+	return p.watchStore(ctx, storeTask{what: whatDesired, health: &p.desiredWatch, read: func(ctx context.Context) error {
 		var state anvilglade.DesiredState
 		var err error
 		if loaded {
@@ -49,6 +55,7 @@
 			return err
 		}
 		loaded = true
+		p.desiredWatch.revision.Store(uint64(position.Revision))
 		p.adopt(state, sourceStore)
 		return nil
 	}})
@@ -59,7 +66,7 @@
 func (p *Process) watchEvacuations(ctx context.Context) error {
 	var position anvilglade.StorePosition
 	loaded := false
-	return p.watchStore(ctx, storeTask{what: "evacuations", health: &p.evacuationWatch, read: func(ctx context.Context) error {
+	return p.watchStore(ctx, storeTask{what: whatEvacuations, health: &p.evacuationWatch, read: func(ctx context.Context) error {
 		var update anvilglade.EvacuationUpdate
 		var err error
 		if loaded {
@@ -72,6 +79,7 @@
 			return err
 		}
 		position = update.Position
+		p.evacuationWatch.revision.Store(uint64(position.Revision))
 		p.mu.Lock()
 		changed := p.fleet.AdoptEvacuations(&update, time.Now())
 		p.logEvacuations(sourceStore)
@@ -107,7 +115,8 @@
 	}
 	p.mu.Unlock()
 	if adopted {
-		p.log.WithField("Version", state.Version).WithField("Routes", len(state.Routes)).WithField("Source", source).Info("Desired state is in effect.")
+		p.log.WithField("Version", state.Version).WithField("Routes", len(state.Routes)).WithField("Source", source).
+			WithField("Revision", p.desiredWatch.revision.Load()).Info("Desired state is in effect.")
 	}
 	// Peers that receive the state from another balancer do not announce it at once:
 	// the watchers of the store have reached the other balancers too.
--- a/internal/operate/agpacketbalancer/watch.go
+++ b/internal/operate/agpacketbalancer/watch.go
@@ -7,7 +7,6 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"sync/atomic"
 	"time"
 
 	"github.com/anvilglade/anvilglade"
@@ -57,9 +56,9 @@
 // storeTask is a read of the store that is repeated.
 type storeTask struct {
 	what string
-	// health receives the role in which the last read was answered. Nil stands for a
-	// task that every balancer runs; its role determines the backoff only.
-	health *atomic.Uint32
+	// health describes the reads. Nil stands for a task that every balancer runs; its
+	// role determines the backoff only.
+	health *watchHealth
 	read   func(context.Context) error
 }
 
@@ -73,6 +72,7 @@
 		if err != nil {
 			return err
 		}
+		called := time.Now()
 		err = task.read(ctx)
 		p.metrics.StoreCalls.WithLabelValues(task.what, outcomeOf(err)).Inc()
 		if ctx.Err() != nil {
@@ -82,7 +82,7 @@
 			if !reachable {
 				p.log.WithField("What", task.what).Info("Store answers again.")
 			}
-			task.setHealth(role)
+			task.recordAnswer(role, time.Since(p.started))
 			reachable, backoff = true, 0
 			if err := agtask.Sleep(ctx, batchDelay); err != nil {
 				return err
@@ -90,9 +90,9 @@
 			continue
 		}
 		if reachable {
-			p.log.WithError(err).WithField("What", task.what).Warn("Store does not answer; the last state stays in effect.")
+			p.logFailedRead(err, task, time.Since(called))
 		}
-		task.setHealth(anvilglade.WatchNone)
+		task.recordRole(anvilglade.WatchNone)
 		reachable, backoff = false, nextBackoff(backoff, role)
 		if err := agtask.Sleep(ctx, backoff/2+rand.N(backoff/2)); err != nil {
 			return err
@@ -101,12 +101,33 @@
 	return ctx.Err()
 }
 
-func (t *storeTask) setHealth(role anvilglade.StoreWatch) {
+func (t *storeTask) recordAnswer(role anvilglade.StoreWatch, process time.Duration) {
 	if t.health != nil {
-		t.health.Store(uint32(role))
+		t.health.recordAnswer(role, process)
 	}
 }
 
+func (t *storeTask) recordRole(role anvilglade.StoreWatch) {
+	if t.health != nil {
+		t.health.recordRole(role)
+	}
+}
+
+// logFailedRead logs the first of several failed reads: how long it took, and for a watch
+// the time since the last answer and the revision up to which it has received changes.
+func (p *Process) logFailedRead(err error, task storeTask, took time.Duration) {
+	line := p.log.WithError(err).WithField("What", task.what).WithField("Took", took.Round(time.Millisecond).String())
+	if task.health != nil {
+		line = line.WithField("SinceAnswer", task.health.age(time.Since(p.started)).Round(time.Millisecond).String()).
+			WithField("Revision", task.health.revision.Load())
+	}
+	if errors.Is(err, anvilglade.ErrUnreadable) {
+		line.Warn("Store's answer cannot be decoded; the last state stays in effect.")
+		return
+	}
+	line.Warn("Store does not answer; the last state stays in effect.")
+}
+
 // nextBackoff returns the pause after another failed call of a balancer with a role;
 // former is the pause before the call, 0 if it was the first.
 func nextBackoff(former time.Duration, role anvilglade.StoreWatch) time.Duration {
@@ -136,7 +157,7 @@
 		if role != anvilglade.WatchNone {
 			return role, nil
 		}
-		task.setHealth(anvilglade.WatchNone)
+		task.recordRole(anvilglade.WatchNone)
 		if err := agtask.Sleep(ctx, rolePoll); err != nil {
 			return anvilglade.WatchNone, err
 		}
@@ -178,7 +199,7 @@
 // watch returns the role in which this balancer watches the store, WatchNone unless
 // the store answers.
 func (p *Process) watch() anvilglade.StoreWatch {
-	return anvilglade.StoreWatch(min(p.desiredWatch.Load(), p.evacuationWatch.Load()))
+	return anvilglade.StoreWatch(min(p.desiredWatch.role.Load(), p.evacuationWatch.role.Load()))
 }
 
 // outcomeOf returns the outcome of a call to the store as a label of the counter
@@ -189,6 +210,8 @@
 		return "Answered"
 	case errors.Is(err, anvilglade.ErrHistoryGone):
 		return "HistoryGone"
+	case errors.Is(err, anvilglade.ErrUnreadable):
+		return "Unreadable"
 	case errors.Is(err, anvilglade.ErrOverloaded):
 		return "Overloaded"
 	case errors.Is(err, anvilglade.ErrRateLimited):
