Bound the time for which a watch of the store may stay unanswered

Cause: a watch that is never answered looks like one without changes until its wait and timeout have passed: 4 s and 1.5 s, or 25 s and 1.5 s, while a change has to be in effect within 3 s. After a compaction of the store's history, all waiting watches stay unanswered; the same holds for connections that fall silent. All balancers' watches begin again after each change and therefore run in phase, so that no peer is earlier. Change: package agwatch schedules the calls of a watch. Wait, timeout and a new read fit into the bound of the deployment (config_apply_ms, evacuate_ms). After a failed call the whole state is read, because the call may have missed changes. The timeout of calls doubles while they time out, so that a slower store can still answer. All balancers that watch use this wait; the long one is gone, as it relied on peers that may fail together.

--- a/fleet.go
+++ b/fleet.go
@@ -283,6 +283,10 @@
 	MaxFlowAge time.Duration
 	// StopTimeout is the time from SIGTERM to SIGKILL.
 	StopTimeout time.Duration
+	// ApplyWithin and EvacuateWithin are the times within which a desired state and an
+	// evacuation have to be in effect everywhere after operators have written them.
+	ApplyWithin    time.Duration
+	EvacuateWithin time.Duration
 	// ColdFactor and ColdSlack limit the new flows of a cold host in one second
 	// to the cold rate of its service times ColdFactor, plus ColdSlack.
 	ColdFactor float64
--- a/internal/operate/agcommand/packet.go
+++ b/internal/operate/agcommand/packet.go
@@ -22,9 +22,6 @@
 	// storeTimeout is the time limit of a call to the platform's store. A slow
 	// store takes up to 60 times its usual 4 ms.
 	storeTimeout = 1500 * time.Millisecond
-	// watchWait is the time after which the store answers a watch without a
-	// change. A broken connection is detected after watchWait plus storeTimeout.
-	watchWait = 4 * time.Second
 	// gcPercent is above the default of Go. It reduces the processor time of
 	// garbage collection; the additional memory is small because the heap is.
 	gcPercent = 200
@@ -60,7 +57,7 @@
 	if err := aglog.Configure(aglog.Options{Level: v.level, JSON: true, Output: v.log, Node: settings.Node}); err != nil {
 		return settings, nil, nil, err
 	}
-	store, stop, err := agplatform.NewStore(agplatform.StoreOptions{URL: "http://" + settings.StoreAddr, Timeout: storeTimeout, WatchWait: watchWait})
+	store, stop, err := agplatform.NewStore(agplatform.StoreOptions{URL: "http://" + settings.StoreAddr, Timeout: storeTimeout})
 	return settings, store, stop, err
 }
 
--- a/internal/operate/agpacketbalancer/state.go
+++ b/internal/operate/agpacketbalancer/state.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -15,6 +14,7 @@
 	"github.com/anvilglade/anvilglade/internal/operate/agpackettask"
 	"github.com/anvilglade/anvilglade/internal/runtime/agtask"
 	"github.com/anvilglade/anvilglade/internal/state/agtransfer"
+	"github.com/anvilglade/anvilglade/internal/state/agwatch"
 )
 
 const (
@@ -41,54 +41,64 @@
 // watchDesired watches the desired state in the store and applies its changes.
 func (p *Process) watchDesired(ctx context.Context) error {
 	var position anvilglade.StorePosition
-	loaded := false
-	return p.watchStore(ctx, storeTask{what: whatDesired, health: &p.desiredWatch, read: func(ctx context.Context) error {
+	task := storeTask{what: whatDesired, cycle: agwatch.NewCycle(p.settings.ApplyWithin), health: &p.desiredWatch}
+	task.read = func(ctx context.Context, call agwatch.Call) error {
+		callCtx, cancel := context.WithTimeout(ctx, call.Timeout)
+		defer cancel()
 		var state anvilglade.DesiredState
+		var next anvilglade.StorePosition
 		var err error
-		if loaded {
-			state, position, err = p.parts.Feed.NextDesired(ctx, position, p.watchWait())
+		if call.Whole {
+			state, next, err = p.parts.Feed.Desired(callCtx)
 		} else {
-			state, position, err = p.parts.Feed.Desired(ctx)
+			state, next, err = p.parts.Feed.NextDesired(callCtx, position, call.Wait)
 		}
 		if err != nil {
-			loaded = loaded && !errors.Is(err, anvilglade.ErrHistoryGone)
 			return err
 		}
-		loaded = true
+		position = next
 		p.desiredWatch.revision.Store(uint64(position.Revision))
 		p.adopt(state, sourceStore)
 		return nil
-	}})
+	}
+	return p.watchStore(ctx, task)
 }
 
 // watchEvacuations watches the evacuated data centres in the store and
 // applies their changes.
 func (p *Process) watchEvacuations(ctx context.Context) error {
 	var position anvilglade.StorePosition
-	loaded := false
-	return p.watchStore(ctx, storeTask{what: whatEvacuations, health: &p.evacuationWatch, read: func(ctx context.Context) error {
+	task := storeTask{what: whatEvacuations, cycle: agwatch.NewCycle(p.settings.EvacuateWithin), health: &p.evacuationWatch}
+	task.read = func(ctx context.Context, call agwatch.Call) error {
+		callCtx, cancel := context.WithTimeout(ctx, call.Timeout)
+		defer cancel()
 		var update anvilglade.EvacuationUpdate
 		var err error
-		if loaded {
-			update, err = p.parts.Feed.NextEvacuations(ctx, position, p.watchWait())
+		if call.Whole {
+			update, err = p.parts.Feed.Evacuations(callCtx)
 		} else {
-			update, err = p.parts.Feed.Evacuations(ctx)
+			update, err = p.parts.Feed.NextEvacuations(callCtx, position, call.Wait)
 		}
-		loaded = err == nil
 		if err != nil {
 			return err
 		}
 		position = update.Position
 		p.evacuationWatch.revision.Store(uint64(position.Revision))
-		p.mu.Lock()
-		changed := p.fleet.AdoptEvacuations(&update, time.Now())
-		p.logEvacuations(sourceStore)
-		p.mu.Unlock()
-		if changed {
-			p.broadcast()
-		}
+		p.adoptEvacuations(&update)
 		return nil
-	}})
+	}
+	return p.watchStore(ctx, task)
+}
+
+// adoptEvacuations puts evacuations that were read from the store into effect.
+func (p *Process) adoptEvacuations(update *anvilglade.EvacuationUpdate) {
+	p.mu.Lock()
+	changed := p.fleet.AdoptEvacuations(update, time.Now())
+	p.logEvacuations(sourceStore)
+	p.mu.Unlock()
+	if changed {
+		p.broadcast()
+	}
 }
 
 // logEvacuations logs a change of the evacuations in effect, or of those that the restored
@@ -197,7 +207,8 @@
 func (p *Process) discover(ctx context.Context) error {
 	entry := agregistry.NewEntry(agregistry.NewRegistry(p.parts.Store, agregistry.KindBalancer), p.settings.IP, p.settings.Node)
 	listed := false
-	return p.watchStore(ctx, storeTask{what: "lists of processes", read: func(ctx context.Context) error {
+	cycle := agwatch.NewCycle(p.settings.ApplyWithin)
+	return p.watchStore(ctx, storeTask{what: "lists of processes", cycle: cycle, read: func(ctx context.Context, _ agwatch.Call) error {
 		if err := entry.Join(ctx, p.storeEra()); err != nil {
 			return err
 		}
--- a/internal/operate/agpacketbalancer/watch.go
+++ b/internal/operate/agpacketbalancer/watch.go
@@ -12,17 +12,10 @@
 	"github.com/anvilglade/anvilglade"
 	"github.com/anvilglade/anvilglade/internal/runtime/agtask"
 	"github.com/anvilglade/anvilglade/internal/state/agfleet"
+	"github.com/anvilglade/anvilglade/internal/state/agwatch"
 )
 
 const (
-	// minBackoff and maxBackoff bound the pause after a failed call to the store. The
-	// end of an outage is detected within maxBackoff.
-	minBackoff = 150 * time.Millisecond
-	maxBackoff = 1500 * time.Millisecond
-	// minStandbyBackoff and maxStandbyBackoff bound the pause of a standby, whose calls
-	// grow with the fleet. Primaries detect the end of an outage earlier.
-	minStandbyBackoff = 1500 * time.Millisecond
-	maxStandbyBackoff = 10 * time.Second
 	// rolePoll is the time between two checks whether this balancer has to watch.
 	rolePoll = 200 * time.Millisecond
 	// peerGrace is how long a balancer that has just started waits for the status of a
@@ -32,40 +25,23 @@
 	stateGrace = 150 * time.Millisecond
 	// startPoll is the time between two checks for peers during peerGrace.
 	startPoll = 10 * time.Millisecond
-	// batchDelay is the pause after a successful read. Changes in quick succession
-	// are read together, because each read costs a call to the store.
-	batchDelay = 150 * time.Millisecond
-	// shortWait and longWait are how long a watch waits for a change. A broken
-	// connection that returns no error is detected only after the wait. Meanwhile
-	// the balancers with a short wait report changes to the others.
-	shortWait = 4 * time.Second
-	longWait  = 25 * time.Second
 )
 
-// watchWait returns how long the next watch waits for a change. Each watch costs
-// a call to the store, so only a few balancers use the short wait.
-func (p *Process) watchWait() time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.fleet.UsesShortWait(time.Now()) {
-		return shortWait
-	}
-	return longWait
-}
-
 // storeTask is a read of the store that is repeated.
 type storeTask struct {
 	what string
+	// cycle schedules the calls.
+	cycle *agwatch.Cycle
 	// health describes the reads. Nil stands for a task that every balancer runs; its
 	// role determines the backoff only.
 	health *watchHealth
-	read   func(context.Context) error
+	// read performs a call.
+	read func(context.Context, agwatch.Call) error
 }
 
-// watchStore repeats a read of the store until the context ends, while this balancer
-// has to watch. It backs off while the store does not answer.
+// watchStore repeats calls to the store until the context ends, while this balancer has to
+// watch.
 func (p *Process) watchStore(ctx context.Context, task storeTask) error {
-	var backoff time.Duration
 	reachable := true
 	for ctx.Err() == nil {
 		role, err := p.awaitRole(ctx, task)
@@ -73,28 +49,27 @@
 			return err
 		}
 		called := time.Now()
-		err = task.read(ctx)
+		err = task.read(ctx, task.cycle.Next())
 		p.metrics.StoreCalls.WithLabelValues(task.what, outcomeOf(err)).Inc()
 		if ctx.Err() != nil {
 			break
 		}
+		pause := task.cycle.Record(err, role)
 		if err == nil || errors.Is(err, anvilglade.ErrHistoryGone) {
 			if !reachable {
 				p.log.WithField("What", task.what).Info("Store answers again.")
 			}
+			reachable = true
 			task.recordAnswer(role, time.Since(p.started))
-			reachable, backoff = true, 0
-			if err := agtask.Sleep(ctx, batchDelay); err != nil {
-				return err
+		} else {
+			if reachable {
+				p.logFailedRead(err, task, time.Since(called))
 			}
-			continue
-		}
-		if reachable {
-			p.logFailedRead(err, task, time.Since(called))
+			reachable = false
+			task.recordRole(anvilglade.WatchNone)
+			pause = pause/2 + rand.N(pause/2)
 		}
-		task.recordRole(anvilglade.WatchNone)
-		reachable, backoff = false, nextBackoff(backoff, role)
-		if err := agtask.Sleep(ctx, backoff/2+rand.N(backoff/2)); err != nil {
+		if err := agtask.Sleep(ctx, pause); err != nil {
 			return err
 		}
 	}
@@ -128,16 +103,6 @@
 	line.Warn("Store does not answer; the last state stays in effect.")
 }
 
-// nextBackoff returns the pause after another failed call of a balancer with a role;
-// former is the pause before the call, 0 if it was the first.
-func nextBackoff(former time.Duration, role anvilglade.StoreWatch) time.Duration {
-	low, high := minBackoff, maxBackoff
-	if role != anvilglade.WatchPrimary {
-		low, high = minStandbyBackoff, maxStandbyBackoff
-	}
-	return min(max(2*former, low), high)
-}
-
 // awaitRole waits until this balancer has to watch the store and returns its role.
 func (p *Process) awaitRole(ctx context.Context, task storeTask) (anvilglade.StoreWatch, error) {
 	if task.health == nil {
--- a/internal/state/agfleet/balancers.go
+++ b/internal/state/agfleet/balancers.go
@@ -129,14 +129,3 @@
 	}
 	return slices.Contains(large, a.Balancer) && !slices.Contains(large, b.Balancer)
 }
-
-// shortWaitCount is the number of balancers that watch the store with a short
-// wait. They detect early that a connection to it no longer delivers updates.
-const shortWaitCount = 4
-
-// UsesShortWait reports whether this balancer should watch the store with a
-// short wait: it is one of the first shortWaitCount balancers, in the order of
-// agrank, among the responsive ones that are not leaving.
-func (f *Fleet) UsesShortWait(now time.Time) bool {
-	return agrank.Position(f.members(now), f.options.Self) < shortWaitCount
-}
--- a/internal/state/agfleet/balancers_test.go
+++ b/internal/state/agfleet/balancers_test.go
@@ -11,7 +11,7 @@
 // Guards against a fleet in which no balancer detects a connection to the store
 // that delivers nothing, and against one in which all balancers query the store
 // every few seconds.
-func TestFewBalancersUseShortWait(t *testing.T) {
+func TestFewBalancersLeadTheWatches(t *testing.T) {
 	const balancers = 60
 	now := time.Unix(1_000_000, 0)
 	fleets := make([]*agfleet.Fleet, balancers)
@@ -27,34 +27,34 @@
 	for self := range fleets {
 		fleets[self] = agfleet.NewFleet(agfleet.Options{Self: balancerIP(self)})
 	}
-	shortWaiting := func(now time.Time) (list []int) {
+	leading := func(now time.Time) (list []int) {
 		for self, fleet := range fleets {
-			if fleet.UsesShortWait(now) {
+			if fleet.IsLeadWatcher(now) {
 				list = append(list, self)
 			}
 		}
 		return list
 	}
-	if list := shortWaiting(now); len(list) != balancers {
-		t.Errorf("%d of %d balancers use the short wait before their first statuses, want all", len(list), balancers)
+	if list := leading(now); len(list) != balancers {
+		t.Errorf("%d of %d balancers lead before their first statuses, want all", len(list), balancers)
 	}
 	update(now, 0, balancers, false)
-	first := shortWaiting(now)
+	first := leading(now)
 	if len(first) != 4 {
-		t.Errorf("balancers %v use the short wait, want 4 of them", first)
+		t.Errorf("balancers %v lead, want 4 of them", first)
 	}
 	// A leaving balancer is replaced. It does not receive its own status and
 	// still counts itself, so there are five.
 	update(now.Add(time.Second), first[0], first[0]+1, true)
-	if list := shortWaiting(now.Add(time.Second)); len(list) != 5 || list[0] > first[0] {
-		t.Errorf("balancers %v use the short wait after %d left", list, first[0])
+	if list := leading(now.Add(time.Second)); len(list) != 5 || list[0] > first[0] {
+		t.Errorf("balancers %v lead after %d left", list, first[0])
 	}
 	// A balancer whose statuses are missing is replaced in the same way.
 	later := now.Add(5 * time.Second)
 	update(later, 0, first[1], false)
 	update(later, first[1]+1, balancers, false)
-	list := shortWaiting(later)
+	list := leading(later)
 	if len(list) != 5 {
-		t.Errorf("balancers %v use the short wait while the statuses of %d are missing", list, first[1])
+		t.Errorf("balancers %v lead while the statuses of %d are missing", list, first[1])
 	}
 }
--- a/internal/state/agfleet/watchers.go
+++ b/internal/state/agfleet/watchers.go
@@ -15,6 +15,9 @@
 	// watchersPerCentre is the number of balancers of each data centre that watch the
 	// store, so that the state enters each data centre once and one watcher may fail.
 	watchersPerCentre = 2
+	// leadWatchers is the number of balancers that watch the store in whichever data centre
+	// they are, so that a deployment with few data centres has several watches.
+	leadWatchers = 4
 	// minHealthyWatchers is the number of other balancers with a working watch below
 	// which a balancer watches the store itself.
 	minHealthyWatchers = 2
@@ -28,7 +31,7 @@
 // agrank, whether the store answers them or not. A standby counts only standbys of a lower
 // rank as healthy watchers, so that a few of them remain when the primaries have failed.
 func (f *Fleet) WatchRole(now time.Time) anvilglade.StoreWatch {
-	if f.UsesShortWait(now) || now.Sub(f.fetchFailedAt) < fetchFailureWindow {
+	if f.IsLeadWatcher(now) || now.Sub(f.fetchFailedAt) < fetchFailureWindow {
 		return anvilglade.WatchPrimary
 	}
 	if f.localPosition(now) < watchersPerCentre {
@@ -40,6 +43,12 @@
 	return anvilglade.WatchNone
 }
 
+// IsLeadWatcher reports whether this balancer is one of the first leadWatchers balancers,
+// in the order of agrank, among the responsive ones that are not leaving.
+func (f *Fleet) IsLeadWatcher(now time.Time) bool {
+	return agrank.Position(f.members(now), f.options.Self) < leadWatchers
+}
+
 // healthyWatchers returns the number of other balancers on whose watches this one
 // relies.
 func (f *Fleet) healthyWatchers(now time.Time) int {
