Forget listed balancers that never send a status

Operators would see balancers that grow slower and larger for as long as they run. Cause: addresses that another process lists were kept for good if nothing runs there, and each of them received all statuses. Change: such addresses are removed after ForgetAfter, as silent ones are, and at most 2,000 are kept.

--- a/internal/operate/agpacketbalancer/process.go
+++ b/internal/operate/agpacketbalancer/process.go
@@ -150,7 +150,7 @@
 	}
 	now := time.Now()
 	fleet := agfleet.NewFleet(agfleet.Options{Self: settings.IP, DataCentre: settings.DataCentre, Regions: settings.Regions})
-	fleet.AddBalancers(settings.Seeds)
+	fleet.AddBalancers(settings.Seeds, now)
 	seed := uint64(now.UnixNano())
 	p := &Process{
 		settings:        settings,
--- a/internal/operate/agpacketbalancer/state.go
+++ b/internal/operate/agpacketbalancer/state.go
@@ -248,7 +248,7 @@
 	}
 	p.logFaults(faults)
 	p.mu.Lock()
-	p.fleet.AddBalancers(peers)
+	p.fleet.AddBalancers(peers, time.Now())
 	p.fleet.AdoptAgentList(agents, time.Now())
 	p.mu.Unlock()
 	p.broadcast()
@@ -267,6 +267,6 @@
 	return agpackettask.Reload(ctx, p.log, p.parts.Reload, func(settings anvilglade.PlatformSettings) {
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		p.fleet.AddBalancers(settings.Seeds)
+		p.fleet.AddBalancers(settings.Seeds, time.Now())
 	})
 }
--- a/internal/state/agfleet/balancers.go
+++ b/internal/state/agfleet/balancers.go
@@ -11,6 +11,11 @@
 	"github.com/anvilglade/anvilglade/internal/membership/agrank"
 )
 
+// maxUnconfirmed is the maximum number of listed balancers from which no status has been
+// received. It is above the number of balancers of a large deployment, all of which may be
+// listed before the first one answers.
+const maxUnconfirmed = 2000
+
 // peerInterval is the time between two regular statuses of a balancer to another one
 // in a small fleet. Changes of the desired state and of evacuations are sent at once.
 const peerInterval = 500 * time.Millisecond
@@ -37,9 +42,7 @@
 // added. Of the desired state it has only the version, so a newer one has to be
 // fetched; see NewerPeer.
 func (f *Fleet) UpdateBalancer(status anvilglade.BalancerStatus, now time.Time) bool {
-	for _, address := range status.Balancers {
-		f.addBalancer(address)
-	}
+	f.AddBalancers(status.Balancers, now)
 	if status.Balancer == f.options.Self {
 		return false
 	}
@@ -47,6 +50,9 @@
 	if ok && balancer.HasStatus && now.Sub(balancer.LastStatus) < restartAfter && !newer(status.Incarnation, status.Sequence, balancer.Incarnation, balancer.Sequence) {
 		return false
 	}
+	if ok && !balancer.HasStatus {
+		f.unconfirmed--
+	}
 	firstStatus := !ok || !balancer.HasStatus || balancer.Incarnation != status.Incarnation
 	f.balancers[status.Balancer] = &Balancer{BalancerStatus: status, LastStatus: now, HasStatus: true}
 	f.evacuations.Merge(&status.Evacuations, now)
@@ -63,17 +69,24 @@
 }
 
 // AddBalancers adds addresses on which balancers may run, such as the seeds.
-func (f *Fleet) AddBalancers(addresses []anvilglade.IPv4) {
+func (f *Fleet) AddBalancers(addresses []anvilglade.IPv4, now time.Time) {
 	for _, address := range addresses {
-		f.addBalancer(address)
+		f.addBalancer(address, now)
 	}
 }
 
-func (f *Fleet) addBalancer(address anvilglade.IPv4) {
+// addBalancer adds an address on which a balancer may run. Addresses from which no status
+// is received are limited in number and removed by Forget: a list may name VMs that have
+// left, or be wrong.
+func (f *Fleet) addBalancer(address anvilglade.IPv4, now time.Time) {
 	if _, ok := f.balancers[address]; ok || address == f.options.Self || address == (anvilglade.IPv4{}) {
 		return
 	}
-	f.balancers[address] = &Balancer{BalancerStatus: anvilglade.BalancerStatus{Balancer: address}}
+	if f.unconfirmed >= maxUnconfirmed {
+		return
+	}
+	f.unconfirmed++
+	f.balancers[address] = &Balancer{BalancerStatus: anvilglade.BalancerStatus{Balancer: address}, listedAt: now}
 }
 
 // Balancers returns the other balancers in unspecified order.
--- a/internal/state/agfleet/balancers_test.go
+++ b/internal/state/agfleet/balancers_test.go
@@ -58,3 +58,24 @@
 		t.Errorf("balancers %v lead while the statuses of %d are missing", list, first[1])
 	}
 }
+
+// Guards against lists of addresses that grow for good because nothing runs there.
+func TestListedBalancersWithoutAStatusAreForgotten(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	fleet := agfleet.NewFleet(agfleet.Options{Self: balancerIP(0)})
+	for sequence := range 400 {
+		var list []anvilglade.IPv4
+		for i := range 50 {
+			list = append(list, anvilglade.IPv4{10, 9, byte(sequence), byte(i)})
+		}
+		fleet.UpdateBalancer(anvilglade.BalancerStatus{Balancer: balancerIP(1), Incarnation: 1, Sequence: anvilglade.Sequence(sequence + 1), Balancers: list}, now)
+	}
+	if count := len(fleet.Balancers()); count > 2001 {
+		t.Errorf("%d addresses are kept", count)
+	}
+	fleet.Forget(now.Add(agfleet.ForgetAfter + time.Second))
+	fleet.AddBalancers([]anvilglade.IPv4{balancerIP(2)}, now)
+	if count := len(fleet.Balancers()); count != 1 {
+		t.Errorf("%d addresses are kept after %s, want the one that has just been listed", count, agfleet.ForgetAfter)
+	}
+}
--- a/internal/state/agfleet/fleet.go
+++ b/internal/state/agfleet/fleet.go
@@ -105,6 +105,8 @@
 	LastStatus time.Time
 	// HasStatus is set once a status has been received from the address.
 	HasStatus bool
+	// listedAt is the time at which the address was listed, if it has sent no status.
+	listedAt time.Time
 }
 
 // Fleet is one balancer's view of the fleet.
@@ -124,6 +126,8 @@
 	lastTick     time.Time
 	byService    map[anvilglade.ServiceID][]*Host
 	balancers    map[anvilglade.IPv4]*Balancer
+	// unconfirmed is the number of balancers without a status.
+	unconfirmed int
 	paths        map[anvilglade.DataCentreID]*centrePath
 	// fetchFailedAt is the time of the last RecordFetchFailure.
 	fetchFailedAt time.Time
@@ -219,9 +223,7 @@
 	if !ok || serviceChanged {
 		f.indexHosts()
 	}
-	for _, balancer := range status.Balancers {
-		f.addBalancer(balancer)
-	}
+	f.AddBalancers(status.Balancers, now)
 	return changed
 }
 
@@ -369,7 +371,7 @@
 }
 
 // Forget removes hosts, balancers and pending agents from which no status has
-// been received for ForgetAfter.
+// been received for ForgetAfter. Seeds have to be added again.
 func (f *Fleet) Forget(now time.Time) {
 	changed := false
 	for address, host := range f.hosts {
@@ -387,8 +389,12 @@
 		}
 	}
 	for address, balancer := range f.balancers {
-		if balancer.HasStatus && now.Sub(balancer.LastStatus) > ForgetAfter {
+		switch {
+		case balancer.HasStatus && now.Sub(balancer.LastStatus) > ForgetAfter:
+			delete(f.balancers, address)
+		case !balancer.HasStatus && now.Sub(balancer.listedAt) > ForgetAfter:
 			delete(f.balancers, address)
+			f.unconfirmed--
 		}
 	}
 }
--- a/internal/state/agfleet/model_test.go
+++ b/internal/state/agfleet/model_test.go
@@ -121,7 +121,7 @@
 func (m *model) startBalancer(i int, incarnation anvilglade.Incarnation) {
 	fleet := agfleet.NewFleet(agfleet.Options{Self: balancerIP(i), DataCentre: "dk1"})
 	for other := range modelBalancers {
-		fleet.AddBalancers([]anvilglade.IPv4{balancerIP(other)})
+		fleet.AddBalancers([]anvilglade.IPv4{balancerIP(other)}, m.now)
 	}
 	*m.balancers[i] = modelBalancer{fleet: fleet, incarnation: incarnation, agents: map[anvilglade.IPv4]anvilglade.AgentStatus{}}
 }
