Count statuses of balancers that an agent cannot decode

Cause: they were dropped without a trace, unlike all other messages. Change: they are counted in anvilglade_malformed_total with kind BalancerStatus. Result: tests of agpacketagent pass; no test of its own.

--- a/internal/operate/agpacketagent/status.go
+++ b/internal/operate/agpacketagent/status.go
@@ -47,6 +47,7 @@
 func (p *Process) handleBalancerStatus(datagram []byte, now time.Time) {
 	status, err := agmessage.ParseBalancerStatus(datagram)
 	if err != nil {
+		p.metrics.Malformed.WithLabelValues("BalancerStatus").Inc()
 		return
 	}
 	p.triggerStatusToNew(p.roster.HandleStatus(&status, now))
