Fetch a newer desired state from the next peer after a failure

Operators would see a change that does not reach a balancer which the store refuses, although most of its peers have it. Cause: the peer with the highest announced version was asked every 200 ms, whether it had sent that version or not. A peer that is unreachable over TCP, or announces a version that it does not have, hid the others. A state that is older than announced counts as a failure, and is still used if it is newer than the own one.

--- a/internal/operate/agpacketbalancer/state.go
+++ b/internal/operate/agpacketbalancer/state.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -32,6 +34,9 @@
 // any other is the address of a peer.
 const sourceStore = "store"
 
+// errOlderState means that a peer has sent an older desired state than it announces.
+var errOlderState = errors.New("desired state is older than announced")
+
 // Names of the two watches of the store in logs and metrics.
 const (
 	whatDesired     = "desired state"
@@ -161,11 +166,16 @@
 		fetchCtx, cancel := context.WithTimeout(ctx, fetchTimeout)
 		state, err := agtransfer.Fetch(fetchCtx, p.http, p.endpointOf(peer.Balancer, p.settings.InnerPort))
 		cancel()
+		if err == nil && state.Version < peer.Desired {
+			err = fmt.Errorf("balancer %s announces version %d and sends version %d: %w", peer.Balancer, peer.Desired, state.Version, errOlderState)
+		}
 		if err != nil {
 			p.mu.Lock()
-			p.fleet.RecordFetchFailure(time.Now())
+			p.fleet.RecordFetchFailure(peer.Balancer, time.Now())
 			p.mu.Unlock()
-			p.logFailure(err, "Peer with a newer desired state does not answer.")
+			p.logFailure(err, "Newer desired state of a peer cannot be fetched.")
+		}
+		if state.Version == 0 {
 			continue
 		}
 		p.adopt(state, peer.Balancer.String())
--- a/internal/state/agfleet/balancers.go
+++ b/internal/state/agfleet/balancers.go
@@ -54,7 +54,11 @@
 		f.unconfirmed--
 	}
 	firstStatus := !ok || !balancer.HasStatus || balancer.Incarnation != status.Incarnation
-	f.balancers[status.Balancer] = &Balancer{BalancerStatus: status, LastStatus: now, HasStatus: true}
+	updated := &Balancer{BalancerStatus: status, LastStatus: now, HasStatus: true}
+	if ok {
+		updated.fetchFailedAt = balancer.fetchFailedAt
+	}
+	f.balancers[status.Balancer] = updated
 	f.evacuations.Merge(&status.Evacuations, now)
 	f.addPending(status.Agents, now)
 	f.agentsListed = f.agentsListed || status.Settled
@@ -111,8 +115,9 @@
 }
 
 // NewerPeer returns the balancer with the newest desired state among the responsive
-// ones, preferably one of this data centre, and among those a large one. It returns
-// false if none has a newer one than this balancer.
+// ones, preferably one of this data centre, and among those a large one. Balancers from
+// which it could not be fetched a short time ago come last. It returns false if none has a
+// newer one than this balancer.
 func (f *Fleet) NewerPeer(now time.Time) (*Balancer, bool) {
 	var newer []*Balancer
 	for _, balancer := range f.balancers {
@@ -125,7 +130,7 @@
 	}
 	best, large := newer[0], agrank.Large(f.members(now))
 	for _, balancer := range newer[1:] {
-		if f.betterSource(balancer, best, large) {
+		if f.betterSource(balancer, best, large, now) {
 			best = balancer
 		}
 	}
@@ -133,7 +138,10 @@
 }
 
 // betterSource reports whether the desired state is rather fetched from a than from b.
-func (f *Fleet) betterSource(a, b *Balancer, large []anvilglade.IPv4) bool {
+func (f *Fleet) betterSource(a, b *Balancer, large []anvilglade.IPv4, now time.Time) bool {
+	if failed := a.fetchFailed(now); failed != b.fetchFailed(now) {
+		return !failed
+	}
 	if a.Desired != b.Desired {
 		return a.Desired > b.Desired
 	}
--- a/internal/state/agfleet/balancers_test.go
+++ b/internal/state/agfleet/balancers_test.go
@@ -79,3 +79,32 @@
 		t.Errorf("%d addresses are kept after %s, want the one that has just been listed", count, agfleet.ForgetAfter)
 	}
 }
+
+// Guards against a peer that announces a version which it does not send, and hides the
+// newer state of the others.
+func TestNewerPeerSkipsPeersThatCannotBeFetched(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	fleet := agfleet.NewFleet(agfleet.Options{Self: balancerIP(0), DataCentre: "dk1"})
+	fleet.AdoptDesired(anvilglade.DesiredState{Version: 3})
+	sequence := anvilglade.Sequence(0)
+	update := func() {
+		sequence++
+		fleet.UpdateBalancer(anvilglade.BalancerStatus{Balancer: balancerIP(1), Incarnation: 1, Sequence: sequence, Desired: 1 << 63, DataCentre: "dk1"}, now)
+		fleet.UpdateBalancer(anvilglade.BalancerStatus{Balancer: balancerIP(2), Incarnation: 1, Sequence: sequence, Desired: 5, DataCentre: "dk2"}, now)
+	}
+	update()
+	first, found := fleet.NewerPeer(now)
+	if !found || first.Balancer != balancerIP(1) {
+		t.Fatalf("first source is %v, want the newest", first)
+	}
+	fleet.RecordFetchFailure(first.Balancer, now)
+	now = now.Add(200 * time.Millisecond)
+	update()
+	if second, found := fleet.NewerPeer(now); !found || second.Balancer != balancerIP(2) {
+		t.Errorf("source after a failure is %v, want the other balancer", second)
+	}
+	fleet.AdoptDesired(anvilglade.DesiredState{Version: 5})
+	if last, found := fleet.NewerPeer(now); !found || last.Balancer != balancerIP(1) {
+		t.Errorf("source is %v, want the failed one, which is the only newer one", last)
+	}
+}
--- a/internal/state/agfleet/fleet.go
+++ b/internal/state/agfleet/fleet.go
@@ -107,6 +107,8 @@
 	HasStatus bool
 	// listedAt is the time at which the address was listed, if it has sent no status.
 	listedAt time.Time
+	// fetchFailedAt is the time of the last RecordFetchFailure for the balancer.
+	fetchFailedAt time.Time
 }
 
 // Fleet is one balancer's view of the fleet.
--- a/internal/state/agfleet/watchers.go
+++ b/internal/state/agfleet/watchers.go
@@ -69,8 +69,16 @@
 
 // RecordFetchFailure records that a newer desired state could not be fetched from a
 // peer.
-func (f *Fleet) RecordFetchFailure(now time.Time) {
+func (f *Fleet) RecordFetchFailure(peer anvilglade.IPv4, now time.Time) {
 	f.fetchFailedAt = now
+	if balancer, ok := f.balancers[peer]; ok {
+		balancer.fetchFailedAt = now
+	}
+}
+
+// fetchFailed reports whether the last fetch from a balancer has failed a short time ago.
+func (b *Balancer) fetchFailed(now time.Time) bool {
+	return !b.fetchFailedAt.IsZero() && now.Sub(b.fetchFailedAt) < fetchFailureWindow
 }
 
 // PeerState reports whether any other balancer has sent a status, and whether one of
--- a/internal/state/agfleet/watchers_test.go
+++ b/internal/state/agfleet/watchers_test.go
@@ -156,7 +156,7 @@
 		if member.WatchRole(fleet.now) != anvilglade.WatchNone {
 			continue
 		}
-		member.RecordFetchFailure(fleet.now)
+		member.RecordFetchFailure(balancerIP(0), fleet.now)
 		if role := member.WatchRole(fleet.now); role != anvilglade.WatchPrimary {
 			t.Errorf("balancer %d has role %d after a failed fetch, want %d", i, role, anvilglade.WatchPrimary)
 		}
