--- a/internal/state/agfleet/fleet.go
+++ b/internal/state/agfleet/fleet.go
@@ -130,7 +130,7 @@
 	balancers    map[anvilglade.IPv4]*Balancer
 	// unconfirmed is the number of balancers without a status.
 	unconfirmed int
-	paths        map[anvilglade.DataCentreID]*centrePath
+	paths       map[anvilglade.DataCentreID]*centrePath
 	// fetchFailedAt is the time of the last RecordFetchFailure.
 	fetchFailedAt time.Time
 	// ejected lists the hosts that have been ejected since the last TakeEjected.
