--- a/internal/stand/agapi/backend.go
+++ b/internal/stand/agapi/backend.go
@@ -93,6 +93,7 @@
 	defer end.Stop()
 	poll := time.NewTicker(stalePoll)
 	defer poll.Stop()
+	dropped := s.whenDropped()
 	for {
 		changed := s.objects.Changed()
 		if s.faults.active().Outage {
@@ -111,6 +112,9 @@
 		case <-poll.C:
 		case <-end.C:
 			return nil, position, nil
+		case <-dropped:
+			<-ctx.Done()
+			return nil, anvilglade.StorePosition{}, ctx.Err()
 		case <-ctx.Done():
 			return nil, anvilglade.StorePosition{}, ctx.Err()
 		}
--- a/internal/stand/agapi/server.go
+++ b/internal/stand/agapi/server.go
@@ -20,6 +20,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -63,6 +64,10 @@
 	writes  *rate.Limiter
 	mux     *http.ServeMux
 
+	// dropped is closed when the watches that wait are dropped.
+	droppedMu sync.Mutex
+	dropped   chan struct{}
+
 	readCount, writeCount, watchCount, refused, conflicts, lost, unavailable atomic.Uint64
 }
 
@@ -83,6 +88,7 @@
 		reads:   rate.NewLimiter(rate.Limit(options.ReadsPerSecond), int(options.ReadsPerSecond)),
 		writes:  rate.NewLimiter(rate.Limit(options.WritesPerSecond), int(options.WritesPerSecond)),
 		mux:     http.NewServeMux(),
+		dropped: make(chan struct{}),
 	}
 	s.mux.Handle("/objects/", s.withFaults(agplatform.NewStoreHandler(&backend{server: s})))
 	s.mux.HandleFunc("POST /control", s.serveControl)
@@ -105,6 +111,22 @@
 	return nil
 }
 
+// DropWatches leaves all watches that wait now without an answer for good, as a store does
+// that has lost them. Their connections stay open, and later calls are answered.
+func (s *Server) DropWatches() {
+	s.droppedMu.Lock()
+	defer s.droppedMu.Unlock()
+	close(s.dropped)
+	s.dropped = make(chan struct{})
+}
+
+// whenDropped returns a channel that is closed by the next DropWatches.
+func (s *Server) whenDropped() <-chan struct{} {
+	s.droppedMu.Lock()
+	defer s.droppedMu.Unlock()
+	return s.dropped
+}
+
 // Counts returns the numbers of calls received so far.
 func (s *Server) Counts() Counts {
 	return Counts{
--- a/internal/stand/agemulator/scenario.go
+++ b/internal/stand/agemulator/scenario.go
@@ -143,24 +143,26 @@
 	return errors.Join(faults...)
 }
 
-// connectionShare, demandShare and restoreShare are the numbers of troubles that break
-// connections to the store, of those that change what callers demand of the hosts, and of
-// restorations of the store, as shares of the number of other troubles.
+// Numbers of troubles that break connections to the store, of those that change what
+// callers demand of the hosts, of restorations of the store and of dropped watches, as shares
+// of the number of other troubles.
 const (
 	connectionShare = 0.25
 	demandShare     = 0.25
 	restoreShare    = 0.25
+	watchesShare    = 0.25
 )
 
-// DrawTroubles returns count random troubles, and connectionShare, demandShare and
-// restoreShare times as many of the three other groups. Their times are random and may overlap. Each
+// DrawTroubles returns count random troubles, and connectionShare, demandShare, restoreShare
+// and watchesShare times as many of the four other groups. Their times are random and may overlap. Each
 // group is drawn after the former ones, so that it does not change which of their
 // troubles a seed produces.
 func DrawTroubles(random *rand.Rand, duration time.Duration, count int) []Trouble {
 	list := draw(random, duration, count, troubleKinds(groupMain))
 	list = append(list, draw(random, duration, int(connectionShare*float64(count)), troubleKinds(groupConnections))...)
 	list = append(list, draw(random, duration, int(demandShare*float64(count)), troubleKinds(groupDemand))...)
-	return append(list, draw(random, duration, int(restoreShare*float64(count)), troubleKinds(groupRestore))...)
+	list = append(list, draw(random, duration, int(restoreShare*float64(count)), troubleKinds(groupRestore))...)
+	return append(list, draw(random, duration, int(watchesShare*float64(count)), troubleKinds(groupWatches))...)
 }
 
 func draw(random *rand.Rand, duration time.Duration, count int, kinds []string) []Trouble {
--- a/internal/stand/agemulator/troubles.go
+++ b/internal/stand/agemulator/troubles.go
@@ -47,6 +47,7 @@
 		"Burst":         burst,
 		"ColdReturn":    coldReturn,
 		"RestoreStore":  restoreStore,
+		"DropWatches":   dropWatches,
 	}
 	for kind, fault := range connectionTroubles {
 		troubleHandlers[kind] = func(ctx context.Context, f *fleet, t Trouble) error {
@@ -74,6 +75,7 @@
 	groupConnections
 	groupDemand
 	groupRestore
+	groupWatches
 )
 
 // groupOf returns the group of a kind.
@@ -86,6 +88,8 @@
 		return groupDemand
 	case "RestoreStore":
 		return groupRestore
+	case "DropWatches":
+		return groupWatches
 	}
 	return groupMain
 }
@@ -274,6 +278,13 @@
 	return f.checkApplied(ctx, t.Index%f.scenario.DataCentres, added, control)
 }
 
+// dropWatches leaves the watches of the store that wait without an answer. Operators add a
+// route right after it, which must be served as if nothing had happened.
+func dropWatches(ctx context.Context, f *fleet, t Trouble) error {
+	f.store.DropWatches()
+	return changeRoutes(ctx, f, t)
+}
+
 func storeOutage(_ context.Context, f *fleet, t Trouble) error {
 	return f.injectStoreFaults(t, agapi.Faults{Outage: true})
 }
--- a/test/integration/packets_test.go
+++ b/test/integration/packets_test.go
@@ -72,6 +72,7 @@
 		Entry("during an overload by two classes", "Overload", 0.4),
 		Entry("while one service of a route has no host", "Split", 0.9),
 		Entry("while balancers of unequal size fail", "UnevenBalancers", 0.9),
+		Entry("while the store leaves watches unanswered", "DroppedWatches", 0.9),
 	)
 
 	// Guards against faults that only certain sequences of troubles trigger. Runs
