review: case 3, a flow from a port that was used before goes to the old service

Tried: 30 flows closed by both ends, their route moved to another service 1 s later, new flows from the same ports 16.5 s after the end of the first ones.

--- a/review/.stand/client.go
+++ b/review/.stand/client.go
@@ -44,19 +44,49 @@
 	ip   string
 	udp  *net.UDPConn
 
+	// out and in carry packets with the one-way delay between clients and machines.
+	out chan delayed
+	in  chan delayed
+
 	mu       sync.Mutex
 	flows    map[flowKey]*clientFlow
 	nextPort uint16
 }
 
+// clientDelay is the one-way delay between clients and machines, 3 ms on the sheets.
+const clientDelay = 3 * time.Millisecond
+
+// delayed is a packet on its way.
+type delayed struct {
+	due time.Time
+	raw []byte
+	to  netip.AddrPort
+}
+
+// carry passes packets on in their order when they are due.
+func carry(packets <-chan delayed, pass func(delayed)) {
+	for packet := range packets {
+		time.Sleep(time.Until(packet.due))
+		pass(packet)
+	}
+}
+
 func (w *world) newClient(zone, ip string) (*client, error) {
 	udp, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.MustParseAddrPort(fmt.Sprintf("%s:%d", ip, w.ports.datagram))))
 	if err != nil {
 		return nil, err
 	}
 	_ = udp.SetReadBuffer(4 << 20)
-	c := &client{w: w, zone: zone, ip: ip, udp: udp, flows: make(map[flowKey]*clientFlow), nextPort: 20000}
+	c := &client{w: w, zone: zone, ip: ip, udp: udp, flows: make(map[flowKey]*clientFlow), nextPort: 20000, out: make(chan delayed, 10000), in: make(chan delayed, 10000)}
 	go c.read()
+	go carry(c.out, func(packet delayed) { _, _ = c.udp.WriteToUDPAddrPort(packet.raw, packet.to) })
+	go carry(c.in, func(packet delayed) {
+		if p, ok := decode(packet.raw); ok {
+			c.handle(packet.raw, &p)
+			return
+		}
+		c.w.violation("MIXED: client %s got bytes that are no packet: %x", c.ip, packet.raw)
+	})
 	return c, nil
 }
 
@@ -67,13 +97,7 @@
 		if err != nil {
 			return
 		}
-		raw := append([]byte(nil), buffer[:n]...)
-		p, ok := decode(raw)
-		if !ok {
-			c.w.violation("MIXED: client %s got bytes that are no packet: %x", c.ip, raw)
-			continue
-		}
-		c.handle(raw, &p)
+		c.in <- delayed{due: time.Now().Add(clientDelay), raw: append([]byte(nil), buffer[:n]...)}
 	}
 }
 
@@ -137,14 +161,22 @@
 	if !ok {
 		return
 	}
-	_, _ = c.udp.WriteToUDPAddrPort(p.encode(), to)
+	c.out <- delayed{due: time.Now().Add(clientDelay), raw: p.encode(), to: to}
 }
 
 // openFlow opens a flow from a new port, or returns nil if the attempt has ended.
 func (c *client) openFlow(service end) *clientFlow {
 	c.mu.Lock()
 	c.nextPort++
-	key := flowKey{client: end{ip: ip4(c.ip), port: c.nextPort}, service: service}
+	port := c.nextPort
+	c.mu.Unlock()
+	return c.openFrom(port, service)
+}
+
+// openFrom opens a flow from a port on which the client has no open flow.
+func (c *client) openFrom(port uint16, service end) *clientFlow {
+	c.mu.Lock()
+	key := flowKey{client: end{ip: ip4(c.ip), port: port}, service: service}
 	flow := &clientFlow{c: c, key: key, seq: rand.Uint32(), wake: make(chan struct{}, 1), answers: make(map[string]string)}
 	c.flows[key] = flow
 	c.send(flow, flagSYN, flow.seq, nil)
--- a/review/.stand/host.go
+++ b/review/.stand/host.go
@@ -20,9 +20,11 @@
 // hostFlow is what a host knows of a flow.
 type hostFlow struct {
 	iss, next uint32
-	open      bool
-	ended     bool
-	answer    []byte
+	// syn is the sequence number of the opening packet.
+	syn    uint32
+	open   bool
+	ended  bool
+	answer []byte
 	// sent is the number of bytes of answers, answerSeq the sequence number of the last.
 	sent, answerSeq uint32
 	takenAt         time.Time
@@ -157,13 +159,14 @@
 	flow := h.flows[key]
 	switch {
 	case p.flags&(flagSYN|flagACK) == flagSYN:
-		if flow == nil {
-			flow = &hostFlow{iss: rand.Uint32(), next: p.seq + 1, takenAt: time.Now(), copyNumber: p.ack}
+		if flow == nil || flow.ended && flow.syn != p.seq {
+			flow = &hostFlow{iss: rand.Uint32(), syn: p.seq, next: p.seq + 1, takenAt: time.Now(), copyNumber: p.ack}
 			h.flows[key] = flow
 			h.w.taken(h, key, flow)
 		}
 		h.send(key, flagSYN|flagACK, flow.iss, p.seq+1, nil)
 	case flow == nil || !flow.open && p.ack != flow.iss+1:
+		h.w.note("host %s returns a packet of flow %s:%d, flags %d, %d bytes, known=%v", h.id, netip.AddrFrom4(p.src.ip), p.src.port, p.flags, len(p.data), flow != nil)
 		raw[12] |= flagBounced
 		raw[13] = 0
 		h.write(raw)
@@ -193,6 +196,7 @@
 	case len(p.data) > 0 && flow.answer != nil:
 		h.send(key, flagACK, flow.answerSeq, flow.next, flow.answer)
 	case len(p.data) > 0:
+		h.w.note("host %s gets data of flow %s:%d out of order", h.id, netip.AddrFrom4(p.src.ip), p.src.port)
 		h.send(key, flagACK, flow.iss+1+flow.sent, flow.next, nil)
 	}
 }
--- a/review/.stand/main.go
+++ b/review/.stand/main.go
@@ -17,6 +17,7 @@
 
 var cases = map[string]func(ctx context.Context, recordPath string, trouble bool) (int, error){
 	"idle-before-first-request":     idleBeforeFirstRequest,
+	"port-used-again":               portUsedAgain,
 	"cold-after-evacuation":         coldAfterEvacuation,
 	"agent-killed-beside-cold-host": agentKilledBesideColdHost,
 }
