--- a/review/.stand/main.go
+++ b/review/.stand/main.go
@@ -6,8 +6,17 @@
 	"context"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
 )
 
+// longest is the time after which a case that has not ended is stopped.
+const longest = 110 * time.Second
+
+// current is the deployment of the case.
+var current = &world{}
+
 // Exit codes.
 const (
 	exitHeld   = 0
@@ -28,10 +37,25 @@
 		os.Exit(exitFailed)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	code, err := cases[os.Args[1]](ctx, os.Args[2], os.Getenv("TROUBLE") != "0")
-	cancel()
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "stand:", err)
+	ended := make(chan int, 1)
+	go func() {
+		code, err := cases[os.Args[1]](ctx, os.Args[2], os.Getenv("TROUBLE") != "0")
+		if err != nil {
+			fmt.Fprintln(os.Stderr, "stand:", err)
+		}
+		ended <- code
+	}()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	select {
+	case code := <-ended:
+		cancel()
+		os.Exit(code)
+	case <-signals:
+	case <-time.After(longest):
+		fmt.Fprintln(os.Stderr, "stand: the case takes too long")
 	}
-	os.Exit(code)
+	cancel()
+	current.stopAll()
+	os.Exit(exitFailed)
 }
--- a/review/.stand/world.go
+++ b/review/.stand/world.go
@@ -56,6 +56,10 @@
 	// OnTaken is called for each opening packet that a host takes.
 	onTaken func(*host, flowKey, *hostFlow)
 
+	// startMu guards stopped and the start of processes.
+	startMu sync.Mutex
+	stopped bool
+
 	started    time.Time
 	mu         sync.Mutex
 	record     *os.File
@@ -80,6 +84,7 @@
 		root: root, dir: dir, zones: zones, beat: 770 * time.Millisecond, store: newStore(), started: time.Now(), record: record, runs: make(map[string]int),
 		prefix: fmt.Sprintf("127.%d.%d", 64+rand.IntN(128), rand.IntN(250)),
 	}
+	current = w
 	base, err := w.freePorts()
 	if err != nil {
 		return nil, err
@@ -204,6 +209,11 @@
 	if err := m.writeSettings(); err != nil {
 		return err
 	}
+	m.w.startMu.Lock()
+	defer m.w.startMu.Unlock()
+	if m.w.stopped {
+		return errors.New("the case has ended")
+	}
 	log, err := os.OpenFile(filepath.Join(m.w.dir, m.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
@@ -258,8 +268,15 @@
 	return m.start()
 }
 
-// stopAll ends all processes and removes the temporary folder.
+// stopAll ends all processes and removes the temporary folder. No process is started
+// afterwards.
 func (w *world) stopAll() {
+	w.startMu.Lock()
+	defer w.startMu.Unlock()
+	if w.stopped {
+		return
+	}
+	w.stopped = true
 	for _, m := range append(append([]*machine(nil), w.fronts...), w.sides...) {
 		m.mu.Lock()
 		command, done := m.command, m.done
