--- a/review/.stand/cold.go
+++ b/review/.stand/cold.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"sort"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -120,13 +119,17 @@
 	return exitHeld
 }
 
-// deploy starts two zones with two balancers and two hosts each.
-func (w *world) deploy(ctx context.Context) ([]*host, []*client, error) {
+// deploy starts a number of balancers and hosts in each zone, and one client in each.
+func (w *world) deploy(ctx context.Context, fronts, sides int) ([]*host, []*client, error) {
 	var hosts []*host
-	for i, zone := range []string{"za", "za", "zb", "zb"} {
-		w.addFront(fmt.Sprintf("front-%s-%d", zone, i+1), zone, w.ip(10+i))
-		side := w.addSide(fmt.Sprintf("side-%s-%d", zone, i+1), zone, w.ip(20+i), "desk")
-		hosts = append(hosts, w.newHost(fmt.Sprintf("i-%s-%d", zone, i+1), "desk", zone, side.ip))
+	for i, zone := range w.zones {
+		for j := range fronts {
+			w.addFront(fmt.Sprintf("front-%s-%d", zone, j+1), zone, w.ip(10+10*i+j))
+		}
+		for j := range sides {
+			side := w.addSide(fmt.Sprintf("side-%s-%d", zone, j+1), zone, w.ip(50+10*i+j), "desk")
+			hosts = append(hosts, w.newHost(fmt.Sprintf("i-%s-%d", zone, j+1), "desk", zone, side.ip))
+		}
 	}
 	w.store.put("config", "main", configSpec(7, []map[string]any{routeSpec("r-1", 1, "desk", "download")}, []map[string]any{serviceSpec("desk", coldPerS)}))
 	if err := w.startAll(ctx); err != nil {
@@ -141,7 +144,7 @@
 		time.Sleep(170 * time.Millisecond)
 	}
 	var clients []*client
-	for i, zone := range []string{"za", "zb"} {
+	for i, zone := range w.zones {
 		c, err := w.newClient(zone, w.ip(100+i))
 		if err != nil {
 			return nil, nil, err
@@ -169,7 +172,7 @@
 	}
 	defer w.stopAll()
 	seen := &arrivals{byHost: make(map[*host][]arrival)}
-	hosts, clients, err := w.deploy(ctx)
+	hosts, clients, err := w.deploy(ctx, 2, 2)
 	if err != nil {
 		return exitFailed, err
 	}
@@ -197,47 +200,3 @@
 	time.Sleep(500 * time.Millisecond)
 	return w.judgeCold(seen, returned), nil
 }
-
-// agentKilledBesideColdHost adds a host during traffic, which is cold, and kills the agent
-// beside it.
-func agentKilledBesideColdHost(ctx context.Context, recordPath string, trouble bool) (int, error) {
-	const (
-		perSecond = 150
-		killAfter = 400 * time.Millisecond
-	)
-	w, err := newWorld(recordPath, []string{"za", "zb"})
-	if err != nil {
-		return exitFailed, err
-	}
-	defer w.stopAll()
-	seen := &arrivals{byHost: make(map[*host][]arrival)}
-	_, clients, err := w.deploy(ctx)
-	if err != nil {
-		return exitFailed, err
-	}
-	w.onTaken = seen.record(clients)
-	load, stop := context.WithCancel(ctx)
-	defer stop()
-	go offer(load, clients, serviceEnd(1), perSecond)
-	time.Sleep(3 * time.Second)
-	side := w.addSide("side-za-5", "za", w.ip(24), "desk")
-	added := w.newHost("i-za-5", "desk", "za", side.ip)
-	if err := side.start(); err != nil {
-		return exitFailed, err
-	}
-	time.Sleep(2 * time.Second)
-	added.turnCold(coldFor)
-	if err := added.start(ctx); err != nil {
-		return exitFailed, err
-	}
-	if trouble {
-		time.Sleep(killAfter)
-		if err := side.restart(syscall.SIGKILL); err != nil {
-			return exitFailed, err
-		}
-	}
-	time.Sleep(4 * time.Second)
-	stop()
-	time.Sleep(500 * time.Millisecond)
-	return w.judgeCold(seen, []*host{added}), nil
-}
--- a/review/.stand/host.go
+++ b/review/.stand/host.go
@@ -49,6 +49,7 @@
 	control  string
 	udp      *net.UDPConn
 	http     *http.Server
+	end      context.CancelFunc
 
 	mu        sync.Mutex
 	flows     map[flowKey]*hostFlow
@@ -78,6 +79,7 @@
 	if err != nil {
 		return err
 	}
+	ctx, h.end = context.WithCancel(ctx)
 	h.udp, h.born = udp, time.Now()
 	h.http = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })}
 	go func() { _ = h.http.Serve(listener) }()
--- a/review/.stand/main.go
+++ b/review/.stand/main.go
@@ -25,10 +25,10 @@
 )
 
 var cases = map[string]func(ctx context.Context, recordPath string, trouble bool) (int, error){
-	"idle-before-first-request":     idleBeforeFirstRequest,
-	"port-used-again":               portUsedAgain,
-	"cold-after-evacuation":         coldAfterEvacuation,
-	"agent-killed-beside-cold-host": agentKilledBesideColdHost,
+	"idle-before-first-request": idleBeforeFirstRequest,
+	"port-used-again":           portUsedAgain,
+	"zone-loses-power":          zoneLosesPower,
+	"cold-after-evacuation":     coldAfterEvacuation,
 }
 
 func main() {
