--- a/review/.stand/client.go
+++ b/review/.stand/client.go
@@ -127,6 +127,9 @@
 			flow.open, flow.ack, flow.seq, flow.opened = true, p.seq+1, flow.seq+1, time.Now()
 			c.send(flow, flagACK, flow.seq, nil)
 		}
+	case p.flags&flagFIN != 0 && flow.open:
+		flow.ack = p.seq + 1
+		c.send(flow, flagACK, p.ack, nil)
 	case len(p.data) > 0 && flow.open:
 		text := string(p.data)
 		id := text[strings.LastIndexByte(text, ' ')+1:]
