--- a/review/.stand/client.go
+++ b/review/.stand/client.go
@@ -267,6 +267,14 @@
 	})
 }
 
+// abort ends the flow by a reset, as a client does that gives up.
+func (f *clientFlow) abort() {
+	f.c.mu.Lock()
+	defer f.c.mu.Unlock()
+	f.c.send(f, flagRST|flagACK, f.seq, nil)
+	delete(f.c.flows, f.key)
+}
+
 func (f *clientFlow) name() string {
 	return fmt.Sprintf("%s:%d", netip.AddrFrom4(f.key.client.ip), f.key.client.port)
 }
--- a/review/.stand/host.go
+++ b/review/.stand/host.go
@@ -56,16 +56,22 @@
 	sequence  int
 	coldSince time.Time
 	coldUntil time.Time
-	busy      int
-	queue     []func()
-	beats     []time.Time
+	// draining is set from the moment at which the host says that it leaves, drainedAt is
+	// the time of the first acknowledgement of that.
+	draining  bool
+	drainedAt time.Time
+	// requests has the requests that the host has begun to work on.
+	requests map[string]bool
+	busy     int
+	queue    []func()
+	beats    []time.Time
 }
 
 func (w *world) newHost(id, service, zone, ip string) *host {
 	return &host{
 		w: w, id: id, service: service, zone: zone, ip: ip, slots: 7, work: 5 * time.Millisecond, beat: w.beat,
 		outbound: netip.MustParseAddrPort(fmt.Sprintf("%s:%d", ip, w.ports.outbound)), control: fmt.Sprintf("%s:%d", ip, w.ports.control),
-		flows: make(map[flowKey]*hostFlow),
+		flows: make(map[flowKey]*hostFlow), requests: make(map[string]bool),
 	}
 }
 
@@ -106,8 +112,12 @@
 	h.mu.Lock()
 	h.sequence++
 	now := time.Now()
+	state := "ready"
+	if h.draining {
+		state = "draining"
+	}
 	body, _ := json.Marshal(map[string]any{
-		"service": h.service, "address": fmt.Sprintf("%s:%d", h.ip, h.w.ports.app), "zone": h.zone, "version": "v1", "slots": h.slots, "state": "ready",
+		"service": h.service, "address": fmt.Sprintf("%s:%d", h.ip, h.w.ports.app), "zone": h.zone, "version": "v1", "slots": h.slots, "state": state,
 		"cold_left_ms": max(0, h.coldUntil.Sub(now).Milliseconds()), "sequence": h.sequence, "born": h.born.UnixMilli(),
 	})
 	number := h.sequence
@@ -122,8 +132,11 @@
 	}
 	h.mu.Lock()
 	h.beats = append(h.beats, now)
+	if ok && state == "draining" && h.drainedAt.IsZero() {
+		h.drainedAt = time.Now()
+	}
 	h.mu.Unlock()
-	h.w.note("host %s heartbeat %d acknowledged=%v cold=%v", h.id, number, ok, now.Before(h.coldUntil))
+	h.w.note("host %s heartbeat %d %s acknowledged=%v cold=%v", h.id, number, state, ok, now.Before(h.coldUntil))
 	return ok
 }
 
@@ -207,6 +220,7 @@
 func (h *host) run(key flowKey, flow *hostFlow, id string) {
 	job := func() {
 		h.busy++
+		h.requests[id] = true
 		h.w.ran(h, key, id)
 		work := h.work
 		if time.Now().Before(h.coldUntil) {
@@ -220,6 +234,10 @@
 			flow.answerSeq = flow.iss + 1 + flow.sent
 			flow.sent += uint32(len(flow.answer))
 			h.send(key, flagACK, flow.answerSeq, flow.next, flow.answer)
+			if h.draining {
+				// A draining host closes each flow after its next response.
+				h.send(key, flagFIN|flagACK, flow.iss+1+flow.sent, flow.next, nil)
+			}
 			if len(h.queue) > 0 {
 				next := h.queue[0]
 				h.queue = h.queue[1:]
