--- a/review/.stand/reuse.go
+++ b/review/.stand/reuse.go
@@ -16,7 +16,7 @@
 		timeLimit = 4 * time.Second
 		// againAfter is the time from the end of the former flows to the use of their
 		// ports. It is above idle_timeout_ms, 15 s.
-		againAfter = 25 * time.Second
+		againAfter = 45 * time.Second
 		gap        = 5 * time.Millisecond
 		// askAfter is the time from the signal to the next request on each flow: the
 		// routers use the other balancer by then.
@@ -113,8 +113,8 @@
 	ask := func(kind, id string, flow *clientFlow) {
 		defer group.Done()
 		h := holderOf(flow)
-		if h == nil {
-			w.note("no host holds flow %s before request %s", flow.name(), id)
+		if h == nil || flow.wasReset() {
+			w.note("request %s is not sent: flow %s was reset before", id, flow.name())
 			return
 		}
 		got := flow.request(id, timeLimit)
@@ -125,19 +125,28 @@
 		results[kind][got]++
 		mu.Unlock()
 	}
-	for i := range flows {
-		kind := "another host"
-		if holderOf(again[i]) == formerHost[ports[i]] {
-			kind = "former host"
+	// The second round comes when the restarted balancer has its flows again.
+	for round := range 2 {
+		if round == 1 {
+			if err := <-restarted; err != nil {
+				return exitFailed, err
+			}
+			if err := w.awaitReady(10 * time.Second); err != nil {
+				return exitFailed, err
+			}
+			time.Sleep(time.Second)
 		}
-		group.Add(2)
-		go ask(kind, fmt.Sprintf("second-again-%d", i), again[i])
-		go ask("new port", fmt.Sprintf("second-fresh-%d", i), fresh[i])
-		time.Sleep(gap / 2)
-	}
-	group.Wait()
-	if err := <-restarted; err != nil {
-		return exitFailed, err
+		for i := range flows {
+			kind := "another host"
+			if formerHost[ports[i]].holds(again[i].key) {
+				kind = "former host"
+			}
+			group.Add(2)
+			go ask(kind, fmt.Sprintf("round-%d-again-%d", round, i), again[i])
+			go ask("new port", fmt.Sprintf("round-%d-fresh-%d", round, i), fresh[i])
+			time.Sleep(gap / 2)
+		}
+		group.Wait()
 	}
 	w.note("results: %s, broken: %d", jsonText(results), w.violations)
 	fmt.Printf("results: %s, broken: %d\n", jsonText(results), w.violations)
@@ -147,6 +156,13 @@
 	return exitHeld, nil
 }
 
+// wasReset reports whether the client has got a reset of the flow.
+func (f *clientFlow) wasReset() bool {
+	f.c.mu.Lock()
+	defer f.c.mu.Unlock()
+	return f.reset != ""
+}
+
 // runsOf returns how often hosts have begun to work on a request.
 func (w *world) runsOf(id string) int {
 	w.mu.Lock()
