review: case 3, the draining host leaves while it has the late requests

Tried: requests take 40 ms, and the host leaves 100 ms after the new flows, 4.1 s after its draining was acknowledged.

--- a/review/.stand/drain.go
+++ b/review/.stand/drain.go
@@ -32,6 +32,9 @@
 	if response, err := client.Do(request); err == nil {
 		_ = response.Body.Close()
 	}
+	h.mu.Lock()
+	h.gone = true
+	h.mu.Unlock()
 	_ = h.udp.Close()
 	_ = h.http.Close()
 	h.w.note("host %s has left", h.id)
@@ -47,6 +50,11 @@
 		// drainBefore the time from the start of draining to that.
 		againAfter  = 16500 * time.Millisecond
 		drainBefore = 4 * time.Second
+		// leaveAfter is the time from the new flows to the end of the draining host, which
+		// is then 1.1 s above drain_ms after the acknowledgement.
+		leaveAfter = 100 * time.Millisecond
+		// work is the mean time of a request of the site's largest class.
+		work = 40 * time.Millisecond
 		// firstGap is the time between two of the former flows.
 		firstGap = 5 * time.Millisecond
 	)
@@ -60,6 +68,11 @@
 		return exitFailed, err
 	}
 	leaving, c := hosts[0], clients[0]
+	for _, h := range hosts {
+		h.mu.Lock()
+		h.work = work
+		h.mu.Unlock()
+	}
 	var group sync.WaitGroup
 	var mu sync.Mutex
 	var atLeaving, atOthers []uint16
@@ -105,29 +118,40 @@
 		w.note("host %s is draining, acknowledged", leaving.id)
 	}
 	time.Sleep(time.Until(ended.Add(againAfter)))
+	takenLate := make(map[uint16]time.Duration)
 	w.onTaken = func(h *host, key flowKey, taken *hostFlow) {
-		if h != leaving || drained.IsZero() || taken.copyNumber > 2 {
-			return
-		}
-		late := taken.takenAt.Sub(drained)
-		if late > drainMS {
-			w.note("host %s takes flow from port %d %s after its draining was acknowledged", h.id, key.client.port, late.Round(time.Millisecond))
+		if late := taken.takenAt.Sub(drained); trouble && h == leaving && late > drainMS {
+			mu.Lock()
+			defer mu.Unlock()
+			takenLate[key.client.port] = late
 		}
 	}
+	if trouble {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			time.Sleep(leaveAfter)
+			leaving.leave()
+		}()
+	}
 	results := map[string]map[string]int{"port used at the leaving host": {}, "port used at other hosts": {}, "new port": {}}
 	ask := func(kind, id string, open func() *clientFlow) {
 		defer group.Done()
 		sent := time.Now()
-		got := "not opened"
-		if flow := open(); flow != nil {
+		flow, got := open(), "not opened"
+		late := time.Duration(0)
+		if flow != nil {
 			got = flow.request(id, timeLimit)
-			if got == resultServed && leaving.ran(id) {
-				got += " by the leaving host"
-			}
+			mu.Lock()
+			late = takenLate[flow.key.client.port]
+			mu.Unlock()
 			flow.close()
 		}
-		if late := sent.Sub(drained); trouble && leaving.ran(id) && late > drainMS {
-			w.violation("DRAIN: request %s (%s), sent %s after the acknowledgement, has reached the draining host %s: %s", id, kind, late.Round(time.Millisecond), leaving.id, got)
+		if leaving.ran(id) {
+			got += ", run by the leaving host"
+		}
+		if late > 0 && sent.Sub(drained) > drainMS {
+			w.violation("DRAIN: request %s (%s), sent %s after the acknowledgement, has reached the draining host %s: %s", id, kind, sent.Sub(drained).Round(time.Millisecond), leaving.id, got)
 		}
 		mu.Lock()
 		results[kind][got]++
--- a/review/.stand/host.go
+++ b/review/.stand/host.go
@@ -60,6 +60,8 @@
 	// the time of the first acknowledgement of that.
 	draining  bool
 	drainedAt time.Time
+	// gone is set when the process of the host has ended.
+	gone bool
 	// requests has the requests that the host has begun to work on.
 	requests map[string]bool
 	busy     int
@@ -221,6 +223,9 @@
 // run executes a request in a slot. The caller holds the mutex.
 func (h *host) run(key flowKey, flow *hostFlow, id string) {
 	job := func() {
+		if h.gone {
+			return
+		}
 		h.busy++
 		h.requests[id] = true
 		h.w.ran(h, key, id)
@@ -231,6 +236,9 @@
 		time.AfterFunc(work, func() {
 			h.mu.Lock()
 			defer h.mu.Unlock()
+			if h.gone {
+				return
+			}
 			h.busy--
 			flow.answer = []byte("200 stamp=" + h.id + " " + id)
 			flow.answerSeq = flow.iss + 1 + flow.sent
