--- a/review/.stand-2/host.go
+++ b/review/.stand-2/host.go
@@ -58,11 +58,16 @@
 	queue    []func()
 	// acked is the time of the acknowledgement of the first heartbeat with draining.
 	acked time.Time
+	// coldUntil is the end of the time for which the host is cold. taken has the times at
+	// which it has taken opening packets while cold.
+	coldUntil time.Time
+	taken     []time.Time
 }
 
-func (w *world) newHost(service, zone, ip string, work time.Duration) (*host, error) {
+func (w *world) newHost(service, zone, ip string, work, coldFor time.Duration) (*host, error) {
 	h := &host{
-		w: w, name: fmt.Sprintf("i-%08x", rand.Uint32()), service: service, zone: zone, ip: ip, slots: 7, work: work,
+		coldUntil: time.Now().Add(coldFor),
+		w:         w, name: fmt.Sprintf("i-%08x", rand.Uint32()), service: service, zone: zone, ip: ip, slots: 7, work: work,
 		born: time.Now().UnixMilli(), flows: make(map[string]*hostFlow), alive: true,
 		outbound: &net.UDPAddr{IP: net.ParseIP(ip), Port: w.port(portOutbound)},
 	}
@@ -116,7 +121,7 @@
 	}
 	body, _ := json.Marshal(map[string]any{
 		"service": h.service, "address": h.w.address(h.ip, portApp), "zone": h.zone, "version": "v1", "slots": h.slots,
-		"state": state, "cold_left_ms": 0, "sequence": h.sequence, "born": h.born,
+		"state": state, "cold_left_ms": max(time.Until(h.coldUntil).Milliseconds(), 0), "sequence": h.sequence, "born": h.born,
 	})
 	h.mu.Unlock()
 	status := h.call(http.MethodPut, body)
@@ -158,6 +163,31 @@
 	h.heartbeat()
 }
 
+// crash ends the host without a message.
+func (h *host) crash() {
+	h.mu.Lock()
+	h.alive = false
+	h.mu.Unlock()
+	_ = h.socket.Close()
+	_ = h.health.Close()
+	h.w.note("host %s: crashes", h.ip)
+}
+
+// busiestSecond returns the largest number of opening packets that the host has taken in a
+// second while cold.
+func (h *host) busiestSecond() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	most, first := 0, 0
+	for i, at := range h.taken {
+		for at.Sub(h.taken[first]) > time.Second {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
 func (h *host) read() {
 	buffer := make([]byte, 4096)
 	for {
@@ -198,6 +228,10 @@
 		if f == nil {
 			f = &hostFlow{client: p.src, service: p.dst, seq: rand.Uint32(), ack: p.seq + 1}
 			h.flows[key] = f
+			if now := time.Now(); now.Before(h.coldUntil) {
+				h.taken = append(h.taken, now)
+				h.w.note("host %s: takes flow %s while cold", h.ip, key)
+			}
 		}
 		if f.ack != p.seq+1 && !f.open {
 			h.back(raw)
--- a/review/.stand-2/main.go
+++ b/review/.stand-2/main.go
@@ -107,13 +107,18 @@
 
 // begin starts the deployment: balancers, and hosts with their agents.
 func (s *scene) begin(balancers, hosts int, work time.Duration) error {
+	return s.beginWith(balancers, hosts, work, 50)
+}
+
+// beginWith is begin with the number of requests a second that a cold host bears.
+func (s *scene) beginWith(balancers, hosts int, work time.Duration, coldPerSecond float64) error {
 	s.store.put("config", "main", map[string]any{
 		"version": 3,
 		"routes": []any{map[string]any{
 			"name": "r1", "hostname": "127.99.0.1", "path_prefix": "/8443/", "service": serviceName, "type": "unsafe",
 			"timeout_ms": timeLimit.Milliseconds(), "slo_ms": 250, "priority": 1, "max_attempts": 1,
 		}},
-		"services": []any{map[string]any{"name": serviceName, "health_path": "/health", "cold_per_s": 50}},
+		"services": []any{map[string]any{"name": serviceName, "health_path": "/health", "cold_per_s": coldPerSecond}},
 		"limits":   map[string]any{"idle_timeout_ms": 60_000},
 	})
 	var ips []string
@@ -136,7 +141,7 @@
 	}
 	time.Sleep(300 * time.Millisecond)
 	for i := range hosts {
-		h, err := s.newHost(serviceName, "a", s.agentIP(i), work)
+		h, err := s.newHost(serviceName, "a", s.agentIP(i), work, 0)
 		if err != nil {
 			return err
 		}
@@ -169,6 +174,43 @@
 	return nil
 }
 
+// offer opens perSecond flows a second, each for one request, until the run stops.
+func (s *scene) offer(clients, perSecond int) error {
+	for range clients {
+		c, err := s.newClient(s.clientIP(len(s.clients)))
+		if err != nil {
+			return err
+		}
+		s.clients = append(s.clients, c)
+	}
+	ticker := time.NewTicker(time.Second / time.Duration(perSecond))
+	s.working.Add(1)
+	go func() {
+		defer s.working.Done()
+		defer ticker.Stop()
+		for number := 0; ; number++ {
+			select {
+			case <-s.stop:
+				return
+			case <-ticker.C:
+			}
+			c := s.clients[number%len(s.clients)]
+			s.working.Add(1)
+			go func() {
+				defer s.working.Done()
+				f := c.dial(routeAddress)
+				if f == nil {
+					return
+				}
+				id := fmt.Sprintf("%s-%d", c.ip, number)
+				s.ended(id, f.request(id, timeLimit))
+				f.close()
+			}()
+		}
+	}()
+	return nil
+}
+
 // use sends requests on one flow after the other until the run stops.
 func (s *scene) use(c *client, perFlow int, pause time.Duration) {
 	var f *flow
