--- a/review/.stand-2/main.go
+++ b/review/.stand-2/main.go
@@ -71,6 +71,7 @@
 		return exitFailed
 	}
 	defer w.end()
+	defer w.endEarly()()
 	s := &scene{world: w, stop: make(chan struct{})}
 	w.note("case %s, trouble %v", name, trouble)
 	if err := cases[name](s, trouble); err != nil {
--- a/review/.stand-2/world.go
+++ b/review/.stand-2/world.go
@@ -10,6 +10,7 @@
 	"net"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -337,6 +338,29 @@
 	}
 }
 
+// longest is the time after which a run that has not ended is stopped.
+const longest = 115 * time.Second
+
+// endEarly ends the run with all its processes on a signal or after longest. The returned
+// function stops waiting for these.
+func (w *world) endEarly() func() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	ended := make(chan struct{})
+	go func() {
+		select {
+		case <-signals:
+		case <-time.After(longest):
+			w.note("the run takes too long")
+		case <-ended:
+			return
+		}
+		w.end()
+		os.Exit(exitFailed)
+	}()
+	return func() { close(ended) }
+}
+
 // end ends all processes that the run has started.
 func (w *world) end() {
 	for _, p := range w.procs {
