review: a draining host of the stand-ins sends its FIN with the answer

The FIN was sent once, apart, and lost while the agent was down; the client then missed the answer to its next request.

--- a/review/.stand-2/client.go
+++ b/review/.stand-2/client.go
@@ -109,6 +109,8 @@
 	hostNext uint32
 	open     bool
 	reset    bool
+	// ended is set once the host has closed the flow with an answer.
+	ended    bool
 	openedAt time.Time
 	inbox    chan *packet
 }
@@ -258,6 +260,10 @@
 				f.seq += uint32(len(data))
 				f.c.mu.Lock()
 				f.hostNext += uint32(len(p.data))
+				if p.flags&flagFIN != 0 {
+					f.hostNext++
+					f.ended = true
+				}
 				f.c.mu.Unlock()
 				f.send(flagACK, f.seq, f.hostNext, nil)
 				if !strings.HasSuffix(headerOf(p.data, "X-Anvilglade-Server-Stamp"), "-"+id) {
--- a/review/.stand-2/host.go
+++ b/review/.stand-2/host.go
@@ -27,11 +27,9 @@
 	client, service    end
 	seq, ack           uint32
 	open, closed       bool
-	unacked            int
-	finished           bool
 	pending            []byte
 	pendingSeq         uint32
-	request            []byte
+	pendingFlags       byte
 	sinceAck           int
 	clientFin, hostFin bool
 }
@@ -287,7 +285,7 @@
 
 // acknowledged ends the retransmission of an answer that the client has.
 func (h *host) acknowledged(f *hostFlow, ack uint32) {
-	if f.pending != nil && ack-f.pendingSeq == uint32(len(f.pending)) {
+	if f.pending != nil && ack == f.seq {
 		f.pending = nil
 	}
 }
@@ -298,7 +296,7 @@
 	if p.seq != f.ack {
 		// A copy: what has arrived is acknowledged again, with the answer if there is one.
 		if f.pending != nil {
-			h.send(f, flagACK, f.pendingSeq, f.pending)
+			h.send(f, f.pendingFlags, f.pendingSeq, f.pending)
 			return
 		}
 		h.send(f, flagACK, f.seq, nil)
@@ -345,14 +343,14 @@
 func (h *host) respond(f *hostFlow, id string) {
 	body := strings.Repeat("a", 500)
 	f.pending = []byte(fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Anvilglade-Server-Stamp: %s-%s\r\nContent-Length: %d\r\n\r\n%s", h.name, id, len(body), body))
-	f.pendingSeq = f.seq
+	f.pendingSeq, f.pendingFlags = f.seq, flagACK
 	f.seq += uint32(len(f.pending))
-	h.send(f, flagACK, f.pendingSeq, f.pending)
 	if h.draining && !f.hostFin {
 		f.hostFin = true
-		h.send(f, flagACK|flagFIN, f.seq, nil)
+		f.pendingFlags |= flagFIN
 		f.seq++
 	}
+	h.send(f, f.pendingFlags, f.pendingSeq, f.pending)
 	h.repeat(f, f.pendingSeq, firstRepeat, 1)
 }
 
@@ -367,7 +365,7 @@
 			f.closed = true
 			return
 		}
-		h.send(f, flagACK, seq, f.pending)
+		h.send(f, f.pendingFlags, seq, f.pending)
 		h.repeat(f, seq, min(2*after, maxRepeat), count+1)
 	})
 }
--- a/review/.stand-2/main.go
+++ b/review/.stand-2/main.go
@@ -256,6 +256,10 @@
 
 // closedByHost reports whether the flow has been closed or reset, and answers a FIN.
 func (f *flow) closedByHost() bool {
+	if f.ended {
+		f.close()
+		return true
+	}
 	for {
 		select {
 		case p := <-f.inbox:
