--- a/review/.stand-2/drain.go
+++ b/review/.stand-2/drain.go
@@ -11,13 +11,16 @@
 // longWork is the longest work of a request on the sheet of the deployment.
 const longWork = 310 * time.Millisecond
 
+// hostsBesideDrain is the number of hosts of which one drains, a share of 0.125.
+const hostsBesideDrain = 8
+
 func init() { cases["drain"] = drainCase }
 
 func drainCase(s *scene, trouble bool) error {
-	if err := s.begin(2, 3, longWork); err != nil {
+	if err := s.begin(2, hostsBesideDrain, longWork); err != nil {
 		return err
 	}
-	if err := s.addClients(24, manyRequests, 1500*time.Millisecond); err != nil {
+	if err := s.addClients(64, manyRequests, 1500*time.Millisecond); err != nil {
 		return err
 	}
 	time.Sleep(5 * time.Second)
